--- /dev/null
+++ b/oatcrank/claims_settings.py
@@ -0,0 +1,12 @@
+"""Size the record of unrepeatable requests."""
+
+from oatcrank import section
+
+
+class ClaimsSettings(section.Section, frozen=True, kw_only=True):
+    """Size the record of unrepeatable requests."""
+
+    shards: int = 4
+    batch_spacing_ms: int = 20
+    retention_s: int = 86_400
+    kept_answer_bytes: int = 4096
--- /dev/null
+++ b/oatcrank/configuration_settings.py
@@ -0,0 +1,12 @@
+"""Time the reading of the change log."""
+
+from oatcrank import section
+
+
+class ConfigurationSettings(section.Section, frozen=True, kw_only=True):
+    """Time the reading of the change log."""
+
+    watch_wait_ms: int = 10_000
+    retry_ms: int = 250
+    segment_changes: int = 200
+    watchers_per_cell: int = 2
--- /dev/null
+++ b/oatcrank/ids.py
@@ -0,0 +1,17 @@
+"""Name the identifiers that messages and settings carry."""
+
+from typing import NewType
+
+InstanceId = NewType('InstanceId', str)
+ServerId = NewType('ServerId', str)
+PoolName = NewType('PoolName', str)
+FailureDomain = NewType('FailureDomain', str)
+ProfileName = NewType('ProfileName', str)
+ModelName = NewType('ModelName', str)
+AdapterName = NewType('AdapterName', str)
+ServiceName = NewType('ServiceName', str)
+RequestId = NewType('RequestId', str)
+ChangeId = NewType('ChangeId', str)
+OrderId = NewType('OrderId', str)
+Fence = NewType('Fence', int)
+Revision = NewType('Revision', int)
--- /dev/null
+++ b/oatcrank/limits_settings.py
@@ -0,0 +1,16 @@
+"""Bound what callers can ask."""
+
+from oatcrank import section
+
+MEGABYTE = 1_048_576
+
+
+class LimitsSettings(section.Section, frozen=True, kw_only=True):
+    """Bound what callers can ask of one instance."""
+
+    body_bytes: int = MEGABYTE
+    queued_per_model: int = 256
+    retry_share: float = 0.2
+    crashes_per_request: int = 2
+    address_keep_s: int = 10
+    stop_grace_s: int = 60
--- /dev/null
+++ b/oatcrank/placement.py
@@ -0,0 +1,73 @@
+"""Decide which models to load and unload, given what is observed."""
+
+import abc
+import enum
+
+import msgspec
+
+from oatcrank import ids
+
+
+class MoveKind(enum.Enum):
+    """Say what a move does to a server."""
+
+    load = 'load'
+    unload = 'unload'
+
+
+class Move(msgspec.Struct, frozen=True, kw_only=True):
+    """Load or unload one model on one server."""
+
+    kind: MoveKind
+    server: ids.ServerId
+    model: ids.ModelName
+
+
+class ServerView(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a server; free_mb is what no replica reserves."""
+
+    server: ids.ServerId
+    failure_domain: ids.FailureDomain
+    memory_mb: int
+    free_mb: int
+    slots: int
+    loaded: tuple[ids.ModelName, ...] = ()
+    loading: tuple[ids.ModelName, ...] = ()
+    unloading: tuple[ids.ModelName, ...] = ()
+    busy: tuple[ids.ModelName, ...] = ()
+
+
+class ModelView(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a model's demand; memory_mb includes its adapters."""
+
+    model: ids.ModelName
+    memory_mb: int
+    arrivals: int
+    waiting: int
+    running: int
+    service_s: float
+    first_token_s: float
+    weight: float = 1
+
+
+class Observation(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what one pool's placement is decided from."""
+
+    now_s: float
+    since_s: float
+    load_slots: int
+    load_s: float
+    servers: tuple[ServerView, ...]
+    models: tuple[ModelView, ...]
+
+
+class Placement(abc.ABC):
+    """Choose moves; an implementation may keep estimates between calls."""
+
+    @abc.abstractmethod
+    def decide(self, seen: Observation) -> tuple[Move, ...]:
+        """Return the moves to start now, best first.
+
+        A load's memory must fit in free_mb; load_slots bounds the loads; a
+        model that is busy on a server may not be unloaded from it.
+        """
--- /dev/null
+++ b/oatcrank/rpc.py
@@ -0,0 +1,129 @@
+"""Call another process: HTTP with JSON bodies by tornado's client."""
+
+from http import HTTPStatus
+from typing import TypeVar
+
+import msgspec
+from tornado import httpclient, simple_httpclient
+
+from oatcrank import errors
+
+MAX_CONNECTIONS = 20_000
+CONNECT_TIMEOUT_S = 1.0
+SHOWN_BYTES = 200
+JSON_TYPE = 'application/json'
+
+Answer = TypeVar('Answer')
+
+
+class RpcRefused(errors.OatcrankError):
+    """Report an answer that is not a success."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        """Keep the status and the body."""
+        super().__init__(f'status {status}: {body[:SHOWN_BYTES]!r}')
+        self.status = status
+        self.body = body
+
+
+class Rpc:
+    """Send typed messages and decode typed answers."""
+
+    def __init__(self) -> None:
+        """Open no connection yet."""
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_CONNECTIONS,
+        )
+
+    async def get(
+        self,
+        address: str,
+        path: str,
+        answer_type: type[Answer],
+        *,
+        timeout_s: float,
+    ) -> Answer:
+        """Read from a process at ip:port.
+
+        Raises errors.Unavailable if the call surely had no effect,
+        errors.UnknownOutcome if its answer was lost, and RpcRefused.
+        """
+        body = await self.fetch(address, 'GET', path, None, timeout_s=timeout_s)
+        return _decoded(body, answer_type)
+
+    async def post(
+        self,
+        address: str,
+        path: str,
+        message: msgspec.Struct,
+        answer_type: type[Answer],
+        *,
+        timeout_s: float,
+    ) -> Answer:
+        """Send a message to a process at ip:port; raises as get does."""
+        body = await self.fetch(
+            address,
+            'POST',
+            path,
+            msgspec.json.encode(message),
+            timeout_s=timeout_s,
+        )
+        return _decoded(body, answer_type)
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        *,
+        timeout_s: float,
+    ) -> bytes:
+        """Send a raw body and return the raw answer; raises as get does."""
+        request = httpclient.HTTPRequest(
+            f'http://{address}{path}',
+            method=method,
+            body=body,
+            headers={'Content-Type': JSON_TYPE},
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+        )
+        answer = await self._send(request)
+        if answer.code >= HTTPStatus.BAD_REQUEST:
+            raise RpcRefused(answer.code, answer.body or b'')
+        return answer.body or b''
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._client.close()
+
+    async def _send(
+        self,
+        request: httpclient.HTTPRequest,
+    ) -> httpclient.HTTPResponse:
+        try:
+            return await self._client.fetch(request, raise_error=False)
+        except ConnectionRefusedError as error:
+            raise errors.Unavailable(f'{request.url}: {error}') from error
+        except simple_httpclient.HTTPTimeoutError as error:
+            raise _timeout_error(request, error) from error
+        except (OSError, httpclient.HTTPError) as error:
+            raise errors.UnknownOutcome(f'{request.url}: {error}') from error
+
+
+def _timeout_error(
+    request: httpclient.HTTPRequest,
+    error: simple_httpclient.HTTPTimeoutError,
+) -> errors.PlatformError:
+    if 'during request' in str(error):
+        return errors.UnknownOutcome(f'{request.url}: {error}')
+    return errors.Unavailable(f'{request.url}: {error}')
+
+
+def _decoded(body: bytes, answer_type: type[Answer]) -> Answer:
+    try:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.MsgspecError as error:
+        raise errors.UnknownOutcome(f'unreadable answer: {error}') from error
--- /dev/null
+++ b/oatcrank/weight_store_settings.py
@@ -0,0 +1,11 @@
+"""Bound the use of the weight store."""
+
+from oatcrank import section
+
+
+class WeightStoreSettings(section.Section, frozen=True, kw_only=True):
+    """Bound what is asked of the weight store."""
+
+    loads_per_s: float
+    concurrent_loads: int
+    adapters_in_transit: int
