--- /dev/null
+++ b/oatcrank/address_handler.py
@@ -0,0 +1,51 @@
+"""Tell callers which entry instances to use."""
+
+import random
+
+import msgspec
+
+from oatcrank import json_handler, member, serving
+
+GIVEN_ADDRESSES = 3
+
+
+class Addresses(msgspec.Struct, frozen=True, kw_only=True):
+    """List addresses as `ip:port`, best first, and how long to keep them."""
+
+    addresses: tuple[str, ...]
+    keep_s: int
+
+
+class AddressHandler(json_handler.JsonHandler):
+    """Answer `/v1/addresses`."""
+
+    def initialize(self, parts: serving.Serving) -> None:
+        """Answer from the members that this instance knows."""
+        self._parts = parts
+
+    async def get(self) -> None:
+        """Return a few live instances, in different failure domains first."""
+        self.answer(
+            Addresses(
+                addresses=_spread(
+                    [
+                        one
+                        for one in self._parts.members.alive()
+                        if not one.leaving
+                    ],
+                ),
+                keep_s=self._parts.settings.limits.address_keep_s,
+            ),
+        )
+
+
+def _spread(alive: list[member.Member]) -> tuple[str, ...]:
+    shuffled = random.sample(alive, len(alive))
+    first_by_domain: dict[str, member.Member] = {}
+    for candidate in shuffled:
+        first_by_domain.setdefault(candidate.failure_domain, candidate)
+    firsts = list(first_by_domain.values())
+    others = [other for other in shuffled if other not in firsts]
+    return tuple(
+        chosen.address for chosen in (firsts + others)[:GIVEN_ADDRESSES]
+    )
--- /dev/null
+++ b/oatcrank/admission.py
@@ -0,0 +1,224 @@
+"""Hold requests until a backend server has room, the most urgent first."""
+
+import asyncio
+import collections
+from collections.abc import Callable, Sequence
+from http import HTTPStatus
+
+from oatcrank import backend_server, clock, ids, job, refusal, router
+
+SERVICE_S_GUESS = 1.0
+SERVICE_SHARE = 0.1
+SHORTEST_RETRY_S = 0.5
+NOT_LOADED_PAUSE_S = 0.5
+
+Servers = Callable[[ids.ModelName], Sequence[backend_server.BackendServer]]
+
+
+class Waiter:
+    """Hold one request in the queue of its model."""
+
+    def __init__(self, held: job.ModelJob) -> None:
+        """Wait for a server."""
+        self.job = held
+        self.placed: asyncio.Future[backend_server.BackendServer] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Admission:
+    """Place requests, queue them by slack, or refuse them at once."""
+
+    def __init__(
+        self,
+        *,
+        servers: Servers,
+        chooser: router.Router,
+        ticker: clock.Clock,
+        queue_limit: int,
+    ) -> None:
+        """Place on what servers(model) returns; bound each model's queue."""
+        self.arrivals_by_model: collections.Counter[ids.ModelName] = (
+            collections.Counter()
+        )
+        self.running_by_model: collections.Counter[ids.ModelName] = (
+            collections.Counter()
+        )
+        self.service_s_by_model: dict[ids.ModelName, float] = {}
+        self._servers = servers
+        self._router = chooser
+        self._clock = ticker
+        self._queue_limit = queue_limit
+        self._waiting_by_model: dict[ids.ModelName, list[Waiter]] = {}
+        self._absent_until: dict[tuple[str, ids.ModelName], float] = {}
+
+    def waiting(self, model: ids.ModelName) -> int:
+        """Return how many requests wait for a model."""
+        return len(self._waiting_by_model.get(model, ()))
+
+    async def place(
+        self,
+        wanted: job.ModelJob,
+        *,
+        alone: bool = False,
+    ) -> backend_server.BackendServer:
+        """Return a server with a place taken on it; raises refusal.Refused."""
+        if not self.waiting(wanted.model) or alone:
+            server = self._try(wanted, alone=alone)
+            if server is not None:
+                return server
+        self._check_in_time(wanted)
+        return await self._wait(wanted)
+
+    def release(
+        self,
+        server: backend_server.BackendServer,
+        model: ids.ModelName,
+    ) -> None:
+        """Give back a place and let the most urgent request have it."""
+        server.in_flight -= 1
+        self.running_by_model[model] -= 1
+        self.wake()
+
+    def served(self, model: ids.ModelName, seconds: float) -> None:
+        """Learn how long a request holds its place."""
+        known = self.service_s_by_model.get(model, seconds)
+        self.service_s_by_model[model] = known + SERVICE_SHARE * (
+            seconds - known
+        )
+
+    def mark_absent(
+        self,
+        server: backend_server.BackendServer,
+        model: ids.ModelName,
+    ) -> None:
+        """Send the server none of the model's requests for a short time."""
+        key = (server.listed.instance_id, model)
+        self._absent_until[key] = self._clock.now() + NOT_LOADED_PAUSE_S
+
+    def wake(self) -> None:
+        """Place whatever can be placed now, by slack within each model."""
+        for waiters in tuple(self._waiting_by_model.values()):
+            self._place_waiters(waiters)
+
+    def _place_waiters(self, waiters: list[Waiter]) -> None:
+        waiters.sort(key=lambda waiter: waiter.job.deadline)
+        for waiter in tuple(waiters):
+            server = self._try(waiter.job, alone=False)
+            if server is None:
+                return
+            waiters.remove(waiter)
+            waiter.placed.set_result(server)
+
+    def _try(
+        self,
+        wanted: job.ModelJob,
+        *,
+        alone: bool,
+    ) -> backend_server.BackendServer | None:
+        server = self._router.choose(
+            self._present(wanted.model),
+            prefix=wanted.prefix,
+            avoid=wanted.avoid,
+            alone=alone,
+        )
+        if server is not None:
+            server.in_flight += 1
+            self.running_by_model[wanted.model] += 1
+        return server
+
+    def _present(
+        self,
+        model: ids.ModelName,
+    ) -> Sequence[backend_server.BackendServer]:
+        servers = self._servers(model)
+        if not self._absent_until:
+            return servers
+        now = self._clock.now()
+        self._absent_until = {
+            key: until
+            for key, until in self._absent_until.items()
+            if until > now
+        }
+        return [
+            server
+            for server in servers
+            if (server.listed.instance_id, model) not in self._absent_until
+        ]
+
+    def _check_in_time(self, wanted: job.ModelJob) -> None:
+        ahead = self.waiting(wanted.model)
+        expected_s = self._expected_wait_s(wanted.model, ahead)
+        if ahead >= self._queue_limit:
+            raise refused_in_queue(
+                refusal.Code.overloaded,
+                'the queue of the model is full',
+                expected_s,
+                ran=wanted.may_have_run,
+            )
+        if self._clock.now() + expected_s > wanted.deadline:
+            raise refused_in_queue(
+                refusal.Code.not_in_time,
+                'the answer could not come within its target',
+                expected_s,
+                ran=wanted.may_have_run,
+            )
+
+    def _expected_wait_s(self, model: ids.ModelName, ahead: int) -> float:
+        slots = sum(
+            server.slots for server in self._servers(model) if server.usable
+        )
+        if not slots:
+            return 0
+        service_s = self.service_s_by_model.get(model, SERVICE_S_GUESS)
+        return service_s * ahead / slots
+
+    async def _wait(self, wanted: job.ModelJob) -> backend_server.BackendServer:
+        waiter = Waiter(wanted)
+        waiters = self._waiting_by_model.setdefault(wanted.model, [])
+        waiters.append(waiter)
+        try:
+            async with asyncio.timeout(wanted.deadline - self._clock.now()):
+                return await asyncio.shield(waiter.placed)
+        except TimeoutError as error:
+            self._withdraw(waiter)
+            raise refused_in_queue(
+                refusal.Code.not_in_time,
+                'no backend server had room within the target',
+                SHORTEST_RETRY_S,
+                ran=wanted.may_have_run,
+            ) from error
+        except asyncio.CancelledError:
+            self._withdraw(waiter)
+            raise
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        model = waiter.job.model
+        if waiter.placed.done():
+            self.release(waiter.placed.result(), model)
+            return
+        waiters = self._waiting_by_model[model]
+        waiters.remove(waiter)
+        if not waiters:
+            self._waiting_by_model.pop(model)
+
+
+def refused_in_queue(
+    code: refusal.Code,
+    message: str,
+    retry_after_s: float,
+    *,
+    ran: bool = False,
+) -> refusal.Refused:
+    """Return a refusal; ran says that an earlier attempt may have run."""
+    return refusal.Refused(
+        refusal.Refusal(
+            code=code,
+            message=message,
+            run_state=refusal.RunState.may_have_run
+            if ran
+            else refusal.RunState.did_not_run,
+            retry_after_s=max(retry_after_s, SHORTEST_RETRY_S),
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+        ),
+    )
--- /dev/null
+++ b/oatcrank/caller_handler.py
@@ -0,0 +1,110 @@
+"""Share what serving a caller's request has in common."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable
+from http import HTTPStatus
+
+import msgspec
+import xxhash
+
+from oatcrank import (
+    caller_outlet,
+    event_splitter,
+    json_handler,
+    logs,
+    profile,
+    refusal,
+    request_head,
+    serving,
+)
+
+EVENT_START = b'data: '
+SEPARATOR = b'\0'
+
+
+class Failed(msgspec.Struct, frozen=True):
+    """Tell in a stream that has started why it ends early."""
+
+    error: refusal.Refusal
+
+
+class CallerHandler(json_handler.JsonHandler):
+    """Check a request, run it, and cancel it when its caller goes."""
+
+    def initialize(self, parts: serving.Serving) -> None:
+        """Serve with the parts of this instance."""
+        self.parts = parts
+        self.checked: request_head.RequestHead
+        self.outlet = caller_outlet.CallerOutlet(self)
+        self._task: asyncio.Task[None] | None = None
+
+    def prepare(self) -> None:
+        """Check the headers and that this instance may take new work."""
+        self.checked = request_head.RequestHead(self.request.headers)
+        self.set_header(request_head.REQUEST_ID_HEADER, self.checked.request_id)
+        self.parts.check_in_service()
+
+    def on_connection_close(self) -> None:
+        """Cancel the work of a caller that has gone."""
+        self.outlet.gone = True
+        if self._task is not None:
+            self._task.cancel()
+
+    def work_class(self) -> profile.Profile:
+        """Return the profile that the caller named, or refuse."""
+        found = self.parts.profiles().get(self.checked.profile)
+        if found is None:
+            raise request_head.bad_request(
+                f'there is no profile {self.checked.profile}',
+                code=refusal.Code.unknown_profile,
+                status=HTTPStatus.NOT_FOUND,
+            )
+        if found.at_most_once and not self.checked.idempotency_key:
+            raise request_head.bad_request(
+                f'profile {found.name} is at-most-once: '
+                'send an Idempotency-Key header',
+                code=refusal.Code.missing_idempotency_key,
+            )
+        return found
+
+    async def run(self, work: Awaitable[None]) -> None:
+        """Do the work and finish the answer."""
+        self._task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        try:
+            await self._task
+        except asyncio.CancelledError:
+            logs.event('caller_gone', request_id=self.checked.request_id)
+            return
+        except refusal.Refused as refused:
+            self._refuse(refused.refusal)
+            return
+        if not self.outlet.gone:
+            await self._finish()
+
+    async def _finish(self) -> None:
+        with contextlib.suppress(IOError):
+            await self.finish()
+
+    def _refuse(self, refused: refusal.Refusal) -> None:
+        logs.event(
+            'refused',
+            request_id=self.checked.request_id,
+            code=refused.code.value,
+            run_state=refused.run_state.value,
+            reason=refused.message,
+        )
+        self.parts.meter.count(f'refused.{refused.code.value}')
+        if self.outlet.gone:
+            return
+        if self.outlet.started:
+            # The status has been sent: the stream ends without its last event.
+            self.write(EVENT_START + msgspec.json.encode(Failed(refused)))
+            self.finish(event_splitter.EVENT_END)
+            return
+        self.refuse(refused)
+
+
+def fingerprint(*parts: bytes) -> int:
+    """Return what tells equal requests, whatever their ids."""
+    return xxhash.xxh3_64_intdigest(SEPARATOR.join(parts))
--- /dev/null
+++ b/oatcrank/caller_outlet.py
@@ -0,0 +1,38 @@
+"""Send an answer to the caller's connection."""
+
+from collections.abc import Awaitable
+
+from tornado import iostream, web
+
+from oatcrank import outlet
+
+
+class CallerOutlet(outlet.Outlet):
+    """Write to a caller, who may be gone."""
+
+    def __init__(self, handler: web.RequestHandler) -> None:
+        """Write through a request's handler."""
+        self.started = False
+        self.gone = False
+        self._handler = handler
+
+    def head(self, status: int, content_type: str) -> None:
+        """Take the status and content type; later calls are ignored."""
+        if self.started or self.gone:
+            return
+        self.started = True
+        self._handler.set_status(status)
+        self._handler.set_header('Content-Type', content_type)
+
+    def write(self, chunk: bytes) -> Awaitable[None] | None:
+        """Send a part of the body, unless the caller is gone."""
+        if self.gone:
+            return None
+        self._handler.write(chunk)
+        return self._flush()
+
+    async def _flush(self) -> None:
+        try:
+            await self._handler.flush()
+        except iostream.StreamClosedError:
+            self.gone = True
--- /dev/null
+++ b/oatcrank/completion_handler.py
@@ -0,0 +1,92 @@
+"""Serve the completions of models."""
+
+from typing import Any
+
+import msgspec
+
+from oatcrank import (
+    caller_handler,
+    ids,
+    job,
+    profile,
+    refusal,
+    request_head,
+)
+
+# These fields differ between resends of one request.
+VARYING_FIELDS = frozenset(('request_id', 'user', 'stream', 'resume_from'))
+
+
+class Completion(msgspec.Struct, frozen=True):
+    """Describe the fields of the body that oatcrank reads."""
+
+    model: str
+    prompt: str | None = None
+    messages: list[dict[str, Any]] | None = None
+    adapter: str | None = None
+    max_tokens: int | None = None
+    stream: bool = False
+    prefix_id: str | None = None
+
+
+class CompletionHandler(caller_handler.CallerHandler):
+    """Answer `/v1/completions` and `/v1/chat/completions`."""
+
+    async def post(self) -> None:
+        """Run one completion."""
+        checked = self.decode(Completion)
+        work_class = self.work_class()
+        _check_covered(work_class, checked)
+        payload = msgspec.json.decode(self.request.body)
+        wanted = job.ModelJob(
+            path=self.request.path,
+            payload=payload,
+            request_id=self.checked.request_id,
+            work_class=work_class,
+            fingerprint=_fingerprint(self.request.path, payload),
+            arrived=self.parts.clock.now(),
+        )
+        self.parts.places.arrivals_by_model[wanted.model] += 1
+        await self.run(self._serve(wanted))
+
+    async def _serve(self, wanted: job.ModelJob) -> None:
+        if wanted.work_class.at_most_once:
+            await self.parts.unrepeatable.run(
+                wanted,
+                self.checked.idempotency_key,
+                self.parts.models,
+                self.outlet,
+            )
+        else:
+            await self.parts.models.run(wanted, self.outlet)
+
+
+def _check_covered(
+    work_class: profile.Profile,
+    checked: Completion,
+) -> None:
+    if checked.prompt is None and checked.messages is None:
+        raise request_head.bad_request('body: prompt or messages is required')
+    if ids.ModelName(checked.model) not in work_class.models:
+        raise request_head.bad_request(
+            f'profile {work_class.name} does not cover model {checked.model}',
+            code=refusal.Code.unknown_model,
+        )
+    adapter = ids.AdapterName(checked.adapter or '')
+    if adapter and adapter not in work_class.adapters:
+        raise request_head.bad_request(
+            f'profile {work_class.name} does not cover adapter {adapter}',
+            code=refusal.Code.unknown_adapter,
+        )
+
+
+def _fingerprint(path: str, payload: dict[str, Any]) -> int:
+    lasting = {
+        name: found
+        for name, found in sorted(payload.items())
+        if name not in VARYING_FIELDS
+    }
+    return caller_handler.fingerprint(
+        path.encode(),
+        msgspec.json.encode(lasting),
+    )
--- /dev/null
+++ b/oatcrank/dispatch.py
@@ -0,0 +1,211 @@
+"""Share what dispatching to engines and to plain services has in common."""
+
+import abc
+from http import HTTPStatus
+
+from oatcrank import (
+    backend_server,
+    clock,
+    crash_suspects,
+    errors,
+    job,
+    logs,
+    metrics,
+    outlet,
+    refusal,
+    retry_budget,
+)
+
+RETRY_S = 1.0
+
+
+class Dispatch(abc.ABC):
+    """Run a request on backend servers until it has one whole answer."""
+
+    def __init__(
+        self,
+        *,
+        suspects: crash_suspects.CrashSuspects,
+        budget: retry_budget.RetryBudget,
+        ticker: clock.Clock,
+        meter: metrics.Metrics,
+    ) -> None:
+        """Share suspects and the retry budget with other dispatches."""
+        self._suspects = suspects
+        self._budget = budget
+        self._clock = ticker
+        self._metrics = meter
+
+    async def run(
+        self,
+        wanted: job.Job,
+        answer: outlet.Outlet,
+    ) -> None:
+        """Answer the request or raise refusal.Refused."""
+        self._budget.earn()
+        while True:
+            self._check_suspect(wanted)
+            suspected = self._suspects.crashes(wanted.fingerprint) > 0
+            server = await self._place(wanted, alone=suspected)
+            server.suspects += suspected
+            try:
+                await self._try(server, wanted, answer)
+            finally:
+                server.suspects -= suspected
+                self._release(server, wanted)
+            if wanted.answered:
+                self._suspects.clear(wanted.fingerprint)
+                return
+
+    @abc.abstractmethod
+    async def _place(
+        self,
+        wanted: job.Job,
+        *,
+        alone: bool,
+    ) -> backend_server.BackendServer:
+        """Return a server with a place taken; raises refusal.Refused."""
+
+    @abc.abstractmethod
+    def _release(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+    ) -> None:
+        """Give back the place."""
+
+    @abc.abstractmethod
+    async def _attempt(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        answer: outlet.Outlet,
+    ) -> None:
+        """Run once; raises errors.NotStarted or errors.Interrupted."""
+
+    @abc.abstractmethod
+    async def _alive(self, server: backend_server.BackendServer) -> bool:
+        """Tell whether the server still runs since the request was sent."""
+
+    async def _try(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        answer: outlet.Outlet,
+    ) -> None:
+        try:
+            await self._attempt(server, wanted, answer)
+        except errors.NotStarted as error:
+            self._take_not_started(server, wanted, error)
+        except errors.Interrupted as error:
+            self._note(server, wanted, error)
+            await self._suspects.interrupted(
+                server,
+                wanted.fingerprint,
+                lambda: self._alive(server),
+            )
+            self._check_suspect(wanted, error)
+            if wanted.work_class.at_most_once:
+                raise refusal.Refused(_unknown(wanted, error)) from error
+            self._spend(wanted, refusal.RunState.may_have_run, error)
+        else:
+            server.succeeded()
+            wanted.answered = True
+
+    def _take_not_started(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        error: errors.NotStarted,
+    ) -> None:
+        if isinstance(error, errors.NotPermitted):
+            raise refusal.Refused(_withdrawn(wanted)) from error
+        wanted.permit.give_back()
+        self._note(server, wanted, error)
+        if not isinstance(error, errors.NotLoaded):
+            self._spend(wanted, refusal.RunState.did_not_run, error)
+
+    def _note(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        error: errors.BackendError,
+    ) -> None:
+        if not isinstance(error, (errors.NotLoaded, errors.Busy)):
+            server.failed()
+        wanted.avoid.add(server.listed.failure_domain)
+        self._metrics.count('attempt_failed')
+        logs.event(
+            'attempt_failed',
+            request_id=wanted.request_id,
+            server=server.listed.instance_id,
+            attempt=wanted.attempts,
+            error=error,
+        )
+
+    def _spend(
+        self,
+        wanted: job.Job,
+        state: refusal.RunState,
+        error: errors.BackendError,
+    ) -> None:
+        if wanted.may_have_run:
+            state = refusal.RunState.may_have_run
+        wanted.may_have_run = state is refusal.RunState.may_have_run
+        if self._clock.now() < wanted.deadline and self._budget.spend():
+            self._metrics.count('retry')
+            return
+        raise refusal.Refused(
+            refusal.Refusal(
+                code=refusal.Code.interrupted,
+                message=f'no attempt came to an end; the last: {error}',
+                run_state=state,
+                request_id=wanted.request_id,
+                retry_after_s=RETRY_S,
+                status=HTTPStatus.BAD_GATEWAY,
+            ),
+        ) from error
+
+    def _check_suspect(
+        self,
+        wanted: job.Job,
+        cause: errors.BackendError | None = None,
+    ) -> None:
+        if not self._suspects.is_refused(wanted.fingerprint):
+            return
+        ran = cause is not None or wanted.may_have_run
+        raise refusal.Refused(
+            refusal.Refusal(
+                code=refusal.Code.crashes_backend_servers,
+                message='each backend server that ran this request crashed; '
+                'do not send it again',
+                run_state=refusal.RunState.may_have_run
+                if ran
+                else refusal.RunState.did_not_run,
+                request_id=wanted.request_id,
+                status=HTTPStatus.UNPROCESSABLE_ENTITY,
+            ),
+        )
+
+
+def _withdrawn(wanted: job.Job) -> refusal.Refusal:
+    return refusal.Refusal(
+        code=refusal.Code.platform_unavailable,
+        message='the claim of the request could not be kept',
+        run_state=refusal.RunState.did_not_run,
+        request_id=wanted.request_id,
+        retry_after_s=RETRY_S,
+    )
+
+
+def _unknown(
+    wanted: job.Job,
+    error: errors.BackendError,
+) -> refusal.Refusal:
+    return refusal.Refusal(
+        code=refusal.Code.outcome_unknown,
+        message=f'the request was sent and its answer lost: {error}',
+        run_state=refusal.RunState.may_have_run,
+        request_id=wanted.request_id,
+        status=HTTPStatus.BAD_GATEWAY,
+    )
--- a/oatcrank/errors.py
+++ b/oatcrank/errors.py
@@ -41,3 +41,15 @@
 
 class SettingsError(OatcrankError):
     """Report every fault of a settings file at once."""
+
+
+class NotPermitted(NotStarted):
+    """Report that the claim of a request no longer lets it be sent."""
+
+
+class NotLoaded(NotStarted):
+    """Report that a backend server does not hold the model or adapter."""
+
+
+class Busy(NotStarted):
+    """Report that a backend server's queue is full."""
--- /dev/null
+++ b/oatcrank/job.py
@@ -0,0 +1,83 @@
+"""Hold one caller's request while it is being served."""
+
+from typing import Any
+
+from oatcrank import ids, permit, profile
+
+MS_PER_S = 1000
+
+
+class Job:
+    """Describe a request and what its earlier attempts have taught."""
+
+    def __init__(
+        self,
+        *,
+        request_id: ids.RequestId,
+        work_class: profile.Profile,
+        fingerprint: int,
+        arrived: float,
+    ) -> None:
+        """Start without attempts; arrived is in the clock's seconds."""
+        self.request_id = request_id
+        self.work_class = work_class
+        self.fingerprint = fingerprint
+        self.arrived = arrived
+        self.deadline = arrived + work_class.targets.whole_answer_ms / MS_PER_S
+        self.avoid: set[ids.FailureDomain] = set()
+        self.permit: permit.Permit = permit.FreePermit()
+        self.attempts = 0
+        self.answered = False
+        self.may_have_run = False
+
+    def next_attempt_id(self) -> ids.RequestId:
+        """Return an id that no other attempt has."""
+        self.attempts += 1
+        return ids.RequestId(
+            f'{self.request_id}.{id(self):x}.{self.attempts}',
+        )
+
+
+class ModelJob(Job):
+    """Describe a request to a model; payload is its JSON body."""
+
+    def __init__(
+        self,
+        *,
+        path: str,
+        payload: dict[str, Any],
+        **common: Any,
+    ) -> None:
+        """Take the fields of the body that routing needs."""
+        super().__init__(**common)
+        self.path = path
+        self.payload = payload
+        self.model = ids.ModelName(payload['model'])
+        self.adapter = ids.AdapterName(payload.get('adapter') or '')
+        self.prefix = str(payload.get('prefix_id') or '')
+        self.streams = bool(payload.get('stream'))
+        self.sent_tokens = 0
+
+
+class ServiceJob(Job):
+    """Describe a call of a plain service."""
+
+    def __init__(
+        self,
+        *,
+        service: ids.ServiceName,
+        method: str,
+        path: str,
+        body: bytes,
+        content_type: str,
+        idempotency_key: str,
+        **common: Any,
+    ) -> None:
+        """Take the call as it is to be relayed."""
+        super().__init__(**common)
+        self.service = service
+        self.method = method
+        self.path = path
+        self.body = body
+        self.content_type = content_type
+        self.idempotency_key = idempotency_key
--- a/oatcrank/limits_settings.py
+++ b/oatcrank/limits_settings.py
@@ -11,6 +11,6 @@
     body_bytes: int = MEGABYTE
     queued_per_model: int = 256
     retry_share: float = 0.2
-    crashes_per_request: int = 2
+    crashes_per_request: int = 3
     address_keep_s: int = 10
     stop_grace_s: int = 60
--- /dev/null
+++ b/oatcrank/model_dispatch.py
@@ -0,0 +1,214 @@
+"""Run requests on model engines and resume their streams."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from tornado import httputil
+
+from oatcrank import (
+    admission,
+    backend_server,
+    dispatch,
+    engine,
+    errors,
+    event_splitter,
+    ids,
+    job,
+    outlet,
+    rpc,
+    upstream,
+)
+
+PROBE_TIMEOUT_S = 1.0
+EVENT_STREAM = 'text/event-stream'
+LOAD_FIELDS = 3
+ERROR_BY_STATUS = {
+    HTTPStatus.CONFLICT: errors.NotLoaded,
+    HTTPStatus.TOO_MANY_REQUESTS: errors.Busy,
+    HTTPStatus.SERVICE_UNAVAILABLE: errors.NotStarted,
+}
+
+Engines = Callable[[backend_server.BackendServer], engine.ModelEngine]
+
+
+class ModelDispatch(dispatch.Dispatch):
+    """Place requests by admission and relay the answers of engines."""
+
+    def __init__(
+        self,
+        *,
+        places: admission.Admission,
+        engines: Engines,
+        adapters: Any,
+        **common: Any,
+    ) -> None:
+        """Reach engines by engines(server); adapters loads adapters."""
+        super().__init__(**common)
+        self._places = places
+        self._engines = engines
+        self._adapters = adapters
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    async def _place(
+        self,
+        wanted: job.Job,
+        *,
+        alone: bool,
+    ) -> backend_server.BackendServer:
+        assert isinstance(wanted, job.ModelJob)
+        return await self._places.place(wanted, alone=alone)
+
+    def _release(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+    ) -> None:
+        assert isinstance(wanted, job.ModelJob)
+        self._places.release(server, wanted.model)
+
+    async def _alive(self, server: backend_server.BackendServer) -> bool:
+        try:
+            report = await self._engines(server).report(
+                timeout_s=PROBE_TIMEOUT_S,
+            )
+        except errors.OatcrankError:
+            return False
+        same = server.boot_id in {'', report.boot_id}
+        server.boot_id = report.boot_id
+        return same
+
+    async def _attempt(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        answer: outlet.Outlet,
+    ) -> None:
+        assert isinstance(wanted, job.ModelJob)
+        if wanted.adapter:
+            await self._adapters.ensure(
+                server,
+                self._engines(server),
+                wanted.model,
+                wanted.adapter,
+            )
+        attempt_id = wanted.next_attempt_id()
+        started = self._clock.now()
+        relay = _Relay(server, wanted, answer)
+        try:
+            await relay.run(attempt_id, lambda: self._alive(server))
+        except asyncio.CancelledError:
+            self._cancel(server, attempt_id)
+            raise
+        if relay.failure is None:
+            self._places.served(wanted.model, self._clock.now() - started)
+            return
+        if isinstance(relay.failure, errors.NotLoaded):
+            self._adapters.forget(server, wanted.model)
+            self._places.mark_absent(server, wanted.model)
+        raise relay.failure
+
+    def _cancel(
+        self,
+        server: backend_server.BackendServer,
+        attempt_id: ids.RequestId,
+    ) -> None:
+        task = asyncio.create_task(self._send_cancel(server, attempt_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _send_cancel(
+        self,
+        server: backend_server.BackendServer,
+        attempt_id: ids.RequestId,
+    ) -> None:
+        try:
+            await self._engines(server).cancel(attempt_id)
+        except errors.OatcrankError:
+            # The cut connection tells the engine the same.
+            return
+
+
+class _Relay:
+    """Relay the answer of one attempt."""
+
+    def __init__(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.ModelJob,
+        answer: outlet.Outlet,
+    ) -> None:
+        self.failure: errors.BackendError | None = None
+        self._server = server
+        self._job = wanted
+        self._answer = answer
+        self._splitter = event_splitter.EventSplitter()
+        self._whole = bytearray()
+        self._status = 0
+        self._content_type = ''
+
+    async def run(
+        self,
+        attempt_id: ids.RequestId,
+        probe: upstream.Probe,
+    ) -> None:
+        """Relay to the end; what went wrong is left in failure."""
+        connection = upstream.Upstream(self._take_head, self._take_chunk)
+        payload = {
+            **self._job.payload,
+            'request_id': attempt_id,
+            'resume_from': self._job.sent_tokens,
+        }
+        try:
+            await connection.run(
+                self._server.listed.address,
+                httputil.RequestStartLine('POST', self._job.path, ''),
+                httputil.HTTPHeaders({'Content-Type': rpc.JSON_TYPE}),
+                msgspec.json.encode(payload),
+                may_send=self._job.permit,
+                probe=probe,
+            )
+        except errors.BackendError as error:
+            self.failure = error
+        else:
+            await self._end()
+
+    def _take_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        self._status = status
+        self._content_type = headers.get('Content-Type', rpc.JSON_TYPE)
+        load = headers.get('X-Load', '').split(',')
+        if len(load) == LOAD_FIELDS:
+            self._server.take_report(*(int(part) for part in load))
+
+    def _take_chunk(self, chunk: bytes) -> Any:
+        if not self._is_stream():
+            self._whole += chunk
+            return None
+        before = self._splitter.tokens
+        events = self._splitter.feed(chunk)
+        if not events:
+            return None
+        self._job.sent_tokens += self._splitter.tokens - before
+        self._answer.head(self._status, self._content_type)
+        return self._answer.write(events)
+
+    def _is_stream(self) -> bool:
+        return self._status == HTTPStatus.OK and self._job.streams
+
+    async def _end(self) -> None:
+        if self._is_stream():
+            if not self._splitter.done:
+                self.failure = errors.Interrupted('the stream ended early')
+            return
+        error_type = ERROR_BY_STATUS.get(HTTPStatus(self._status))
+        if error_type is not None:
+            self.failure = error_type(f'status {self._status}')
+        elif self._status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.failure = errors.Interrupted(f'status {self._status}')
+        else:
+            self._answer.head(self._status, self._content_type)
+            written = self._answer.write(bytes(self._whole))
+            if written is not None:
+                await written
--- /dev/null
+++ b/oatcrank/router.py
@@ -0,0 +1,95 @@
+"""Choose a backend server for a request."""
+
+import random
+from collections.abc import Collection, Sequence
+
+import xxhash
+
+from oatcrank import backend_server, ids
+
+SAMPLED = 4
+SAME_DOMAIN_DISCOUNT = 0.05
+PREFIX_DISCOUNT = 0.25
+FULL_LOAD = 1.25
+
+
+class Router:
+    """Prefer little load, then a warm prefix cache, then the own domain."""
+
+    def __init__(
+        self,
+        *,
+        failure_domain: ids.FailureDomain,
+        seed: int,
+    ) -> None:
+        """Route for an instance of the failure domain."""
+        self._domain = failure_domain
+        self._random = random.Random(seed)
+
+    def choose(
+        self,
+        servers: Sequence[backend_server.BackendServer],
+        *,
+        prefix: str = '',
+        avoid: Collection[ids.FailureDomain] = (),
+        alone: bool = False,
+    ) -> backend_server.BackendServer | None:
+        """Return the best of a few servers that have room, or None.
+
+        A prefix draws the request to the server that probably caches it;
+        failure domains to avoid are used only when no other has room; alone
+        keeps away from servers that run another suspected request.
+        """
+        fit = [server for server in servers if _fits(server, alone=alone)]
+        if not fit:
+            return None
+        elsewhere = [
+            server
+            for server in fit
+            if server.listed.failure_domain not in avoid
+        ]
+        few = self._sample(elsewhere or fit, prefix)
+        favourite = _favourite(few, prefix) if prefix else None
+        return min(few, key=lambda server: self._score(server, favourite))
+
+    def _sample(
+        self,
+        servers: list[backend_server.BackendServer],
+        prefix: str,
+    ) -> list[backend_server.BackendServer]:
+        if len(servers) <= SAMPLED:
+            return servers
+        few = self._random.sample(servers, SAMPLED)
+        if prefix:
+            few.append(_favourite(servers, prefix))
+        return few
+
+    def _score(
+        self,
+        server: backend_server.BackendServer,
+        favourite: backend_server.BackendServer | None,
+    ) -> float:
+        score = server.load
+        if server is favourite:
+            score -= PREFIX_DISCOUNT
+        if server.listed.failure_domain == self._domain:
+            score -= SAME_DOMAIN_DISCOUNT
+        return score
+
+
+def _fits(server: backend_server.BackendServer, *, alone: bool) -> bool:
+    if not server.usable or server.load >= FULL_LOAD:
+        return False
+    return not (alone and server.suspects)
+
+
+def _favourite(
+    servers: Sequence[backend_server.BackendServer],
+    prefix: str,
+) -> backend_server.BackendServer:
+    return max(
+        servers,
+        key=lambda server: xxhash.xxh3_64_intdigest(
+            f'{server.listed.instance_id}/{prefix}'.encode(),
+        ),
+    )
--- /dev/null
+++ b/oatcrank/service_dispatch.py
@@ -0,0 +1,134 @@
+"""Run calls on plain services."""
+
+from http import HTTPStatus
+from typing import Any
+
+from tornado import httputil, iostream, tcpclient
+
+from oatcrank import (
+    admission,
+    backend_server,
+    backend_servers,
+    dispatch,
+    errors,
+    job,
+    outlet,
+    refusal,
+    router,
+    rpc,
+    upstream,
+)
+
+RETRY_S = 1.0
+
+
+class ServiceDispatch(dispatch.Dispatch):
+    """Relay calls to the servers that offer a service."""
+
+    def __init__(
+        self,
+        *,
+        servers: backend_servers.BackendServers,
+        chooser: router.Router,
+        **common: Any,
+    ) -> None:
+        """Choose among the listed servers."""
+        super().__init__(**common)
+        self._servers = servers
+        self._router = chooser
+
+    async def _place(
+        self,
+        wanted: job.Job,
+        *,
+        alone: bool,
+    ) -> backend_server.BackendServer:
+        assert isinstance(wanted, job.ServiceJob)
+        server = self._router.choose(
+            self._servers.of_service(wanted.service),
+            avoid=wanted.avoid,
+            alone=alone,
+        )
+        if server is None:
+            raise admission.refused_in_queue(
+                refusal.Code.no_backend_server,
+                f'no server of {wanted.service} can take the call now',
+                RETRY_S,
+                ran=wanted.may_have_run,
+            )
+        server.in_flight += 1
+        return server
+
+    def _release(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+    ) -> None:
+        server.in_flight -= 1
+
+    async def _alive(self, server: backend_server.BackendServer) -> bool:
+        host, port = server.listed.address.rsplit(':', 1)
+        try:
+            stream = await tcpclient.TCPClient().connect(
+                host,
+                int(port),
+                timeout=rpc.CONNECT_TIMEOUT_S,
+            )
+        except (OSError, iostream.StreamClosedError):
+            return False
+        stream.close()
+        return True
+
+    async def _attempt(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        answer: outlet.Outlet,
+    ) -> None:
+        assert isinstance(wanted, job.ServiceJob)
+        relay = _ServiceRelay()
+        connection = upstream.Upstream(relay.take_head, relay.take_chunk)
+        headers = httputil.HTTPHeaders(
+            {
+                'Content-Type': wanted.content_type,
+                'X-Request-Id': wanted.next_attempt_id(),
+            },
+        )
+        if wanted.idempotency_key:
+            headers['Idempotency-Key'] = wanted.idempotency_key
+        await connection.run(
+            server.listed.address,
+            httputil.RequestStartLine(wanted.method, wanted.path, ''),
+            headers,
+            wanted.body,
+            may_send=wanted.permit,
+            probe=lambda: self._alive(server),
+        )
+        await relay.hand_over(answer)
+
+
+class _ServiceRelay:
+    """Keep the answer until it is whole, so that a retry stays possible."""
+
+    def __init__(self) -> None:
+        self._status = 0
+        self._content_type = ''
+        self._body = bytearray()
+
+    def take_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
+        """Take the head."""
+        self._status = status
+        self._content_type = headers.get('Content-Type', rpc.JSON_TYPE)
+
+    def take_chunk(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        self._body += chunk
+
+    async def hand_over(self, answer: outlet.Outlet) -> None:
+        """Give the whole answer; raises errors.NotStarted on a 503."""
+        if self._status == HTTPStatus.SERVICE_UNAVAILABLE:
+            raise errors.NotStarted(f'status {self._status}')
+        answer.head(self._status, self._content_type)
+        written = answer.write(bytes(self._body))
+        if written is not None:
+            await written
--- /dev/null
+++ b/oatcrank/service_handler.py
@@ -0,0 +1,60 @@
+"""Serve calls of plain services."""
+
+from oatcrank import caller_handler, ids, job, refusal, request_head
+
+
+class ServiceHandler(caller_handler.CallerHandler):
+    """Relay `/v1/services/<service>/<path>`."""
+
+    async def get(self, service: str, path: str) -> None:
+        """Relay a reading call."""
+        await self._relay(service, path)
+
+    async def post(self, service: str, path: str) -> None:
+        """Relay a call with a body."""
+        await self._relay(service, path)
+
+    async def put(self, service: str, path: str) -> None:
+        """Relay a call with a body."""
+        await self._relay(service, path)
+
+    async def delete(self, service: str, path: str) -> None:
+        """Relay a deleting call."""
+        await self._relay(service, path)
+
+    async def _relay(self, service: str, path: str) -> None:
+        work_class = self.work_class()
+        if ids.ServiceName(service) not in work_class.services:
+            raise request_head.bad_request(
+                f'profile {work_class.name} does not cover service {service}',
+                code=refusal.Code.unknown_service,
+            )
+        query = f'?{self.request.query}' if self.request.query else ''
+        wanted = job.ServiceJob(
+            service=ids.ServiceName(service),
+            method=self.request.method or 'GET',
+            path=f'/{path}{query}',
+            body=self.request.body,
+            content_type=self.request.headers.get('Content-Type', ''),
+            idempotency_key=self.checked.idempotency_key,
+            request_id=self.checked.request_id,
+            work_class=work_class,
+            fingerprint=caller_handler.fingerprint(
+                (self.request.method or '').encode(),
+                self.request.uri.encode() if self.request.uri else b'',
+                self.request.body,
+            ),
+            arrived=self.parts.clock.now(),
+        )
+        await self.run(self._serve(wanted))
+
+    async def _serve(self, wanted: job.ServiceJob) -> None:
+        if wanted.work_class.at_most_once:
+            await self.parts.unrepeatable.run(
+                wanted,
+                self.checked.idempotency_key,
+                self.parts.services,
+                self.outlet,
+            )
+        else:
+            await self.parts.services.run(wanted, self.outlet)
--- /dev/null
+++ b/oatcrank/serving.py
@@ -0,0 +1,64 @@
+"""Hold the parts that serve callers on one instance."""
+
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+from oatcrank import (
+    admission,
+    clock,
+    ids,
+    members,
+    metrics,
+    model_dispatch,
+    profile,
+    refusal,
+    service_dispatch,
+    settings,
+    unrepeatable,
+)
+
+ISOLATED_RETRY_S = 2.0
+
+ProfileByName = Mapping[ids.ProfileName, profile.Profile]
+
+
+class Serving:
+    """Give the handlers of callers what they need."""
+
+    def __init__(
+        self,
+        *,
+        chosen: settings.Settings,
+        ticker: clock.Clock,
+        meter: metrics.Metrics,
+        membership: members.Members,
+        profiles: Callable[[], ProfileByName],
+        isolated: Callable[[], bool],
+    ) -> None:
+        """Start without dispatches; they are set while the instance starts."""
+        self.settings = chosen
+        self.clock = ticker
+        self.meter = meter
+        self.members = membership
+        self.profiles = profiles
+        self.places: admission.Admission
+        self.models: model_dispatch.ModelDispatch
+        self.services: service_dispatch.ServiceDispatch
+        self.unrepeatable: unrepeatable.Unrepeatable
+        self.running = 0
+        self._isolated = isolated
+
+    def check_in_service(self) -> None:
+        """Refuse new work while changes of profiles could go unseen."""
+        if not self._isolated():
+            return
+        raise refusal.Refused(
+            refusal.Refusal(
+                code=refusal.Code.platform_unavailable,
+                message='this instance reaches neither the key-value service '
+                'nor any peer; use another address',
+                run_state=refusal.RunState.did_not_run,
+                retry_after_s=ISOLATED_RETRY_S,
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+            ),
+        )
--- /dev/null
+++ b/oatcrank/unrepeatable.py
@@ -0,0 +1,118 @@
+"""Run a request at most once under a durable claim."""
+
+import asyncio
+
+from oatcrank import (
+    claim_attempt,
+    claimed_answer,
+    claims,
+    dispatch,
+    job,
+    known_claim,
+    outlet,
+    permit,
+    recording_outlet,
+    refusal,
+)
+
+
+class Unrepeatable:
+    """Claim, dispatch and record; a resend gets the first run's answer."""
+
+    def __init__(self, claimed: claims.Claims) -> None:
+        """Claim through claimed."""
+        self._claims = claimed
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(
+        self,
+        wanted: job.Job,
+        key: str,
+        runner: dispatch.Dispatch,
+        answer: outlet.Outlet,
+    ) -> None:
+        """Answer the request or raise refusal.Refused.
+
+        The work goes on when the caller goes: its resend is to find the answer.
+        """
+        begun = await self._claims.begin(
+            key=key,
+            profile=wanted.work_class.name,
+            fingerprint=wanted.fingerprint,
+            request_id=wanted.request_id,
+        )
+        if isinstance(begun, known_claim.Known):
+            await _hand_over(await begun.answer(), answer)
+            return
+        wanted.permit = ClaimPermit(self._claims, begun.attempt)
+        task = asyncio.create_task(
+            self._run_claimed(wanted, begun.attempt, runner, answer),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.shield(task)
+
+    async def drain(self) -> None:
+        """Wait until every running request has its recorded end."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        await self._claims.drain()
+
+    async def _run_claimed(
+        self,
+        wanted: job.Job,
+        attempt: claim_attempt.ClaimAttempt,
+        runner: dispatch.Dispatch,
+        answer: outlet.Outlet,
+    ) -> None:
+        recorder = recording_outlet.RecordingOutlet(answer)
+        try:
+            await runner.run(wanted, recorder)
+        except refusal.Refused as refused:
+            if refused.refusal.run_state is refusal.RunState.did_not_run:
+                await self._claims.release(attempt)
+            else:
+                await self._claims.interrupt(attempt)
+            raise
+        except Exception:
+            await self._claims.interrupt(attempt)
+            raise
+        await self._claims.end(
+            attempt,
+            claimed_answer.ClaimedAnswer(
+                status=recorder.status,
+                content_type=recorder.content_type,
+                body=recorder.body,
+            ),
+        )
+
+
+class ClaimPermit(permit.Permit):
+    """Allow one attempt at a time under a claim."""
+
+    def __init__(
+        self,
+        claimed: claims.Claims,
+        attempt: claim_attempt.ClaimAttempt,
+    ) -> None:
+        """Ask the claim of the attempt."""
+        self._claims = claimed
+        self._attempt = attempt
+
+    def take(self) -> bool:
+        """Return whether the attempt may be sent now."""
+        return self._claims.may_dispatch(self._attempt)
+
+    def give_back(self) -> None:
+        """Note that the last attempt surely did not run."""
+        self._claims.not_started(self._attempt)
+
+
+async def _hand_over(
+    found: claimed_answer.ClaimedAnswer,
+    answer: outlet.Outlet,
+) -> None:
+    answer.head(found.status, found.content_type)
+    written = answer.write(found.body)
+    if written is not None:
+        await written
--- /dev/null
+++ b/oatcrank/upstream.py
@@ -0,0 +1,116 @@
+"""Send one request to a backend server and read its answer as it comes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from tornado import http1connection, httputil, iostream, tcpclient
+
+from oatcrank import errors, permit, rpc
+
+MAX_ANSWER_BYTES = 1_073_741_824
+SILENCE_S = 1.0
+
+OnHead = Callable[[int, httputil.HTTPHeaders], None]
+OnChunk = Callable[[bytes], Awaitable[None] | None]
+Probe = Callable[[], Awaitable[bool]]
+
+
+class Upstream(httputil.HTTPMessageDelegate):
+    """Hold one connection for one request; close() cancels it."""
+
+    def __init__(self, on_head: OnHead, on_chunk: OnChunk) -> None:
+        """Hand on the head and every chunk of the answer."""
+        self._on_head = on_head
+        self._on_chunk = on_chunk
+        self._stream: iostream.IOStream | None = None
+        self._finished = False
+        self._heard = False
+
+    async def run(
+        self,
+        address: str,
+        start_line: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+        *,
+        may_send: permit.Permit,
+        probe: Probe,
+    ) -> None:
+        """Send the request and read the answer to its end.
+
+        When nothing comes for a while, probe tells whether to wait on.  Raises
+        errors.NotStarted if the request surely was not sent and
+        errors.Interrupted if the answer ended early.
+        """
+        stream = await self._connect(address)
+        if not may_send.take():
+            stream.close()
+            raise errors.NotPermitted(address)
+        connection = http1connection.HTTP1Connection(
+            stream,
+            True,
+            http1connection.HTTP1ConnectionParameters(
+                no_keep_alive=True,
+                max_body_size=MAX_ANSWER_BYTES,
+            ),
+        )
+        watch = asyncio.create_task(self._watch(probe))
+        try:
+            connection.write_headers(start_line, headers, body)
+            connection.finish()
+            await connection.read_response(self)
+        except (iostream.StreamClosedError, httputil.HTTPInputError) as error:
+            raise errors.Interrupted(f'{address}: {error}') from error
+        finally:
+            watch.cancel()
+            stream.close()
+        if not self._finished:
+            raise errors.Interrupted(f'{address}: the answer ended early')
+
+    def close(self) -> None:
+        """Cut the connection; run then raises errors.Interrupted."""
+        if self._stream is not None:
+            self._stream.close()
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Take the head of the answer."""
+        self._heard = True
+        if isinstance(start_line, httputil.ResponseStartLine):
+            self._on_head(start_line.code, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Hand on a chunk; a slow caller slows down the reading."""
+        self._heard = True
+        return self._on_chunk(chunk)
+
+    def finish(self) -> None:
+        """Note the regular end."""
+        self._finished = True
+
+    def on_connection_close(self) -> None:
+        """Leave an early end to run."""
+
+    async def _connect(self, address: str) -> iostream.IOStream:
+        host, port = address.rsplit(':', 1)
+        try:
+            self._stream = await tcpclient.TCPClient().connect(
+                host,
+                int(port),
+                timeout=rpc.CONNECT_TIMEOUT_S,
+            )
+        except (OSError, iostream.StreamClosedError) as error:
+            raise errors.NotStarted(f'{address}: {error}') from error
+        self._stream.set_nodelay(True)
+        return self._stream
+
+    async def _watch(self, probe: Probe) -> None:
+        while True:
+            await asyncio.sleep(SILENCE_S)
+            if not self._heard and not await probe():
+                self.close()
+                return
+            self._heard = False
--- /dev/null
+++ b/oatcrank/version_command.py
@@ -0,0 +1,20 @@
+"""Print the version."""
+
+import argparse
+
+from oatcrank import __version__, command
+
+
+class VersionCommand(command.Command):
+    """Be `oatcrank version`."""
+
+    name = 'version'
+    summary = 'print the version'
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Take no arguments."""
+
+    def run(self, options: argparse.Namespace) -> command.ExitStatus:
+        """Print one line."""
+        print(f'oatcrank {__version__}')
+        return command.ExitStatus.success
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,137 @@
+"""Check how requests wait for a place and when they are refused."""
+
+import asyncio
+
+import pytest
+
+from oatcrank import (
+    admission,
+    backend_server,
+    clock,
+    ids,
+    instance_list,
+    job,
+    profile,
+    refusal,
+    router,
+    target,
+)
+
+MODEL = ids.ModelName('m')
+
+
+def engine_server() -> backend_server.BackendServer:
+    made = backend_server.BackendServer(
+        instance_list.Instance(
+            instance_id='a',
+            kind=instance_list.Kind.engine,
+            address='127.0.0.1:1',
+            failure_domain=ids.FailureDomain('x'),
+        ),
+        clock.MonotonicClock(),
+    )
+    made.take_report(0, 0, 1)
+    return made
+
+
+def job_of(name: str, whole_answer_ms: float) -> job.ModelJob:
+    return job.ModelJob(
+        path='/v1/completions',
+        payload={'model': MODEL},
+        request_id=ids.RequestId(name),
+        work_class=profile.Profile(
+            name=ids.ProfileName('p'),
+            targets=target.Targets(
+                first_token_ms=1,
+                between_tokens_ms=1,
+                whole_answer_ms=whole_answer_ms,
+            ),
+        ),
+        fingerprint=0,
+        arrived=clock.MonotonicClock().now(),
+    )
+
+
+def places_on(
+    servers: list[backend_server.BackendServer],
+    queue_limit: int = 8,
+) -> admission.Admission:
+    return admission.Admission(
+        servers=lambda model: servers,
+        chooser=router.Router(failure_domain=ids.FailureDomain('x'), seed=1),
+        ticker=clock.MonotonicClock(),
+        queue_limit=queue_limit,
+    )
+
+
+def test_most_urgent_goes_first() -> None:
+    async def run() -> list[str]:
+        server = engine_server()
+        places = places_on([server])
+        order: list[str] = []
+
+        async def take(wanted: job.ModelJob) -> None:
+            await places.place(wanted)
+            order.append(wanted.request_id)
+
+        holders = 0
+        while places._try(job_of('holder', 1e6), alone=False):
+            holders += 1
+        tasks = [
+            asyncio.create_task(take(job_of(name, due)))
+            for name, due in (('late', 9e6), ('soon', 1e6), ('mid', 5e6))
+        ]
+        while places.waiting(MODEL) < len(tasks):
+            await asyncio.sleep(0)
+        for _ in tasks:
+            places.release(server, MODEL)
+        await asyncio.gather(*tasks)
+        assert holders == server.in_flight
+        return order
+
+    assert asyncio.run(run()) == ['soon', 'mid', 'late']
+
+
+@pytest.mark.parametrize(
+    ('servers', 'queue_limit', 'whole_answer_ms', 'code'),
+    [
+        ([], 0, 1e6, refusal.Code.overloaded),
+        ([], 8, 1, refusal.Code.not_in_time),
+    ],
+)
+def test_refusal(
+    servers: list[backend_server.BackendServer],
+    queue_limit: int,
+    whole_answer_ms: float,
+    code: refusal.Code,
+) -> None:
+    async def run() -> admission.Admission:
+        places = places_on(servers, queue_limit)
+        with pytest.raises(refusal.Refused) as caught:
+            await places.place(job_of('r', whole_answer_ms))
+        assert caught.value.refusal.code is code
+        assert caught.value.refusal.run_state is refusal.RunState.did_not_run
+        assert caught.value.refusal.retry_after_s is not None
+        return places
+
+    assert asyncio.run(run()).waiting(MODEL) == 0
+
+
+def test_cancelled_waiter_leaves_nothing_behind() -> None:
+    async def run() -> None:
+        server = engine_server()
+        places = places_on([server])
+        while places._try(job_of('holder', 1e6), alone=False):
+            pass
+        held = server.in_flight
+        task = asyncio.create_task(places.place(job_of('gone', 1e6)))
+        while not places.waiting(MODEL):
+            await asyncio.sleep(0)
+        places.release(server, MODEL)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert server.in_flight == held - 1
+        assert not places.waiting(MODEL)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_crash_suspects.py
@@ -0,0 +1,88 @@
+"""Check who is blamed when backend servers crash."""
+
+import asyncio
+
+import pytest
+
+from oatcrank import backend_server, clock, crash_suspects, instance_list
+
+LIMIT = 3
+
+
+def server(name: str, domain: str) -> backend_server.BackendServer:
+    return backend_server.BackendServer(
+        instance_list.Instance(
+            instance_id=name,
+            kind=instance_list.Kind.engine,
+            address='127.0.0.1:1',
+            failure_domain=domain,
+        ),
+        clock.ManualClock(),
+    )
+
+
+async def dead() -> bool:
+    return False
+
+
+async def running() -> bool:
+    return True
+
+
+def suspects_of(
+    events: list[tuple[str, str, int]],
+    alive: crash_suspects.Alive = dead,
+    *,
+    apart_s: float = 0,
+    alone: bool = False,
+) -> crash_suspects.CrashSuspects:
+    ticker = clock.ManualClock()
+    found = crash_suspects.CrashSuspects(
+        limit=LIMIT,
+        ticker=ticker,
+        publish=lambda counts: None,
+    )
+
+    async def run() -> None:
+        servers = {name: server(name, domain) for name, domain, _ in events}
+        for name, _, fingerprint in events:
+            servers[name].suspects = int(alone and found.crashes(7) > 0)
+            await found.interrupted(servers[name], fingerprint, alive)
+            ticker.advance(apart_s)
+
+    asyncio.run(run())
+    return found
+
+
+@pytest.mark.parametrize(
+    ('events', 'alive', 'apart_s', 'alone', 'crashes'),
+    [
+        ([('a', 'x', 7)], dead, 0, False, 1),
+        ([('a', 'x', 7)], running, 0, False, 0),
+        ([('a', 'x', 7), ('b', 'y', 7), ('c', 'z', 7)], dead, 0, False, 3),
+        # Different requests lose two servers of one domain: the domain is gone.
+        ([('a', 'x', 7), ('b', 'x', 8)], dead, 0, False, 0),
+        # The same two losses far apart are two crashes.
+        ([('a', 'x', 7), ('b', 'x', 8)], dead, 10, False, 1),
+        # A known suspect explains the second crash in its domain.
+        ([('a', 'x', 7), ('b', 'x', 7)], dead, 0, True, 2),
+    ],
+)
+def test_blame(
+    events: list[tuple[str, str, int]],
+    alive: crash_suspects.Alive,
+    apart_s: float,
+    alone: bool,
+    crashes: int,
+) -> None:
+    found = suspects_of(events, alive, apart_s=apart_s, alone=alone)
+    assert found.crashes(7) == crashes
+    assert found.is_refused(7) is (crashes >= LIMIT)
+
+
+def test_peers_count_and_success_clears() -> None:
+    found = suspects_of([('a', 'x', 7)])
+    found.take_from_peer('entry-2', {'7': 2})
+    assert found.is_refused(7)
+    found.clear(7)
+    assert found.crashes(7) == 2
--- /dev/null
+++ b/tests/test_event_splitter.py
@@ -0,0 +1,27 @@
+"""Check that only whole events are handed on, wherever a chunk is cut."""
+
+import pytest
+
+from oatcrank import event_splitter
+
+STREAM = b'data: {"index": 0}\n\ndata: {"index": 1}\n\ndata: [DONE]\n\n'
+
+
+@pytest.mark.parametrize('size', [1, 2, 7, 19, len(STREAM)])
+def test_feed(size: int) -> None:
+    splitter = event_splitter.EventSplitter()
+    chunks = [
+        splitter.feed(STREAM[start : start + size])
+        for start in range(0, len(STREAM), size)
+    ]
+    assert b''.join(chunks) == STREAM
+    assert all(chunk.endswith(b'\n\n') for chunk in chunks if chunk)
+    assert splitter.tokens == 2
+    assert splitter.done
+
+
+def test_cut_stream_is_not_done() -> None:
+    splitter = event_splitter.EventSplitter()
+    assert splitter.feed(STREAM[:25]) == STREAM[:20]
+    assert splitter.tokens == 1
+    assert not splitter.done
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,69 @@
+"""Check which backend server is chosen."""
+
+import pytest
+
+from oatcrank import backend_server, clock, ids, instance_list, router
+
+SLOTS = 4
+
+
+def server(
+    name: str,
+    *,
+    load: int = 0,
+    domain: str = 'far',
+    leaving: bool = False,
+    failed: bool = False,
+    suspects: int = 0,
+) -> backend_server.BackendServer:
+    state = instance_list.State.leaving if leaving else instance_list.State.live
+    made = backend_server.BackendServer(
+        instance_list.Instance(
+            instance_id=name,
+            kind=instance_list.Kind.engine,
+            address='127.0.0.1:1',
+            failure_domain=ids.FailureDomain(domain),
+            state=state,
+        ),
+        clock.ManualClock(),
+    )
+    made.take_report(load, 0, SLOTS)
+    made.suspects = suspects
+    if failed:
+        made.failed()
+    return made
+
+
+@pytest.mark.parametrize(
+    ('servers', 'options', 'chosen'),
+    [
+        ([server('a', load=3), server('b', load=1)], {}, 'b'),
+        ([server('a', domain='near'), server('b')], {}, 'a'),
+        ([server('a', domain='near', load=2), server('b')], {}, 'b'),
+        ([server('a', leaving=True), server('b', load=3)], {}, 'b'),
+        ([server('a', failed=True), server('b', load=3)], {}, 'b'),
+        ([server('a', load=5)], {}, None),
+        ([server('a'), server('b', domain='x')], {'avoid': {'far'}}, 'b'),
+        ([server('a')], {'avoid': {'far'}}, 'a'),
+        ([server('a', suspects=1)], {'alone': True}, None),
+        ([], {}, None),
+    ],
+)
+def test_choose(
+    servers: list[backend_server.BackendServer],
+    options: dict,
+    chosen: str | None,
+) -> None:
+    made = router.Router(failure_domain=ids.FailureDomain('near'), seed=1)
+    found = made.choose(servers, **options)
+    assert (found and found.listed.instance_id) == chosen
+
+
+def test_prefix_keeps_to_one_server_until_it_is_loaded() -> None:
+    made = router.Router(failure_domain=ids.FailureDomain('near'), seed=1)
+    servers = [server(name) for name in 'abc']
+    favourite = made.choose(servers, prefix='p')
+    assert favourite is not None
+    assert made.choose(servers, prefix='p') is favourite
+    favourite.in_flight += 2
+    assert made.choose(servers, prefix='p') is not favourite
