Add claims for unrepeatable requests, not yet tested

Cause: nothing kept an unrepeatable request from running twice when its caller resends it. Ruled out: claims in memory (lost with the instance), copies on peers (a replicated store of our own), one write for each request (the service's rate). Change: claims in append-only logs, one a shard, gathered in batches; the data path's interface begin, may_dispatch, end, release.

--- /dev/null
+++ b/oatcrank/begun_claim.py
@@ -0,0 +1,12 @@
+"""Tell a caller that its attempt holds the key."""
+
+import dataclasses
+
+from oatcrank import claim_attempt
+
+
+@dataclasses.dataclass(frozen=True)
+class Begun:
+    """Carry the attempt, which may be dispatched once."""
+
+    attempt: claim_attempt.ClaimAttempt
--- /dev/null
+++ b/oatcrank/claim_attempts.py
@@ -0,0 +1,127 @@
+"""Keep this process's attempts and ask other processes about theirs."""
+
+import asyncio
+import itertools
+import uuid
+
+from oatcrank import (
+    attempt_query,
+    attempt_reply,
+    claim,
+    claim_attempt,
+    errors,
+    logs,
+    refusal,
+    rpc,
+)
+
+PATH = '/internal/attempts'
+ASK_TRIES = 2
+WAIT_S = 2.0
+ANSWER_S = 1.0
+SEPARATOR = ':'
+
+ABSENT = attempt_reply.AttemptReply(state=attempt_reply.AttemptState.absent)
+GONE = attempt_reply.AttemptReply(state=attempt_reply.AttemptState.gone)
+
+
+class ClaimAttempts:
+    """Find attempts by their id.
+
+    An attempt is kept until its end is in the log or it is withdrawn, so one
+    of this process that is not kept will not be dispatched.
+    """
+
+    def __init__(self, client: rpc.Rpc) -> None:
+        """Start with no attempt, under a name no other process has."""
+        self._client = client
+        self._process = uuid.uuid4().hex
+        self._counter = itertools.count(1)
+        self._attempt_by_id: dict[str, claim_attempt.ClaimAttempt] = {}
+        self._attempt_by_digest: dict[str, claim_attempt.ClaimAttempt] = {}
+
+    def __len__(self) -> int:
+        """Return the number of attempts kept."""
+        return len(self._attempt_by_id)
+
+    def next_id(self) -> str:
+        """Return an id that no other attempt of any process has."""
+        return f'{self._process}{SEPARATOR}{next(self._counter)}'
+
+    def keep(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        """Keep an attempt before its claim can reach the log."""
+        self._attempt_by_id[attempt.entry.attempt] = attempt
+        self._attempt_by_digest[attempt.entry.digest] = attempt
+
+    def drop(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        """Drop an attempt that is withdrawn or whose end is in the log."""
+        entry = attempt.entry
+        self._attempt_by_id.pop(entry.attempt, None)
+        if self._attempt_by_digest.get(entry.digest) is attempt:
+            self._attempt_by_digest.pop(entry.digest)
+
+    def is_kept(self, attempt: claim_attempt.ClaimAttempt) -> bool:
+        """Return whether the attempt is kept."""
+        return attempt.entry.attempt in self._attempt_by_id
+
+    async def opened(self, digest: str) -> claim_attempt.ClaimAttempt | None:
+        """Return this process's attempt at a key, once its claim is decided.
+
+        Raises refusal.Refused with what refused the attempt's opening.
+        """
+        while True:
+            attempt = self._attempt_by_digest.get(digest)
+            if attempt is None:
+                return None
+            await asyncio.wait([attempt.opened])
+            refused = attempt.opened.result()
+            if refused is not None:
+                raise refusal.Refused(refused)
+            if self._attempt_by_digest.get(digest) is attempt:
+                return attempt
+
+    async def reply(
+        self,
+        query: attempt_query.AttemptQuery,
+    ) -> attempt_reply.AttemptReply:
+        """Tell how an attempt of this process stands."""
+        if query.attempt.split(SEPARATOR)[0] != self._process:
+            return GONE
+        attempt = self._attempt_by_id.get(query.attempt)
+        return ABSENT if attempt is None else await attempt.wait(query.wait_s)
+
+    async def ask(
+        self,
+        entry: claim.Claim,
+        *,
+        wait_s: float = WAIT_S,
+    ) -> attempt_reply.AttemptReply:
+        """Ask an attempt's own process how it stands."""
+        query = attempt_query.AttemptQuery(
+            attempt=entry.attempt,
+            wait_s=wait_s,
+        )
+        if entry.attempt.startswith(f'{self._process}{SEPARATOR}'):
+            return await self.reply(query)
+        for _ in range(ASK_TRIES):
+            try:
+                return await self._ask_peer(entry.address, query)
+            except (errors.Unavailable, rpc.RpcRefused):
+                return GONE
+            except errors.UnknownOutcome as error:
+                # Asking changes nothing, so it may be done again.
+                logs.event('claimant_silent', error=str(error))
+        return GONE
+
+    async def _ask_peer(
+        self,
+        address: str,
+        query: attempt_query.AttemptQuery,
+    ) -> attempt_reply.AttemptReply:
+        return await self._client.post(
+            address,
+            PATH,
+            query,
+            attempt_reply.AttemptReply,
+            timeout_s=query.wait_s + ANSWER_S,
+        )
--- /dev/null
+++ b/oatcrank/claim_holder.py
@@ -0,0 +1,24 @@
+"""Tell who holds a key."""
+
+import msgspec
+
+from oatcrank import claim
+
+
+class ClaimHolder(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """Hold a running claim, or the number of the record that ended it."""
+
+    fingerprint: int
+    tick: int
+    running: claim.Claim | None = None
+    ended_in: int = 0
+    interrupted: bool = False
+
+    def is_attempt(self, attempt: str) -> bool:
+        """Return whether the attempt holds the key and has not ended."""
+        return self.running is not None and self.running.attempt == attempt
+
+
+def running(entry: claim.Claim) -> ClaimHolder:
+    """Return the holder that a claim of this process stands for."""
+    return ClaimHolder(fingerprint=entry.fingerprint, tick=0, running=entry)
--- /dev/null
+++ b/oatcrank/claim_log.py
@@ -0,0 +1,156 @@
+"""Append to a claim log and follow what others append."""
+
+import asyncio
+import math
+import uuid
+
+import msgspec
+
+from oatcrank import (
+    append_log,
+    claim,
+    claim_record,
+    claim_snapshot,
+    claim_state,
+    claims_settings,
+    clock,
+    errors,
+    keyvalue,
+    logs,
+)
+
+APPEND_TRIES = 3
+OVERTAKEN_TRIES = 20
+# A position kept longer than this share of the retention may be deleted.
+POSITION_SHARE = 4
+DROP_SHARE = 16
+SNAPSHOT_RECORDS = 1000
+SNAPSHOT_SHARE = 4
+
+
+class ClaimLog:
+    """Know a log's state; at most one method may run at a time."""
+
+    def __init__(
+        self,
+        *,
+        store: keyvalue.KeyValue,
+        prefix: str,
+        settings: claims_settings.ClaimsSettings,
+        time: clock.Clock,
+    ) -> None:
+        """Read nothing until the first use."""
+        self.state = claim_state.ClaimState()
+        self.seen_at = -math.inf
+        self._records = append_log.AppendLog(store, prefix)
+        self._snapshots = claim_snapshot.ClaimSnapshots(store, prefix)
+        self._retention_s = settings.retention_s
+        self._prefix = prefix
+        self._time = time
+        self._anchor = (0, time.now())
+        self._saved_number = 0
+        self._saver: asyncio.Task[None] | None = None
+
+    async def follow(self) -> None:
+        """Apply every record that can be seen now.
+
+        Raises errors.PlatformError.
+        """
+        asked_at = self._time.now()
+        if asked_at - self.seen_at >= self._retention_s / POSITION_SHARE:
+            await self._load()
+        await self._catch_up()
+        self.seen_at = asked_at
+
+    async def commit(self, entries: list[claim.Entry]) -> None:
+        """Append a record with the entries after all that others appended.
+
+        Raises errors.PlatformError if the record is not known to be in the
+        log; it may then still get there, and later calls find out.
+        """
+        asked_at = self._time.now()
+        if asked_at - self.seen_at >= self._retention_s / POSITION_SHARE:
+            await self._load()
+            await self._catch_up()
+        for _ in range(OVERTAKEN_TRIES):
+            if await self._append(self._record(entries)):
+                self.seen_at = asked_at
+                return
+            number = self.state.number
+            await self._catch_up()
+            if self.state.number == number:
+                break
+        raise errors.Unavailable(f'{self._prefix}: overtaken by records')
+
+    def save_if_due(self) -> None:
+        """Save a snapshot when enough records have come since the last."""
+        saving = self._saver is not None and not self._saver.done()
+        due = max(SNAPSHOT_RECORDS, len(self.state) // SNAPSHOT_SHARE)
+        if not saving and self.state.number - self._saved_number >= due:
+            self._saved_number = self.state.number
+            self._saver = asyncio.create_task(self._save())
+
+    async def close(self) -> None:
+        """Stop saving."""
+        if self._saver is not None:
+            self._saver.cancel()
+            await asyncio.wait([self._saver])
+
+    async def _load(self) -> None:
+        loaded = await self._snapshots.load()
+        self.state = loaded
+        self._saved_number = loaded.number
+        self._anchor = (loaded.tick, self._time.now())
+
+    async def _catch_up(self) -> None:
+        while True:
+            text = await self._records.read(self.state.number + 1)
+            if text is None:
+                return
+            self._apply(
+                msgspec.json.decode(text, type=claim_record.ClaimRecord),
+            )
+
+    async def _append(self, record: claim_record.ClaimRecord) -> bool:
+        """Return whether the record is next; creating it again settles it."""
+        number = self.state.number + 1
+        text = msgspec.json.encode(record).decode()
+        for tried in range(1, APPEND_TRIES + 1):
+            try:
+                appended = await self._records.append(number, text)
+            except errors.UnknownOutcome:
+                logs.event('claims_unsettled', log=self._prefix, number=number)
+                if tried == APPEND_TRIES:
+                    raise
+            else:
+                break
+        if appended is append_log.Appended.committed:
+            self._apply(record)
+            return True
+        return False
+
+    def _apply(self, record: claim_record.ClaimRecord) -> None:
+        if record.tick > self._tick():
+            self._anchor = (record.tick, self._time.now())
+        self.state.apply(self.state.number + 1, record)
+
+    def _tick(self) -> int:
+        tick, read_at = self._anchor
+        return tick + int(self._time.now() - read_at)
+
+    def _record(self, entries: list[claim.Entry]) -> claim_record.ClaimRecord:
+        tick = max(self.state.tick, self._tick())
+        step = max(1, self._retention_s // DROP_SHARE)
+        horizon = (tick - self._retention_s) // step * step
+        return claim_record.ClaimRecord(
+            record_id=uuid.uuid4().hex,
+            tick=tick,
+            drop_before=max(self.state.drop_before, horizon),
+            entries=entries,
+        )
+
+    async def _save(self) -> None:
+        try:
+            await self._snapshots.save(self.state)
+        except errors.PlatformError as error:
+            logs.event('snapshot_failed', log=self._prefix, error=str(error))
--- /dev/null
+++ b/oatcrank/claim_opener.py
@@ -0,0 +1,73 @@
+"""Get a new attempt's claim decided."""
+
+import asyncio
+
+import msgspec
+
+from oatcrank import (
+    _claim_refusals,
+    attempt_reply,
+    claim_attempt,
+    claim_attempts,
+    claim_holder,
+    claim_router,
+    errors,
+)
+
+OPEN_S = 5.0
+OPEN_TRIES = 4
+
+RUNNING = attempt_reply.AttemptReply(
+    state=attempt_reply.AttemptState.running,
+)
+
+
+class ClaimOpener:
+    """Claim a key for an attempt, in place of one that was withdrawn."""
+
+    def __init__(
+        self,
+        *,
+        attempts: claim_attempts.ClaimAttempts,
+        router: claim_router.ClaimRouter,
+    ) -> None:
+        """Claim through the router and ask claimants."""
+        self._attempts = attempts
+        self._router = router
+
+    async def open(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+    ) -> tuple[claim_holder.ClaimHolder, attempt_reply.AttemptReply]:
+        """Return who holds the key now and how that attempt stands.
+
+        Raises refusal.Refused when that cannot be found out in time.
+        """
+        try:
+            async with asyncio.timeout(OPEN_S):
+                return await self._open(attempt)
+        except (errors.PlatformError, TimeoutError) as error:
+            raise _claim_refusals.platform_unavailable(
+                attempt.request_id,
+                error,
+            ) from error
+
+    async def _open(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+    ) -> tuple[claim_holder.ClaimHolder, attempt_reply.AttemptReply]:
+        entry = attempt.entry
+        for _ in range(OPEN_TRIES):
+            holder = await self._router.submit(entry)
+            if holder is None:
+                raise errors.Unavailable('the claim is older than is kept')
+            if holder.running is None or holder.is_attempt(entry.attempt):
+                return holder, RUNNING
+            reply = await self._attempts.ask(holder.running, wait_s=0)
+            if reply.state is not attempt_reply.AttemptState.absent:
+                return holder, reply
+            entry = msgspec.structs.replace(
+                entry,
+                replaces=holder.running.attempt,
+            )
+        raise errors.Unavailable('the key changes hands too often')
--- /dev/null
+++ b/oatcrank/claim_recorder.py
@@ -0,0 +1,74 @@
+"""Bring the ends of attempts into the log, however long it takes."""
+
+import asyncio
+
+from oatcrank import (
+    claim,
+    claim_attempt,
+    claim_attempts,
+    claim_router,
+    errors,
+    logs,
+)
+
+RETRY_S = 0.2
+MAX_RETRY_S = 5.0
+RETRY_GROWTH = 2
+
+
+class ClaimRecorder:
+    """Record each end by a task of its own and then drop the attempt."""
+
+    def __init__(
+        self,
+        *,
+        attempts: claim_attempts.ClaimAttempts,
+        router: claim_router.ClaimRouter,
+    ) -> None:
+        """Start with nothing to record."""
+        self._attempts = attempts
+        self._router = router
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def record(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+        entry: claim.Entry,
+    ) -> None:
+        """Record the entry without keeping the caller waiting."""
+        task = asyncio.create_task(self._record(attempt, entry))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def drain(self) -> None:
+        """Wait until everything is recorded."""
+        while self._tasks:
+            await asyncio.wait(tuple(self._tasks))
+
+    async def close(self) -> None:
+        """Give up what is not recorded."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await self.drain()
+
+    async def _record(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+        entry: claim.Entry,
+    ) -> None:
+        retry_s = RETRY_S
+        while True:
+            try:
+                await self._router.submit(entry)
+            except errors.PlatformError as error:
+                logs.event(
+                    'claim_end_unrecorded',
+                    request_id=attempt.request_id,
+                    error=str(error),
+                )
+                await asyncio.sleep(retry_s)
+                retry_s = min(retry_s * RETRY_GROWTH, MAX_RETRY_S)
+            else:
+                break
+        # Only now may its claimant forget it: the log tells its end.
+        self._attempts.drop(attempt)
--- /dev/null
+++ b/oatcrank/claim_router.py
@@ -0,0 +1,166 @@
+"""Bring each entry to the instance that gathers its shard's batches."""
+
+import msgspec
+import xxhash
+
+from oatcrank import (
+    claim,
+    claim_holder,
+    claim_holders,
+    claim_offers,
+    claim_shard,
+    claim_shard_count,
+    claims_settings,
+    clock,
+    errors,
+    ids,
+    keyvalue,
+    logs,
+    member,
+    members,
+    refusal,
+    rpc,
+)
+
+PATH = '/internal/claims'
+FORWARD_TRIES = 2
+FORWARD_S = 1.0
+AVOID_S = 2.0
+HEX = 16
+
+
+class ClaimRouter:
+    """Prefer the shard's owner; any instance will do when it fails.
+
+    Who the owner is decides only where batches are gathered: two instances
+    that both believe to own a shard are put in order by its log.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: keyvalue.KeyValue,
+        peers: members.Members,
+        client: rpc.Rpc,
+        settings: claims_settings.ClaimsSettings,
+        time: clock.Clock,
+    ) -> None:
+        """Load no shard yet."""
+        self._store = store
+        self._peers = peers
+        self._client = client
+        self._settings = settings
+        self._time = time
+        self._shard_count = claim_shard_count.ClaimShardCount(
+            store,
+            settings.shards,
+        )
+        self._shard_by_number: dict[int, claim_shard.ClaimShard] = {}
+        self._avoided_until_by_id: dict[ids.InstanceId, float] = {}
+
+    async def submit(
+        self,
+        offer: claim.Offer,
+    ) -> claim_holder.ClaimHolder | None:
+        """Return who holds the key once the offer is in the log.
+
+        Raises errors.PlatformError if that could not be found out.
+        """
+        shard = await self.shard_number(offer.digest)
+        for owner in self._candidates(shard)[:FORWARD_TRIES]:
+            if owner.instance_id == self._peers.this.instance_id:
+                break
+            try:
+                return await self._forward(owner, offer)
+            except (errors.UnknownOutcome, errors.Unavailable) as error:
+                self._avoid(owner, error)
+            except rpc.RpcRefused as error:
+                _raise_if_platform(error)
+                self._avoid(owner, error)
+        return await self.submit_here(offer)
+
+    async def submit_here(
+        self,
+        offer: claim.Offer,
+    ) -> claim_holder.ClaimHolder | None:
+        """Append from this instance; raises as submit does."""
+        shard = await self.shard_number(offer.digest)
+        return await self._shard(shard).submit(offer)
+
+    async def shard_number(self, digest: str) -> int:
+        """Return the shard of a key, or raise errors.PlatformError."""
+        return int(digest, HEX) % await self._shard_count.agreed()
+
+    def prefix(self, shard: int) -> str:
+        """Return where the shard's log is kept."""
+        return f'claims/{shard}'
+
+    async def close(self) -> None:
+        """Stop every shard."""
+        for shard in self._shard_by_number.values():
+            await shard.close()
+
+    def _shard(self, number: int) -> claim_shard.ClaimShard:
+        found = self._shard_by_number.get(number)
+        if found is None:
+            found = claim_shard.ClaimShard(
+                store=self._store,
+                prefix=self.prefix(number),
+                settings=self._settings,
+                time=self._time,
+            )
+            self._shard_by_number[number] = found
+        return found
+
+    def _candidates(self, shard: int) -> list[member.Member]:
+        now = self._time.now()
+        usable = [
+            peer
+            for peer in self._peers.alive()
+            if not peer.leaving
+            and self._avoided_until_by_id.get(peer.instance_id, now) <= now
+        ]
+        return sorted(
+            usable,
+            key=lambda peer: rank(peer.instance_id, shard),
+            reverse=True,
+        )
+
+    def _avoid(self, owner: member.Member, error: Exception) -> None:
+        until = self._time.now() + AVOID_S
+        self._avoided_until_by_id[owner.instance_id] = until
+        logs.event(
+            'claim_owner_avoided',
+            owner=owner.instance_id,
+            error=str(error),
+        )
+
+    async def _forward(
+        self,
+        owner: member.Member,
+        offer: claim.Offer,
+    ) -> claim_holder.ClaimHolder | None:
+        answer = await self._client.post(
+            owner.address,
+            PATH,
+            claim_offers.ClaimOffers(offers=[offer]),
+            claim_holders.ClaimHolders,
+            timeout_s=FORWARD_S,
+        )
+        if len(answer.holders) != 1:
+            raise errors.UnknownOutcome('not one holder for one offer')
+        return answer.holders[0]
+
+
+def rank(instance_id: ids.InstanceId, shard: int) -> int:
+    """Return the rendezvous weight of an instance for a shard."""
+    return xxhash.xxh3_64_intdigest(f'{instance_id}/{shard}'.encode())
+
+
+def _raise_if_platform(error: rpc.RpcRefused) -> None:
+    try:
+        refused = msgspec.json.decode(error.body, type=refusal.Refusal)
+    except msgspec.MsgspecError:
+        return
+    if refused.code is refusal.Code.platform_unavailable:
+        raise errors.Unavailable(refused.message) from error
--- /dev/null
+++ b/oatcrank/claim_shard.py
@@ -0,0 +1,144 @@
+"""Gather one shard's entries into batches, one write at a time."""
+
+import asyncio
+
+from oatcrank import (
+    claim,
+    claim_holder,
+    claim_log,
+    claims_settings,
+    clock,
+    errors,
+    keyvalue,
+    logs,
+)
+
+MAX_BATCH_BYTES = 400_000
+ENTRY_BYTES = 400
+BASE64_GROWTH = 4 / 3
+FRESH_S = 60.0
+MS_PER_S = 1000
+
+Waiting = asyncio.Future[claim_holder.ClaimHolder | None]
+Batch = list[tuple[claim.Offer, Waiting]]
+
+
+class ClaimShard:
+    """Commit what is offered: at once when idle, spaced out under load."""
+
+    def __init__(
+        self,
+        *,
+        store: keyvalue.KeyValue,
+        prefix: str,
+        settings: claims_settings.ClaimsSettings,
+        time: clock.Clock,
+    ) -> None:
+        """Read nothing until the first offer."""
+        self._log = claim_log.ClaimLog(
+            store=store,
+            prefix=prefix,
+            settings=settings,
+            time=time,
+        )
+        self._prefix = prefix
+        self._spacing_s = settings.batch_spacing_ms / MS_PER_S
+        self._time = time
+        self._pending: Batch = []
+        self._writer: asyncio.Task[None] | None = None
+
+    async def submit(
+        self,
+        offer: claim.Offer,
+    ) -> claim_holder.ClaimHolder | None:
+        """Return who holds the key once the offer is in the log.
+
+        Raises errors.PlatformError if that could not be found out.
+        """
+        known = self._known(offer)
+        if known is not None:
+            return known
+        waiting: Waiting = asyncio.get_running_loop().create_future()
+        self._pending.append((offer, waiting))
+        if self._writer is None or self._writer.done():
+            self._writer = asyncio.create_task(self._write())
+        return await waiting
+
+    async def close(self) -> None:
+        """Stop writing; what is pending fails as unavailable."""
+        if self._writer is not None:
+            self._writer.cancel()
+            await asyncio.wait([self._writer])
+        _fail(self._pending, errors.Unavailable('closed'))
+        await self._log.close()
+
+    def _known(self, offer: claim.Offer) -> claim_holder.ClaimHolder | None:
+        """Return the holder that a claim surely or probably loses to.
+
+        It may have gone since; its claimant then says so and the claim
+        comes again with the attempt that it replaces.
+        """
+        if not isinstance(offer, claim.Claim):
+            return None
+        holder = self._log.state.holder(offer.digest)
+        if holder is None or self._time.now() - self._log.seen_at > FRESH_S:
+            return None
+        replaces = offer.replaces
+        if holder.is_attempt(offer.attempt) or holder.is_attempt(replaces):
+            return None
+        return holder
+
+    async def _write(self) -> None:
+        while self._pending:
+            started = self._time.now()
+            batch = self._next_batch()
+            try:
+                await self._commit([offer for offer, _ in batch])
+            except errors.PlatformError as error:
+                logs.event('claims_failed', log=self._prefix, error=str(error))
+                _fail(batch, error)
+            except BaseException:
+                _fail(batch, errors.UnknownOutcome('the writer stopped'))
+                raise
+            self._answer(batch)
+            spent = self._time.now() - started
+            await asyncio.sleep(max(0, self._spacing_s - spent))
+
+    async def _commit(self, offers: list[claim.Offer]) -> None:
+        entries = [
+            offer for offer in offers if not isinstance(offer, claim.LookUp)
+        ]
+        if entries:
+            await self._log.commit(entries)
+            self._log.save_if_due()
+        else:
+            await self._log.follow()
+
+    def _next_batch(self) -> Batch:
+        count = 0
+        size = 0
+        for offer, _ in self._pending:
+            size += _size(offer)
+            if count and size > MAX_BATCH_BYTES:
+                break
+            count += 1
+        batch = self._pending[:count]
+        self._pending = self._pending[count:]
+        return batch
+
+    def _answer(self, batch: Batch) -> None:
+        for offer, waiting in batch:
+            if not waiting.done():
+                waiting.set_result(self._log.state.holder(offer.digest))
+
+
+def _size(offer: claim.Offer) -> int:
+    if isinstance(offer, claim.Ended) and offer.answer is not None:
+        return ENTRY_BYTES + int(len(offer.answer.body) * BASE64_GROWTH)
+    return ENTRY_BYTES
+
+
+def _fail(batch: Batch, error: errors.PlatformError) -> None:
+    for _, waiting in batch:
+        if not waiting.done():
+            waiting.set_exception(error)
--- /dev/null
+++ b/oatcrank/claim_shard_count.py
@@ -0,0 +1,44 @@
+"""Agree once on the number of shards."""
+
+from oatcrank import errors, keyvalue, logs
+
+KEY = 'claims/shards'
+
+
+class ClaimShardCount:
+    """Keep to the number of shards that the first instance recorded.
+
+    Two numbers at once would put one key's claims into two logs.
+    """
+
+    def __init__(self, store: keyvalue.KeyValue, wanted: int) -> None:
+        """Propose a number of shards."""
+        self._store = store
+        self._wanted = wanted
+        self._agreed: int | None = None
+
+    async def agreed(self) -> int:
+        """Return the number recorded, or raise errors.PlatformError."""
+        if self._agreed is None:
+            self._agreed = await self._recorded()
+            if self._agreed != self._wanted:
+                logs.event(
+                    'claim_shards_differ',
+                    recorded=self._agreed,
+                    setting=self._wanted,
+                )
+        return self._agreed
+
+    async def _recorded(self) -> int:
+        entry = await self._store.get(KEY)
+        if entry is None:
+            try:
+                await self._store.put(
+                    KEY,
+                    str(self._wanted),
+                    expected=keyvalue.ABSENT,
+                )
+            except errors.Conflict as conflict:
+                raise errors.Unavailable(f'{KEY} is new') from conflict
+            return self._wanted
+        return int(entry.value)
--- /dev/null
+++ b/oatcrank/claim_state.py
@@ -0,0 +1,148 @@
+"""Derive who holds each key from the records of a claim log."""
+
+import collections
+from collections.abc import Iterable
+
+from oatcrank import claim, claim_holder, claim_record
+
+HEX = 16
+FINGERPRINT_BITS = 64
+RECORD_BITS = 47
+RECORD_SHIFT = FINGERPRINT_BITS
+INTERRUPTED_SHIFT = RECORD_SHIFT + RECORD_BITS
+TICK_SHIFT = INTERRUPTED_SHIFT + 1
+FINGERPRINT_MASK = (1 << FINGERPRINT_BITS) - 1
+RECORD_MASK = (1 << RECORD_BITS) - 1
+MARK_STEP_S = 300
+
+Held = claim_holder.ClaimHolder | int
+
+
+class ClaimState:
+    """Apply records in order; equal records give equal states.
+
+    Ended claims are most of the state, so each is packed into one integer.
+    """
+
+    def __init__(self) -> None:
+        """Start before the first record."""
+        self.number = 0
+        self.tick = 0
+        self.drop_before = 0
+        self._held_by_digest: dict[int, Held] = {}
+        self.marks: collections.deque[tuple[int, int]] = collections.deque()
+
+    def __len__(self) -> int:
+        """Return the number of claims kept."""
+        return len(self._held_by_digest)
+
+    def holder(self, digest: str) -> claim_holder.ClaimHolder | None:
+        """Return who holds a key, or None if it is free."""
+        held = self._held_by_digest.get(int(digest, HEX))
+        return unpacked(held) if isinstance(held, int) else held
+
+    def apply(self, number: int, record: claim_record.ClaimRecord) -> None:
+        """Apply the next record."""
+        self.number = number
+        self.tick = max(self.tick, record.tick)
+        if not self.marks or self.tick >= self.marks[-1][0] + MARK_STEP_S:
+            self.marks.append((self.tick, number))
+        if record.drop_before > self.drop_before:
+            self._drop(record.drop_before)
+        for entry in record.entries:
+            self._apply_entry(entry)
+
+    def holders(self) -> list[tuple[int, Held]]:
+        """Return every claim in the order in which they were made."""
+        return list(self._held_by_digest.items())
+
+    def restore(self, holders: Iterable[tuple[int, Held]]) -> None:
+        """Add claims from a snapshot, in order."""
+        self._held_by_digest.update(holders)
+
+    def first_kept(self) -> int:
+        """Return the first record that a claim still kept can point to."""
+        kept = 1
+        while self.marks and self.marks[0][0] < self.drop_before:
+            kept = self.marks.popleft()[1]
+        return kept
+
+    def _drop(self, drop_before: int) -> None:
+        self.drop_before = drop_before
+        old = []
+        for digest, held in self._held_by_digest.items():
+            if _tick(held) >= drop_before:
+                break
+            old.append(digest)
+        for dropped in old:
+            self._held_by_digest.pop(dropped)
+
+    def _apply_entry(self, entry: claim.Entry) -> None:
+        digest = int(entry.digest, HEX)
+        held = self._held_by_digest.get(digest)
+        if isinstance(entry, claim.Claim):
+            self._apply_claim(digest, held, entry)
+            return
+        if isinstance(held, int) or held is None:
+            return
+        if not held.is_attempt(entry.attempt):
+            return
+        if isinstance(entry, claim.Released):
+            self._held_by_digest.pop(digest)
+        else:
+            self._held_by_digest[digest] = _packed(
+                held,
+                self.number,
+                interrupted=entry.interrupted,
+            )
+
+    def _apply_claim(
+        self,
+        digest: int,
+        held: Held | None,
+        entry: claim.Claim,
+    ) -> None:
+        if isinstance(held, int):
+            return
+        if held is not None:
+            if not entry.replaces or not held.is_attempt(entry.replaces):
+                return
+            # A new claim goes to the end: the order is that of the ticks.
+            self._held_by_digest.pop(digest)
+        self._held_by_digest[digest] = claim_holder.ClaimHolder(
+            fingerprint=entry.fingerprint,
+            tick=self.tick,
+            running=entry,
+        )
+
+
+def unpacked(packed: int) -> claim_holder.ClaimHolder:
+    """Return an ended claim that was packed into an integer."""
+    return claim_holder.ClaimHolder(
+        fingerprint=packed & FINGERPRINT_MASK,
+        tick=packed >> TICK_SHIFT,
+        ended_in=(packed >> RECORD_SHIFT) & RECORD_MASK,
+        interrupted=bool((packed >> INTERRUPTED_SHIFT) & 1),
+    )
+
+
+def packed_from(holder: claim_holder.ClaimHolder) -> Held:
+    """Return a holder as the state keeps it."""
+    if holder.running is not None:
+        return holder
+    return _packed(holder, holder.ended_in, interrupted=holder.interrupted)
+
+
+def _packed(
+    held: claim_holder.ClaimHolder,
+    number: int,
+    *,
+    interrupted: bool,
+) -> int:
+    packed = held.fingerprint | number << RECORD_SHIFT
+    packed |= int(interrupted) << INTERRUPTED_SHIFT
+    return packed | held.tick << TICK_SHIFT
+
+
+def _tick(held: Held) -> int:
+    return held >> TICK_SHIFT if isinstance(held, int) else held.tick
--- /dev/null
+++ b/oatcrank/claims.py
@@ -0,0 +1,226 @@
+"""Run each unrepeatable request at most once."""
+
+from oatcrank import (
+    _claim_refusals,
+    attempt_reply,
+    begun_claim,
+    claim,
+    claim_attempt,
+    claim_attempts,
+    claim_holder,
+    claim_opener,
+    claim_recorder,
+    claim_router,
+    claimed_answer,
+    claims_settings,
+    clock,
+    ids,
+    keyvalue,
+    known_claim,
+    members,
+    metrics,
+    refusal,
+    rpc,
+)
+
+DISPATCH_SHARE = 4
+MS_PER_S = 1000
+
+Phase = claim_attempt.Phase
+State = attempt_reply.AttemptState
+
+
+class Claims:
+    """Claim a key durably before its request may be dispatched."""
+
+    def __init__(
+        self,
+        *,
+        store: keyvalue.KeyValue,
+        peers: members.Members,
+        client: rpc.Rpc,
+        settings: claims_settings.ClaimsSettings,
+        time: clock.Clock,
+        meter: metrics.Metrics,
+    ) -> None:
+        """Load nothing until the first claim."""
+        self.attempts = claim_attempts.ClaimAttempts(client)
+        self.router = claim_router.ClaimRouter(
+            store=store,
+            peers=peers,
+            client=client,
+            settings=settings,
+            time=time,
+        )
+        self._opener = claim_opener.ClaimOpener(
+            attempts=self.attempts,
+            router=self.router,
+        )
+        self._recorder = claim_recorder.ClaimRecorder(
+            attempts=self.attempts,
+            router=self.router,
+        )
+        self._store = store
+        self._peers = peers
+        self._settings = settings
+        self._time = time
+        self._meter = meter
+
+    async def begin(
+        self,
+        *,
+        key: str,
+        profile: ids.ProfileName,
+        fingerprint: int,
+        request_id: ids.RequestId,
+    ) -> begun_claim.Begun | known_claim.Known:
+        """Claim a key, or find the attempt that holds it.
+
+        Raises refusal.Refused; the request then did not run.
+        """
+        digest = claim.digest_of(profile, key)
+        local = await self.attempts.opened(digest)
+        if local is not None:
+            holder = claim_holder.running(local.entry)
+            known = self._known(holder, digest, request_id)
+        else:
+            attempt = self._new_attempt(digest, fingerprint, request_id)
+            holder, reply = await self._open(attempt)
+            if holder.is_attempt(attempt.entry.attempt):
+                return begun_claim.Begun(attempt)
+            known = self._known(holder, digest, request_id, reply)
+        if holder.fingerprint != fingerprint:
+            raise _claim_refusals.key_reused(request_id)
+        self._meter.count('claims.known')
+        return known
+
+    def may_dispatch(self, attempt: claim_attempt.ClaimAttempt) -> bool:
+        """Return, once, that the first byte may be sent at this moment.
+
+        There must be no await between this call and the sending.
+        """
+        age_s = self._time.now() - attempt.begun_at
+        if age_s > self._settings.retention_s / DISPATCH_SHARE:
+            return False
+        if attempt.phase is not Phase.held:
+            return False
+        attempt.phase = Phase.dispatched
+        return True
+
+    def not_started(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        """Allow another dispatch: the backend server surely ran nothing."""
+        if attempt.phase is Phase.dispatched:
+            attempt.phase = Phase.held
+
+    async def end(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+        answer: claimed_answer.ClaimedAnswer,
+    ) -> None:
+        """Give the answer to all who wait, and record it meanwhile."""
+        kept = len(answer.body) <= self._settings.kept_answer_bytes
+        reply = attempt_reply.AttemptReply(state=State.ended, answer=answer)
+        attempt.finish(reply)
+        entry = claim.Ended(
+            digest=attempt.entry.digest,
+            attempt=attempt.entry.attempt,
+            answer=answer if kept else None,
+        )
+        self._recorder.record(attempt, entry)
+
+    async def interrupt(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        """Record that the attempt was dispatched and may have run."""
+        attempt.finish(attempt_reply.AttemptReply(state=State.interrupted))
+        entry = claim.Ended(
+            digest=attempt.entry.digest,
+            attempt=attempt.entry.attempt,
+            interrupted=True,
+        )
+        self._recorder.record(attempt, entry)
+
+    async def release(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        """Withdraw an attempt that surely did not run; it never will."""
+        self._withdraw(attempt)
+        entry = claim.Released(
+            digest=attempt.entry.digest,
+            attempt=attempt.entry.attempt,
+        )
+        self._recorder.record(attempt, entry)
+
+    async def drain(self) -> None:
+        """Wait until every end is recorded, for a planned stop."""
+        await self._recorder.drain()
+
+    async def close(self) -> None:
+        """Stop; ends that are not recorded are lost."""
+        await self._recorder.close()
+        await self.router.close()
+
+    async def _open(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+    ) -> tuple[claim_holder.ClaimHolder, attempt_reply.AttemptReply]:
+        refused = None
+        try:
+            holder, reply = await self._opener.open(attempt)
+            if holder.is_attempt(attempt.entry.attempt):
+                attempt.phase = Phase.held
+                self._count_begun(attempt)
+            return holder, reply
+        except refusal.Refused as error:
+            refused = error.refusal
+            self._meter.count('claims.refused')
+            raise
+        finally:
+            # Whatever happened meanwhile, it is not dispatched from now on.
+            if attempt.phase is not Phase.held:
+                self._withdraw(attempt)
+            attempt.settle(refused)
+
+    def _count_begun(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        spent_s = self._time.now() - attempt.begun_at
+        self._meter.count('claims.begun')
+        self._meter.timing('claims.begin', spent_s * MS_PER_S)
+
+    def _new_attempt(
+        self,
+        digest: str,
+        fingerprint: int,
+        request_id: ids.RequestId,
+    ) -> claim_attempt.ClaimAttempt:
+        this = self._peers.this
+        attempt = claim_attempt.ClaimAttempt(
+            claim.Claim(
+                digest=digest,
+                attempt=self.attempts.next_id(),
+                instance_id=this.instance_id,
+                incarnation=this.incarnation,
+                address=this.address,
+                fingerprint=fingerprint,
+            ),
+            request_id=request_id,
+            begun_at=self._time.now(),
+        )
+        self.attempts.keep(attempt)
+        return attempt
+
+    def _withdraw(self, attempt: claim_attempt.ClaimAttempt) -> None:
+        attempt.finish(claim_attempts.ABSENT)
+        self.attempts.drop(attempt)
+
+    def _known(
+        self,
+        holder: claim_holder.ClaimHolder,
+        digest: str,
+        request_id: ids.RequestId,
+        reply: attempt_reply.AttemptReply = known_claim.RUNNING,
+    ) -> known_claim.Known:
+        return known_claim.Known(
+            digest=digest,
+            holder=holder,
+            reply=reply,
+            request_id=request_id,
+            attempts=self.attempts,
+            router=self.router,
+            store=self._store,
+        )
--- /dev/null
+++ b/oatcrank/known_claim.py
@@ -0,0 +1,117 @@
+"""Get the answer of a key that another attempt holds."""
+
+import asyncio
+
+import msgspec
+
+from oatcrank import (
+    _claim_refusals,
+    append_log,
+    attempt_reply,
+    claim,
+    claim_attempts,
+    claim_holder,
+    claim_opener,
+    claim_record,
+    claim_router,
+    claimed_answer,
+    errors,
+    ids,
+    keyvalue,
+)
+
+LOOK_UP_S = 5.0
+
+State = attempt_reply.AttemptState
+RUNNING = claim_opener.RUNNING
+
+
+class Known:
+    """Wait for the attempt that holds the key, or read how it ended."""
+
+    def __init__(
+        self,
+        *,
+        digest: str,
+        holder: claim_holder.ClaimHolder,
+        reply: attempt_reply.AttemptReply,
+        request_id: ids.RequestId,
+        attempts: claim_attempts.ClaimAttempts,
+        router: claim_router.ClaimRouter,
+        store: keyvalue.KeyValue,
+    ) -> None:
+        """Stand for the holder in the log and what its claimant replied."""
+        self.holder = holder
+        self._reply = reply
+        self._digest = digest
+        self._request_id = request_id
+        self._attempts = attempts
+        self._router = router
+        self._store = store
+
+    async def answer(self) -> claimed_answer.ClaimedAnswer:
+        """Return the one answer, or raise refusal.Refused."""
+        entry = self.holder.running
+        if entry is None:
+            return await self._recorded(self.holder)
+        reply = self._reply
+        while reply.state is State.running:
+            reply = await self._attempts.ask(entry)
+        if reply.state is State.ended and reply.answer is not None:
+            return reply.answer
+        if reply.state is State.interrupted:
+            raise _claim_refusals.outcome_unknown(self._request_id)
+        return await self._from_log(entry, reply)
+
+    async def _from_log(
+        self,
+        entry: claim.Claim,
+        reply: attempt_reply.AttemptReply,
+    ) -> claimed_answer.ClaimedAnswer:
+        """Return the end that the log holds when the claimant holds none."""
+        try:
+            async with asyncio.timeout(LOOK_UP_S):
+                holder = await self._router.submit(
+                    claim.LookUp(digest=self._digest),
+                )
+        except (errors.PlatformError, TimeoutError) as error:
+            raise _claim_refusals.outcome_unknown(self._request_id) from error
+        if holder is None:
+            raise _claim_refusals.withdrawn(self._request_id)
+        if holder.is_attempt(entry.attempt):
+            if reply.state is State.absent:
+                raise _claim_refusals.withdrawn(self._request_id)
+            raise _claim_refusals.outcome_unknown(self._request_id)
+        # The attempt was released and another one holds the key since.
+        self.holder = holder
+        self._reply = RUNNING
+        return await self.answer()
+
+    async def _recorded(
+        self,
+        holder: claim_holder.ClaimHolder,
+    ) -> claimed_answer.ClaimedAnswer:
+        if holder.interrupted:
+            raise _claim_refusals.outcome_unknown(self._request_id)
+        try:
+            shard = await self._router.shard_number(self._digest)
+            prefix = self._router.prefix(shard)
+            log = append_log.AppendLog(self._store, prefix)
+            text = await log.read(holder.ended_in)
+        except errors.PlatformError as error:
+            raise _claim_refusals.answer_not_kept(
+                self._request_id,
+                _claim_refusals.RETRY_AFTER_S,
+            ) from error
+        answer = None if text is None else _answer_in(text, self._digest)
+        if answer is None:
+            raise _claim_refusals.answer_not_kept(self._request_id)
+        return answer
+
+
+def _answer_in(text: str, digest: str) -> claimed_answer.ClaimedAnswer | None:
+    record = msgspec.json.decode(text, type=claim_record.ClaimRecord)
+    for entry in record.entries:
+        if isinstance(entry, claim.Ended) and entry.digest == digest:
+            return entry.answer
+    return None
