Control a pool by intents written before orders are sent

Cause: orders are lost, late and doubled, controllers are paused and some servers ignore fencing, and still memory may never be overcommitted.

Ruled out: freeing memory when the unload is sent, and freeing it when the report shows the model gone without asking whether a load of it may still arrive.

Change: the pool's plan is written by compare-and-swap before any order; a replica keeps its memory until a report, asked for when no load of it can take effect any more, shows it gone. A later controller inherits plan and reservations and lists the deposed ones until they are known to have stopped.

--- /dev/null
+++ b/oatcrank/_plan_code.py
@@ -0,0 +1,97 @@
+"""Encode plans compactly: names stand once, replicas refer to them."""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import msgspec
+
+from oatcrank import deposed, ids, plan
+
+Name = TypeVar('Name')
+
+
+class _Row(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    server: int
+    model: int
+    state: plan.ReplicaState
+    memory_mb: int
+    since: int
+    load_fence: ids.Fence
+    unload_fence: ids.Fence
+    adapters: int
+
+
+class _Document(msgspec.Struct, frozen=True, kw_only=True):
+    pool: ids.PoolName
+    fence: ids.Fence
+    version: int
+    controller: ids.InstanceId
+    incarnation: int
+    former: tuple[deposed.Deposed, ...]
+    servers: tuple[ids.ServerId, ...]
+    models: tuple[ids.ModelName, ...]
+    adapters: tuple[tuple[ids.AdapterName, ...], ...]
+    rows: tuple[_Row, ...]
+
+
+def encode(found: plan.Plan) -> str:
+    """Return the plan as text."""
+    servers = _numbered(replica.server for replica in found.replicas)
+    models = _numbered(replica.model for replica in found.replicas)
+    adapters = _numbered(replica.adapters for replica in found.replicas)
+    document = _Document(
+        pool=found.pool,
+        fence=found.fence,
+        version=found.version,
+        controller=found.controller,
+        incarnation=found.incarnation,
+        former=found.former,
+        servers=tuple(servers),
+        models=tuple(models),
+        adapters=tuple(adapters),
+        rows=tuple(
+            _Row(
+                servers[replica.server],
+                models[replica.model],
+                replica.state,
+                replica.memory_mb,
+                replica.since,
+                replica.load_fence,
+                replica.unload_fence,
+                adapters[replica.adapters],
+            )
+            for replica in found.replicas
+        ),
+    )
+    return msgspec.json.encode(document).decode()
+
+
+def decode(text: str) -> plan.Plan:
+    """Return the plan in the text; raises msgspec.MsgspecError."""
+    document = msgspec.json.decode(text, type=_Document)
+    return plan.Plan(
+        pool=document.pool,
+        fence=document.fence,
+        version=document.version,
+        controller=document.controller,
+        incarnation=document.incarnation,
+        former=document.former,
+        replicas=tuple(_replica(document, row) for row in document.rows),
+    )
+
+
+def _numbered(names: Iterable[Name]) -> dict[Name, int]:
+    return {name: number for number, name in enumerate(dict.fromkeys(names))}
+
+
+def _replica(document: _Document, row: _Row) -> plan.Replica:
+    return plan.Replica(
+        server=document.servers[row.server],
+        model=document.models[row.model],
+        state=row.state,
+        memory_mb=row.memory_mb,
+        adapters=document.adapters[row.adapters],
+        since=row.since,
+        load_fence=row.load_fence,
+        unload_fence=row.unload_fence,
+    )
--- /dev/null
+++ b/oatcrank/_takeover.py
@@ -0,0 +1,62 @@
+"""Derive the plan that a new controller starts from."""
+
+import msgspec
+
+from oatcrank import deposed, ids, member, plan, plan_store
+
+
+def takeover(
+    previous: plan.Plan | None,
+    this: member.Member,
+    *,
+    pool: ids.PoolName,
+    fence: ids.Fence,
+) -> plan.Plan:
+    """Inherit replicas and list who may still send orders.
+
+    Raises plan_store.Deposition if a later controller has been at work.
+    """
+    if previous is None:
+        previous = plan.Plan(
+            pool=pool,
+            fence=ids.Fence(0),
+            version=0,
+            controller=this.instance_id,
+            incarnation=this.incarnation,
+        )
+    if previous.fence > fence:
+        raise plan_store.Deposition(f'fence {previous.fence} has the plan')
+    last = deposed.Deposed(
+        controller=previous.controller,
+        incarnation=previous.incarnation,
+        fence=previous.fence,
+    )
+    return msgspec.structs.replace(
+        previous,
+        fence=fence,
+        version=previous.version + 1,
+        controller=this.instance_id,
+        incarnation=this.incarnation,
+        former=_without(this, (*previous.former, last)),
+    )
+
+
+def _without(
+    this: member.Member,
+    former: tuple[deposed.Deposed, ...],
+) -> tuple[deposed.Deposed, ...]:
+    """Keep the latest fence of each other process.
+
+    This process has no send under way, and its predecessors under the same
+    instance id have ended before it started.
+    """
+    latest_by_process = {
+        (one.controller, one.incarnation): one
+        for one in sorted(former, key=_fence)
+        if one.controller != this.instance_id
+    }
+    return tuple(latest_by_process.values())
+
+
+def _fence(one: deposed.Deposed) -> ids.Fence:
+    return one.fence
--- /dev/null
+++ b/oatcrank/control_ports.py
@@ -0,0 +1,46 @@
+"""Hold what a pool's controller is given by the rest of the process."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable, Mapping
+
+from oatcrank import (
+    deposed,
+    engine,
+    ids,
+    instance_list,
+    keyvalue,
+    leadership,
+    member,
+    metrics,
+    model_need,
+    placement,
+    plan,
+)
+
+NeedByModel = Mapping[ids.ModelName, model_need.ModelNeed]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlPorts:
+    """Hold the neighbours of one pool's controller.
+
+    listed: the platform's list as last read, None before the first reading.
+    needs: the pool's models; demand: what callers ask of these.
+    idle: whether every entry instance has seen that plan version and has no
+    request waiting for or running on that replica.
+    has_stopped: whether an earlier controller can send no more orders.
+    Neither of these two raises; what they can't find out is False.
+    """
+
+    this: member.Member
+    lease: leadership.Leadership
+    store: keyvalue.KeyValue
+    policy: placement.Placement
+    metrics: metrics.Metrics
+    listed: Callable[[], tuple[instance_list.Instance, ...] | None]
+    engine_of: Callable[[instance_list.Instance], engine.ModelEngine]
+    needs: Callable[[], NeedByModel]
+    demand: Callable[[NeedByModel], tuple[placement.ModelView, ...]]
+    idle: Callable[[ids.ServerId, ids.ModelName, int], Awaitable[bool]]
+    has_stopped: Callable[[deposed.Deposed], Awaitable[bool]]
+    publish: Callable[[plan.Plan], None]
--- /dev/null
+++ b/oatcrank/move_rules.py
@@ -0,0 +1,139 @@
+"""Admit the moves of a placement only where they are safe."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from oatcrank import (
+    ids,
+    model_need,
+    placement,
+    plan,
+    replica_table,
+    seen_report,
+)
+
+GROWING = frozenset((plan.ReplicaState.loading, plan.ReplicaState.loaded))
+
+
+class MoveRules:
+    """Change a table of replicas by what a placement asks for."""
+
+    def __init__(
+        self,
+        table: replica_table.ReplicaTable,
+        seen_by_server: Mapping[ids.ServerId, seen_report.SeenReport],
+        need_by_model: Mapping[ids.ModelName, model_need.ModelNeed],
+        *,
+        fence: ids.Fence,
+        version: int,
+    ) -> None:
+        """Admit loads onto the servers given; no others take any."""
+        self._table = table
+        self._seen_by_server = seen_by_server
+        self._need_by_model = need_by_model
+        self._fence = fence
+        self._version = version
+
+    def free_mb(self, server: ids.ServerId) -> int:
+        """Return the memory that no replica reserves."""
+        seen = self._seen_by_server[server]
+        return seen.report.memory_mb - self._table.reserved_mb(server)
+
+    def admit(self, move: placement.Move) -> bool:
+        """Take one move into the table unless it is not safe."""
+        if move.kind is placement.MoveKind.load:
+            return self._load(move)
+        return self._drain(move)
+
+    def grow(self) -> None:
+        """Raise the reservations of models whose list of adapters grew."""
+        for replica in tuple(self._table):
+            need = self._need_by_model.get(replica.model)
+            if need is None or replica.server not in self._seen_by_server:
+                continue
+            if replica.state in GROWING:
+                self._raise(replica, need)
+
+    def keep_wanted(
+        self, waiting_by_model: Mapping[ids.ModelName, int]
+    ) -> None:
+        """Return draining replicas to loaded if only they can take demand."""
+        served = {
+            replica.model
+            for replica in self._table
+            if replica.state in GROWING
+            and replica.server in self._seen_by_server
+        }
+        for replica in tuple(self._table):
+            if replica.state is not plan.ReplicaState.draining:
+                continue
+            if replica.server not in self._seen_by_server:
+                continue
+            if replica.model in served or replica.model not in (
+                self._need_by_model
+            ):
+                continue
+            if waiting_by_model.get(replica.model):
+                self._table.put(
+                    msgspec.structs.replace(
+                        replica,
+                        state=plan.ReplicaState.loaded,
+                        since=self._version,
+                    ),
+                )
+
+    def _load(self, move: placement.Move) -> bool:
+        need = self._need_by_model.get(move.model)
+        if need is None or move.server not in self._seen_by_server:
+            return False
+        if move.model in self._table.on(move.server):
+            return False
+        if need.memory_mb > self.free_mb(move.server):
+            return False
+        self._table.put(
+            plan.Replica(
+                server=move.server,
+                model=move.model,
+                state=plan.ReplicaState.loading,
+                memory_mb=need.memory_mb,
+                adapters=need.adapters,
+                since=self._version,
+                load_fence=self._fence,
+            ),
+        )
+        return True
+
+    def _drain(self, move: placement.Move) -> bool:
+        replica = self._table.on(move.server).get(move.model)
+        if replica is None or replica.state is not plan.ReplicaState.loaded:
+            return False
+        self._table.put(
+            msgspec.structs.replace(
+                replica,
+                state=plan.ReplicaState.draining,
+                since=self._version,
+            ),
+        )
+        return True
+
+    def _raise(
+        self,
+        replica: plan.Replica,
+        need: model_need.ModelNeed,
+    ) -> None:
+        added = tuple(
+            adapter
+            for adapter in need.adapters
+            if adapter not in replica.adapters
+        )
+        extra_mb = need.added_mb(replica.adapters)
+        if not added or extra_mb > self.free_mb(replica.server):
+            return
+        self._table.put(
+            msgspec.structs.replace(
+                replica,
+                memory_mb=replica.memory_mb + extra_mb,
+                adapters=(*replica.adapters, *added),
+            ),
+        )
--- /dev/null
+++ b/tests/control_world.py
@@ -0,0 +1,284 @@
+"""Run controllers against engines in one process, step by step."""
+
+import asyncio
+from collections.abc import Mapping
+
+from emulator import memory_engine, memory_key_value
+from oatcrank import (
+    clock,
+    control_ports,
+    control_settings,
+    deposed,
+    engine,
+    ids,
+    instance_list,
+    leadership,
+    load_budget,
+    member,
+    metrics,
+    model_need,
+    placement,
+    plan,
+    pool_controller,
+    weight_store_settings,
+)
+
+POOL = ids.PoolName('pool')
+DOMAIN = ids.FailureDomain('domain')
+SETTINGS = control_settings.ControlSettings()
+DELIVERY_S = SETTINGS.delivery_delay_ms / 1000
+LAG_S = SETTINGS.report_lag_ms / 1000
+SETTLED_S = DELIVERY_S + LAG_S + 0.001
+MEMORY_MB = 100
+SIZES = {'a': 60, 'b': 50, 'c': 45, 'd': 30}
+TURNS = 60
+
+
+class Lease(leadership.Leadership):
+    def __init__(self) -> None:
+        self.fence: ids.Fence | None = None
+
+    def held(self) -> ids.Fence | None:
+        return self.fence
+
+
+class ScriptedPlacement(placement.Placement):
+    def __init__(self) -> None:
+        self.moves: list[placement.Move] = []
+
+    def decide(
+        self,
+        seen: placement.Observation,
+    ) -> tuple[placement.Move, ...]:
+        moves = tuple(self.moves)
+        self.moves.clear()
+        return moves
+
+
+class Process:
+    """Be one process that may control the pool."""
+
+    def __init__(self, world: 'World', name: str, incarnation: int) -> None:
+        self.world = world
+        self.name = ids.InstanceId(name)
+        self.incarnation = incarnation
+        self.lease = Lease()
+        self.frozen = False
+        self.task: asyncio.Task[None] | None = None
+        self.controller = pool_controller.PoolController(
+            POOL,
+            control_ports.ControlPorts(
+                this=member.Member(
+                    instance_id=self.name,
+                    address='',
+                    failure_domain=DOMAIN,
+                    incarnation=incarnation,
+                ),
+                lease=self.lease,
+                store=world.store,
+                policy=world.policy,
+                metrics=metrics.NoMetrics(),
+                listed=lambda: world.listed,
+                engine_of=world.engine_of,
+                needs=lambda: world.needs,
+                demand=world.demand,
+                idle=world.idle,
+                has_stopped=world.has_stopped,
+                publish=world.publish,
+            ),
+            SETTINGS,
+            load_budget.LoadBudget(
+                weight_store_settings.WeightStoreSettings(
+                    loads_per_s=1000,
+                    concurrent_loads=3,
+                    adapters_in_transit=10,
+                ),
+                world.clock,
+            ),
+            time_source=world.clock,
+        )
+
+    def round(self) -> None:
+        """Begin a round, or go on with one, until it ends or waits."""
+        if self.task is None or self.task.done():
+            self.task = self.world.loop.create_task(self.controller.round())
+        self.world.turn()
+        if self.task.done():
+            self.task.result()
+
+
+class World:
+    """Hold the engines, the store, two processes and one entry instance."""
+
+    def __init__(self, checks: tuple[bool, ...] = (False, False)) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.clock = clock.ManualClock()
+        self.store = memory_key_value.MemoryKeyValue()
+        self.policy = ScriptedPlacement()
+        self.needs: Mapping[ids.ModelName, model_need.ModelNeed] = {
+            ids.ModelName(name): model_need.ModelNeed(
+                model=ids.ModelName(name),
+                memory_mb=size,
+            )
+            for name, size in SIZES.items()
+        }
+        self.sizes = dict(SIZES)
+        self.waiting: dict[str, int] = {}
+        self.engines = {
+            f's{number}': memory_engine.MemoryEngine(
+                ids.ServerId(f's{number}'),
+                MEMORY_MB,
+                self.sizes,
+                self.clock,
+                checks_fencing=check,
+            )
+            for number, check in enumerate(checks)
+        }
+        for backend in self.engines.values():
+            backend.delivery_s = DELIVERY_S
+        self.listed: tuple[instance_list.Instance, ...] | None = tuple(
+            instance_list.Instance(
+                instance_id=name,
+                kind=instance_list.Kind.engine,
+                address='',
+                failure_domain=DOMAIN,
+                pool=POOL,
+                checks_fencing=check,
+            )
+            for name, check in zip(self.engines, checks, strict=True)
+        )
+        self.published: plan.Plan | None = None
+        self.seen_by_entry: plan.Plan | None = None
+        self.work: list[tuple[str, str]] = []
+        self.fence = 0
+        self.processes = [Process(self, 'x', 1), Process(self, 'y', 1)]
+
+    def close(self) -> None:
+        for process in self.processes:
+            if process.task is not None:
+                process.task.cancel()
+        self.turn()
+        self.loop.close()
+
+    def wake(self) -> None:
+        """Let every frozen send go on."""
+        for stopped in self.engines.values():
+            stopped.gate.set()
+        self.turn()
+        for woken in self.engines.values():
+            woken.gate.clear()
+
+    def turn(self) -> None:
+        async def turns() -> None:
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(turns())
+
+    def lead(self, number: int) -> None:
+        """Give the lease to a process; the other does not know yet."""
+        self.fence += 1
+        self.processes[number].lease.fence = ids.Fence(self.fence)
+
+    def rounds(self, number: int, times: int = 3, step_s: float = 0.3) -> None:
+        for _ in range(times):
+            self.clock.advance(step_s)
+            self.processes[number].round()
+            self.see()
+
+    def restart(self, number: int) -> None:
+        """End a process at once and start it anew."""
+        old = self.processes[number]
+        if old.task is not None:
+            old.task.cancel()
+        self.turn()
+        self.processes[number] = Process(self, old.name, old.incarnation + 1)
+
+    def move(self, kind: str, server: str, model: str) -> None:
+        self.policy.moves.append(
+            placement.Move(
+                kind=placement.MoveKind(kind),
+                server=ids.ServerId(server),
+                model=ids.ModelName(model),
+            ),
+        )
+
+    def see(self) -> None:
+        """Let the entry instance see the latest plan."""
+        self.seen_by_entry = self.published
+
+    def state(self, server: str, model: str) -> str:
+        assert self.published is not None
+        for replica in self.published.replicas:
+            if (replica.server, replica.model) == (server, model):
+                return replica.state.value
+        return ''
+
+    def start_work(self, server: str, model: str) -> bool:
+        """Send a request by the plan that the entry instance has seen."""
+        known = (
+            () if self.seen_by_entry is None else self.seen_by_entry.replicas
+        )
+        is_routed = any(
+            (one.server, one.model, one.state)
+            == (server, model, plan.ReplicaState.loaded)
+            for one in known
+        )
+        if not is_routed:
+            return False
+        if not self.engines[server].work(ids.ModelName(model), 1):
+            return False
+        self.work.append((server, model))
+        return True
+
+    def end_work(self) -> None:
+        server, model = self.work.pop()
+        self.engines[server].work(ids.ModelName(model), -1)
+
+    def engine_of(self, listed: instance_list.Instance) -> engine.ModelEngine:
+        return self.engines[listed.instance_id]
+
+    def demand(
+        self,
+        needs: control_ports.NeedByModel,
+    ) -> tuple[placement.ModelView, ...]:
+        return tuple(
+            placement.ModelView(
+                model=model,
+                memory_mb=need.memory_mb,
+                arrivals=0,
+                waiting=self.waiting.get(model, 0),
+                running=0,
+                service_s=1,
+                first_token_s=1,
+            )
+            for model, need in needs.items()
+        )
+
+    async def idle(
+        self,
+        server: ids.ServerId,
+        model: ids.ModelName,
+        version: int,
+    ) -> bool:
+        if self.seen_by_entry is None:
+            return False
+        if (server, model) in self.work:
+            return False
+        return self.seen_by_entry.version >= version
+
+    async def has_stopped(self, former: deposed.Deposed) -> bool:
+        for process in self.processes:
+            if process.name != former.controller:
+                continue
+            if process.incarnation > former.incarnation:
+                return True
+            if process.frozen:
+                return False
+            return process.controller.depose(ids.Fence(former.fence + 1))
+        return True
+
+    def publish(self, found: plan.Plan) -> None:
+        known = self.published
+        if known is None or found.version > known.version:
+            self.published = found
--- /dev/null
+++ b/tests/test_pool_controller.py
@@ -0,0 +1,379 @@
+"""Check that control never overcommits memory nor cuts running work."""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import HealthCheck, settings, stateful
+from hypothesis import strategies as st
+
+from emulator import memory_engine
+from oatcrank import order
+from tests import control_world
+
+FAULTS = tuple(memory_engine.Fault)
+LOSSES = tuple(
+    fault for fault in FAULTS if fault is not memory_engine.Fault.freeze
+)
+Fault = memory_engine.Fault
+
+
+@pytest.fixture
+def world():
+    made = control_world.World()
+    made.lead(0)
+    made.rounds(0)
+    yield made
+    made.close()
+
+
+def load(world: control_world.World, model: str, server: str = 's0') -> None:
+    world.move('load', server, model)
+    world.rounds(0)
+    assert world.state(server, model) == 'loaded'
+
+
+def check(world: control_world.World) -> None:
+    for backend in world.engines.values():
+        assert not backend.excess
+        assert not backend.cuts
+
+
+def swap(world: control_world.World, number: int = 0, rounds: int = 30) -> None:
+    """Unload a from s0 and try to load b, which does not fit beside it."""
+    world.move('unload', 's0', 'a')
+    for _ in range(rounds):
+        world.rounds(number, 1)
+        world.move('load', 's0', 'b')
+
+
+@pytest.mark.parametrize('fault', LOSSES)
+@pytest.mark.parametrize('checks', [True, False])
+def test_order_settles(fault: memory_engine.Fault, checks: bool) -> None:
+    world = control_world.World((checks,))
+    world.lead(0)
+    world.rounds(0)
+    backend = world.engines['s0']
+    backend.faults.append(fault)
+    world.move('load', 's0', 'a')
+    world.rounds(0, 20)
+    assert world.state('s0', 'a') == 'loaded'
+    backend.faults.append(fault)
+    swap(world, rounds=50)
+    assert backend.models() == ('b',)
+    check(world)
+    world.close()
+
+
+def late_load(world: control_world.World) -> None:
+    """Let a doubled load arrive after the model was unloaded."""
+    world.engines['s0'].faults.append(Fault.double)
+    load(world, 'a')
+    swap(world, rounds=4)
+    world.engines['s0'].deliver(0)
+
+
+def late_unload(world: control_world.World) -> None:
+    """Let a doubled unload arrive after the model is wanted again."""
+    load(world, 'a')
+    world.engines['s0'].faults.append(Fault.double)
+    world.move('unload', 's0', 'a')
+    for _ in range(6):
+        world.rounds(0, 1)
+        world.move('load', 's0', 'a')
+    world.start_work('s0', 'a')
+    world.engines['s0'].deliver(0)
+
+
+def woken(world: control_world.World) -> None:
+    """Wake a deposed controller that stopped just before its send."""
+    backend = world.engines['s0']
+    backend.faults.append(Fault.freeze)
+    world.move('load', 's0', 'a')
+    world.rounds(0)
+    world.processes[0].frozen = True
+    world.lead(1)
+    world.rounds(1, 20)
+    assert world.state('s0', 'a') == 'loaded'
+    swap(world, 1, rounds=60)
+    backend.gate.set()
+    world.processes[0].frozen = False
+    world.turn()
+    world.rounds(1, 2)
+
+
+def doubled_at_takeover(world: control_world.World) -> None:
+    """Let a confirmed load's double arrive under the next controller."""
+    world.engines['s0'].faults.append(Fault.double)
+    load(world, 'a')
+    world.lead(1)
+    world.restart(0)
+    swap(world, 1, rounds=4)
+    world.engines['s0'].deliver(0)
+
+
+def restarted(world: control_world.World) -> None:
+    """Restart the engine empty while a doubled load is on its way."""
+    world.engines['s0'].faults.append(Fault.double)
+    load(world, 'a')
+    world.engines['s0'].restart()
+    swap(world, rounds=4)
+    world.engines['s0'].deliver(0)
+
+
+def lagging(world: control_world.World) -> None:
+    """Report memory as it was before the load."""
+    world.engines['s0'].lag_s = control_world.LAG_S
+    world.move('load', 's0', 'a')
+    world.rounds(0, 3)
+    swap(world, rounds=30)
+
+
+def two_at_once(world: control_world.World) -> None:
+    """Let two processes believe in their leases at once."""
+    world.lead(1)
+    for _ in range(5):
+        world.move('load', 's0', 'a')
+        world.rounds(0, 1)
+        world.move('load', 's0', 'b')
+        world.rounds(1, 1)
+
+
+def lost_plan_answer(world: control_world.World) -> None:
+    """Lose the answer to the write of the plan."""
+    world.store.lose_answers = 1
+    load(world, 'a')
+
+
+def lost_plan_write(world: control_world.World) -> None:
+    """Lose the write of the plan itself."""
+    world.store.lose_requests = 1
+    world.move('load', 's0', 'b')
+    world.rounds(0)
+    assert not world.engines['s0'].models()
+    load(world, 'a')
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        late_load,
+        late_unload,
+        woken,
+        doubled_at_takeover,
+        restarted,
+        lagging,
+        two_at_once,
+        lost_plan_answer,
+        lost_plan_write,
+    ],
+)
+def test_case(
+    world: control_world.World,
+    case: Callable[[control_world.World], None],
+) -> None:
+    case(world)
+    check(world)
+    heal(world)
+    check(world)
+
+
+def heal(world: control_world.World) -> None:
+    """End all faults; the plan and the engines must come to agree."""
+    for backend in world.engines.values():
+        backend.faults.clear()
+        backend.lag_s = 0
+        backend.is_down = False
+        backend.gate.set()
+    world.store.lose_answers = 0
+    world.store.lose_requests = 0
+    world.store.down = False
+    world.policy.moves.clear()
+    for process in world.processes:
+        process.frozen = False
+    world.turn()
+    for process in world.processes:
+        process.lease.fence = None
+    world.lead(0)
+    while world.work:
+        world.end_work()
+    for _ in range(3):
+        world.rounds(0, 10, 0.3)
+        world.rounds(0, 1, control_world.SETTLED_S)
+    assert world.published is not None
+    planned = {(one.server, one.model) for one in world.published.replicas}
+    held = {
+        (server, model)
+        for server, holder in world.engines.items()
+        for model in holder.models()
+    }
+    assert planned == held
+    assert {one.state.value for one in world.published.replicas} <= {'loaded'}
+
+
+def test_running_work_is_drained(world: control_world.World) -> None:
+    load(world, 'a')
+    assert world.start_work('s0', 'a')
+    world.move('unload', 's0', 'a')
+    world.rounds(0, 10)
+    assert world.state('s0', 'a') == 'draining'
+    world.waiting['a'] = 1
+    world.rounds(0, 1)
+    assert world.state('s0', 'a') == 'loaded'
+
+
+def test_leaving_server(world: control_world.World) -> None:
+    load(world, 'a')
+    listed = world.listed
+    assert listed is not None
+    world.engines['s0'].is_leaving = True
+    world.rounds(0, 20)
+    assert world.state('s0', 'a') == 'draining'
+    world.move('load', 's0', 'd')
+    world.move('load', 's1', 'a')
+    world.rounds(0)
+    assert world.state('s0', 'd') == ''
+    assert world.state('s1', 'a') == 'loaded'
+    world.listed = listed[1:]
+    world.rounds(0, 2, control_world.SETTLED_S)
+    assert world.state('s0', 'a') == ''
+
+
+SERVERS = st.sampled_from(['s0', 's1'])
+MODELS = st.sampled_from(sorted(control_world.SIZES))
+NUMBERS = st.sampled_from([0, 1])
+
+
+class ControlMachine(stateful.RuleBasedStateMachine):
+    """Mix moves, work, takeovers, freezes, restarts and lost orders."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = control_world.World()
+        self.world.lead(0)
+        self.world.rounds(0, 1)
+
+    @stateful.rule(
+        kind=st.sampled_from(['load', 'unload']),
+        server=SERVERS,
+        model=MODELS,
+        number=NUMBERS,
+        times=st.integers(1, 3),
+    )
+    def move(
+        self,
+        kind: str,
+        server: str,
+        model: str,
+        number: int,
+        times: int,
+    ) -> None:
+        self.world.move(kind, server, model)
+        self.work_on(number, times)
+
+    @stateful.rule(number=NUMBERS, times=st.integers(1, 4))
+    def work_on(self, number: int, times: int) -> None:
+        for _ in range(times):
+            self.world.clock.advance(0.3)
+            if not self.world.processes[number].frozen:
+                self.world.processes[number].round()
+
+    @stateful.rule(seconds=st.sampled_from([1.0, 2.1, 3.1, 5.1, 7.1]))
+    def wait(self, seconds: float) -> None:
+        self.world.clock.advance(seconds)
+
+    @stateful.rule()
+    def see(self) -> None:
+        self.world.see()
+
+    @stateful.rule(server=SERVERS, model=MODELS)
+    def start_work(self, server: str, model: str) -> None:
+        self.world.start_work(server, model)
+
+    @stateful.rule()
+    def end_work(self) -> None:
+        if self.world.work:
+            self.world.end_work()
+
+    @stateful.rule(server=SERVERS, fault=st.sampled_from(FAULTS))
+    def fault(self, server: str, fault: memory_engine.Fault) -> None:
+        self.world.engines[server].faults.append(fault)
+
+    @stateful.rule(server=SERVERS, index=st.integers(0, 3))
+    def deliver(self, server: str, index: int) -> None:
+        backend = self.world.engines[server]
+        if index < len(backend.late):
+            backend.deliver(index)
+
+    @stateful.rule(server=SERVERS, lag_s=st.sampled_from([0, 1.0, 2.0]))
+    def lag(self, server: str, lag_s: float) -> None:
+        self.world.engines[server].lag_s = lag_s
+
+    @stateful.rule(server=SERVERS)
+    def restart_engine(self, server: str) -> None:
+        self.world.engines[server].restart()
+        self.world.work = [
+            pair for pair in self.world.work if pair[0] != server
+        ]
+
+    @stateful.rule(number=NUMBERS)
+    def take_over(self, number: int) -> None:
+        self.world.lead(number)
+
+    @stateful.rule(number=NUMBERS)
+    def freeze(self, number: int) -> None:
+        self.world.processes[number].frozen = True
+
+    @stateful.rule(number=NUMBERS)
+    def wake(self, number: int) -> None:
+        self.world.processes[number].frozen = False
+        self.world.wake()
+
+    @stateful.rule(number=NUMBERS)
+    def restart_process(self, number: int) -> None:
+        self.world.restart(number)
+
+    @stateful.rule(
+        kind=st.sampled_from(['lose_answers', 'lose_requests']),
+    )
+    def lose(self, kind: str) -> None:
+        setattr(self.world.store, kind, 1)
+
+    @stateful.invariant()
+    def nothing_is_lost(self) -> None:
+        check(self.world)
+
+    def teardown(self) -> None:
+        try:
+            heal(self.world)
+            check(self.world)
+        finally:
+            self.world.close()
+
+
+TestControl = ControlMachine.TestCase
+TestControl.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_orders_carry_the_fence(world: control_world.World) -> None:
+    load(world, 'a')
+    world.lead(1)
+    world.engines['s1'].faults.append(Fault.drop)
+    world.move('load', 's1', 'b')
+    world.rounds(1)
+    world.lead(0)
+    world.rounds(0, 10)
+    taken = [
+        (one.kind, one.fence)
+        for backend in world.engines.values()
+        for one in backend.taken
+    ]
+    assert taken == [
+        (order.OrderKind.load_model, 1),
+        (order.OrderKind.load_model, 3),
+    ]
