Add the stand-ins, their launcher and the product's clients for them

Five stand-in processes speak what docs/STANDINS.md says, with faults that are set over HTTP. The engine hands out the tokens of all its streams in one timed loop, so that its cost grows with writes and not with timers.

Ruled out: a timer for each stream (its cost), and stepping transfers with the speed at the start of a step: four transfers over a limit of two ended after 0.192 s in place of 0.2 s. Progress is now integrated at every start and end, and the test holds.

--- /dev/null
+++ b/emulator/__main__.py
@@ -0,0 +1,45 @@
+"""Start a stand-in or a tool by its name."""
+
+import argparse
+import asyncio
+import importlib
+import sys
+
+MODULE_BY_STAND_IN = {
+    'key-value': 'key_value_app',
+    'instance-list': 'instance_list_app',
+    'weight-store': 'weight_store_app',
+    'engine': 'engine_app',
+    'plain-service': 'plain_service_app',
+}
+MODULE_BY_TOOL = {
+    'demo': 'demo',
+    'load': 'load',
+    'prove': 'prove',
+    'slopes': 'slopes',
+}
+
+
+def main(arguments: list[str]) -> int:
+    """Run the stand-in or tool that the first argument names."""
+    names = [*MODULE_BY_STAND_IN, *MODULE_BY_TOOL]
+    parser = argparse.ArgumentParser(prog='emulator')
+    parser.add_argument('name', choices=names)
+    chosen = parser.parse_args(arguments[:1]).name
+    if chosen in MODULE_BY_TOOL:
+        tool = importlib.import_module(f'emulator.{MODULE_BY_TOOL[chosen]}')
+        return int(tool.main(arguments[1:]))
+    return _run_stand_in(chosen, arguments[1:])
+
+
+def _run_stand_in(chosen: str, arguments: list[str]) -> int:
+    stand_in = importlib.import_module('emulator.stand_in')
+    module = importlib.import_module(f'emulator.{MODULE_BY_STAND_IN[chosen]}')
+    parser = argparse.ArgumentParser(prog=f'emulator {chosen}')
+    stand_in.add_arguments(parser)
+    asyncio.run(module.run(parser.parse_args(arguments)))
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/emulator/completion.py
@@ -0,0 +1,36 @@
+"""Describe what is asked of a model engine."""
+
+import msgspec
+
+DEFAULT_TOKENS = 16
+
+
+class Message(msgspec.Struct, frozen=True):
+    """Hold one turn of a conversation."""
+
+    role: str
+    content: str
+
+
+class Completion(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the body of a completion; other usual fields are let pass."""
+
+    model: str
+    prompt: str = ''
+    messages: tuple[Message, ...] = ()
+    max_tokens: int = DEFAULT_TOKENS
+    stream: bool = False
+    request_id: str = ''
+    adapter: str = ''
+    priority: int = 0
+    prefix_id: str = ''
+    resume_from: int = 0
+
+    @property
+    def text(self) -> str:
+        """Return the prompt, or the conversation as one text."""
+        if not self.messages:
+            return self.prompt
+        return '\n'.join(
+            f'{turn.role}: {turn.content}' for turn in self.messages
+        )
--- /dev/null
+++ b/emulator/key_handler.py
@@ -0,0 +1,98 @@
+"""Answer reads and writes of single keys."""
+
+from http import HTTPStatus
+
+import msgspec
+
+from emulator import cut_handler, key_value_service
+from oatcrank import errors, ids
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class PutBody(msgspec.Struct, frozen=True):
+    """Hold the body of a put."""
+
+    value: str
+    expected: ids.Revision
+
+
+class Written(msgspec.Struct, frozen=True):
+    """Hold the answer of a put: the revision made or found."""
+
+    revision: ids.Revision
+
+
+class Nothing(msgspec.Struct, frozen=True):
+    """Be an answer without content."""
+
+
+class KeyHandler(cut_handler.CutHandler):
+    """Read, write and delete one key."""
+
+    def initialize(self, service: key_value_service.KeyValueService) -> None:
+        """Keep the service's state."""
+        self._service = service
+
+    def prepare(self) -> None:
+        """Refuse a call over its rate."""
+        kind = (self.request.method or '').lower()
+        if not self._service.admit(kind):
+            self.answer(Nothing(), HTTPStatus.TOO_MANY_REQUESTS)
+
+    async def get(self, key: str) -> None:
+        """Answer with the entry."""
+        try:
+            entry = await self._service.entries().get(key)
+        except errors.Unavailable:
+            self._answer_down()
+            return
+        if entry is None:
+            self.answer(Nothing(), HTTPStatus.NOT_FOUND)
+        else:
+            self.answer(entry)
+
+    async def put(self, key: str) -> None:
+        """Write the entry if its revision matches."""
+        if len(self.request.body) > MAX_VALUE_BYTES:
+            self.answer(Nothing(), HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        sent = self.decode(PutBody)
+        if self._service.faults.take('lose_requests'):
+            self.cut()
+            return
+        try:
+            await self._write(key, sent)
+        except errors.Unavailable:
+            self._answer_down()
+        except errors.Conflict as conflict:
+            self.answer(
+                Written(ids.Revision(conflict.revision)), HTTPStatus.CONFLICT
+            )
+
+    async def delete(self, key: str) -> None:
+        """Remove the entry."""
+        if self._service.faults.take('lose_requests'):
+            self.cut()
+            return
+        try:
+            await self._service.entries().delete(key)
+        except errors.Unavailable:
+            self._answer_down()
+            return
+        self._answer_write(Nothing())
+
+    async def _write(self, key: str, sent: PutBody) -> None:
+        revision = await self._service.entries().put(
+            key, sent.value, expected=sent.expected
+        )
+        self._answer_write(Written(revision))
+
+    def _answer_write(self, message: msgspec.Struct) -> None:
+        if self._service.faults.take('lose_answers'):
+            self.cut()
+        else:
+            self.answer(message)
+
+    def _answer_down(self) -> None:
+        self.answer(Nothing(), HTTPStatus.SERVICE_UNAVAILABLE)
--- /dev/null
+++ b/emulator/key_value_config.py
@@ -0,0 +1,13 @@
+"""Configure the key-value stand-in."""
+
+import msgspec
+
+
+class KeyValueConfig(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Give its rates, in calls a second; None is unlimited."""
+
+    writes_per_s: float | None = None
+    reads_per_s: float | None = None
+    answer_ms: float = 0
--- /dev/null
+++ b/emulator/key_value_service.py
@@ -0,0 +1,56 @@
+"""Hold the state of the key-value stand-in."""
+
+import collections
+
+import msgspec
+
+from emulator import (
+    fault_box,
+    key_value_config,
+    key_value_faults,
+    memory_key_value,
+    rate_limit,
+)
+
+MILLISECONDS_IN_SECOND = 1000
+
+
+class CallCounts(msgspec.Struct, frozen=True):
+    """Count the calls by kind, those refused too, and the rate's refusals."""
+
+    calls_by_kind: dict[str, int]
+    over_rate: int
+
+
+class KeyValueService:
+    """Count calls, limit their rate and hand faults to the entries."""
+
+    def __init__(self, config: key_value_config.KeyValueConfig) -> None:
+        """Start empty."""
+        self.faults = fault_box.FaultBox(key_value_faults.KeyValueFaults())
+        self._entries = memory_key_value.MemoryKeyValue()
+        self._answer_s = config.answer_ms / MILLISECONDS_IN_SECOND
+        self._writes = rate_limit.RateLimit(config.writes_per_s)
+        self._reads = rate_limit.RateLimit(config.reads_per_s)
+        self._calls: collections.Counter[str] = collections.Counter()
+        self._over_rate = 0
+
+    def admit(self, kind: str) -> bool:
+        """Count a call; False if it is over the rate of its kind."""
+        self._calls[kind] += 1
+        limit = self._writes if kind in {'put', 'delete'} else self._reads
+        admitted = limit.admit()
+        self._over_rate += not admitted
+        return admitted
+
+    def entries(self) -> memory_key_value.MemoryKeyValue:
+        """Return the entries, set to show the present faults."""
+        faults = self.faults.current
+        self._entries.down = faults.down
+        self._entries.stale_reads = faults.stale_reads
+        self._entries.delay_s = faults.hang_s + self._answer_s
+        return self._entries
+
+    def counts(self) -> CallCounts:
+        """Return the counts of calls since the start."""
+        return CallCounts(dict(self._calls), self._over_rate)
--- /dev/null
+++ b/emulator/launcher.py
@@ -0,0 +1,99 @@
+"""Start the processes of demonstrations and tests, and end them."""
+
+import asyncio
+import os
+import pathlib
+import socket
+import sys
+from types import TracebackType
+
+import msgspec
+
+from emulator import launched, stand_in
+
+READY_TIMEOUT_S = 20
+STOP_GRACE_S = 5
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class Launcher:
+    """End every process that it started, and no other, when it closes."""
+
+    def __init__(self, log_directory: pathlib.Path | None = None) -> None:
+        """Write the processes' logs to a directory, or drop them."""
+        self._log_directory = log_directory
+        self._started: list[launched.Launched] = []
+
+    async def __aenter__(self) -> 'Launcher':
+        """Start with no process."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End what still runs."""
+        await asyncio.gather(
+            *(process.stop(STOP_GRACE_S) for process in self._started)
+        )
+
+    async def stand_in(
+        self,
+        kind: str,
+        config: msgspec.Struct,
+        *,
+        port: int = 0,
+        name: str = '',
+    ) -> launched.Launched:
+        """Start a stand-in; raises LaunchError."""
+        arguments = [
+            *('-m', 'emulator', kind, '--port', str(port)),
+            *('--config', msgspec.json.encode(config).decode()),
+        ]
+        return await self.python(name or kind, arguments)
+
+    async def entry(self, settings_file: pathlib.Path) -> launched.Launched:
+        """Start an entry instance; raises LaunchError."""
+        arguments = ['-m', 'oatcrank', 'serve', '--settings']
+        return await self.python(
+            settings_file.stem, [*arguments, str(settings_file)]
+        )
+
+    async def python(
+        self,
+        name: str,
+        arguments: list[str],
+    ) -> launched.Launched:
+        """Run a module and await its ready line; raises LaunchError."""
+        process = await self._spawn(name, arguments)
+        started = launched.Launched(name, process)
+        self._started.append(started)
+        await started.ready(READY_TIMEOUT_S)
+        return started
+
+    async def _spawn(
+        self,
+        name: str,
+        arguments: list[str],
+    ) -> asyncio.subprocess.Process:
+        log_file = pathlib.Path(os.devnull)
+        if self._log_directory is not None:
+            log_file = self._log_directory / f'{name}.log'
+        with log_file.open('ab') as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                *arguments,
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((stand_in.HOST, 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/emulator/ledger_entry.py
@@ -0,0 +1,17 @@
+"""Describe one request that a stand-in ran."""
+
+import msgspec
+
+
+class LedgerEntry(msgspec.Struct, kw_only=True):
+    """Record one run; times are seconds since the epoch."""
+
+    request_id: str
+    key: str = ''
+    model: str = ''
+    adapter: str = ''
+    path: str = ''
+    tokens: int = 0
+    started: float = 0
+    finished: float | None = None
+    cancelled: bool = False
--- /dev/null
+++ b/emulator/loads_handler.py
@@ -0,0 +1,27 @@
+"""Carry weights from the weight store to an engine."""
+
+import asyncio
+from http import HTTPStatus
+
+from tornado import web
+
+from emulator import timed_store, weight_load
+from oatcrank import json_handler
+
+
+class LoadsHandler(json_handler.JsonHandler):
+    """Carry weights to an engine."""
+
+    def initialize(self, store: timed_store.TimedStore) -> None:
+        """Keep the store."""
+        self._store = store
+
+    async def post(self) -> None:
+        """Answer when the weights have arrived."""
+        faults = self._store.faults.current
+        await asyncio.sleep(faults.hang_s)
+        if faults.down:
+            raise web.HTTPError(HTTPStatus.SERVICE_UNAVAILABLE)
+        load = self.decode(weight_load.WeightLoad)
+        await self._store.transfer(load)
+        self.answer(load)
--- /dev/null
+++ b/emulator/orders_handler.py
@@ -0,0 +1,42 @@
+"""Take the orders of the engine stand-in."""
+
+import asyncio
+from http import HTTPStatus
+
+import msgspec
+
+from emulator import cut_handler, stand_in_engine
+from oatcrank import order
+
+
+class OldFence(msgspec.Struct, frozen=True):
+    """Say which fence an engine has seen."""
+
+    fence: int
+
+
+class Taken(msgspec.Struct, frozen=True):
+    """Say that an order was taken."""
+
+
+class OrdersHandler(cut_handler.CutHandler):
+    """Take orders and answer at once."""
+
+    def initialize(self, engine: stand_in_engine.StandInEngine) -> None:
+        """Keep the engine."""
+        self._engine = engine
+
+    async def post(self) -> None:
+        """Take one order."""
+        wanted = self.decode(order.Order)
+        await asyncio.sleep(self._engine.faults.current.hang_s)
+        if self._engine.orders.is_old(wanted):
+            self.answer(
+                OldFence(self._engine.orders.fence), HTTPStatus.CONFLICT
+            )
+            return
+        self._engine.orders.take(wanted)
+        if self._engine.faults.take('lose_order_answers'):
+            self.cut()
+        else:
+            self.answer(Taken())
--- /dev/null
+++ b/emulator/plain_service.py
@@ -0,0 +1,21 @@
+"""Hold the state of the plain-service stand-in."""
+
+from emulator import (
+    fault_box,
+    ledger,
+    plain_service_config,
+    plain_service_faults,
+)
+
+
+class PlainService:
+    """Hold the ledger and the faults of one service."""
+
+    def __init__(self, config: plain_service_config.PlainServiceConfig) -> None:
+        """Start with nothing run."""
+        self.config = config
+        self.faults = fault_box.FaultBox(
+            plain_service_faults.PlainServiceFaults()
+        )
+        self.ledger = ledger.Ledger()
+        self.run_count = 0
--- /dev/null
+++ b/emulator/poll.py
@@ -0,0 +1,14 @@
+"""Wait for what has no event to wait for."""
+
+import asyncio
+from collections.abc import Callable
+
+STEP_S = 0.005
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Return once the condition holds."""
+    while True:
+        if condition():
+            return
+        await asyncio.sleep(STEP_S)
--- /dev/null
+++ b/emulator/timed_store.py
@@ -0,0 +1,56 @@
+"""Time the transfers of the weight-store stand-in."""
+
+import asyncio
+import random
+import time
+
+from emulator import (
+    fault_box,
+    ledger,
+    ledger_entry,
+    platform_faults,
+    transit,
+    weight_load,
+    weight_store_config,
+)
+
+MILLISECONDS_IN_SECOND = 1000
+
+
+class TimedStore:
+    """Time the transfers of models and adapters."""
+
+    def __init__(self, config: weight_store_config.WeightStoreConfig) -> None:
+        """Start with nothing in transit."""
+        self.faults = fault_box.FaultBox(platform_faults.PlatformFaults())
+        self.ledger = ledger.Ledger()
+        self.config = config
+        self._models = transit.Transit(config.concurrent)
+        self._adapters = transit.Transit(config.adapters_in_transit)
+        self._random = random.Random(config.seed)
+        self._next_start = time.monotonic()
+
+    async def transfer(self, load: weight_load.WeightLoad) -> None:
+        """Return when the weights have arrived."""
+        entry = ledger_entry.LedgerEntry(
+            request_id=load.server_id, model=load.model, adapter=load.adapter
+        )
+        self.ledger.begin(entry)
+        if load.adapter:
+            await self._adapters.carry(self._adapter_s())
+        else:
+            await self._wait_turn()
+            await self._models.carry(self.config.model_load_s)
+        self.ledger.end(entry)
+
+    def _adapter_s(self) -> float:
+        drawn = self._random.uniform(
+            self.config.adapter_min_ms, self.config.adapter_max_ms
+        )
+        return drawn / MILLISECONDS_IN_SECOND
+
+    async def _wait_turn(self) -> None:
+        now = time.monotonic()
+        start = max(now, self._next_start)
+        self._next_start = start + 1 / self.config.loads_per_s
+        await asyncio.sleep(start - now)
--- /dev/null
+++ b/emulator/weight_sizes.py
@@ -0,0 +1,47 @@
+"""Look up the sizes of weights in the store's catalogue."""
+
+from oatcrank import errors, rpc, weight_store
+
+CATALOGUE_TIMEOUT_S = 5
+
+
+class WeightSizes:
+    """Keep the catalogue and read it again for an unknown name."""
+
+    def __init__(self, address: str) -> None:
+        """Read from the store at `ip:port`."""
+        self._address = address
+        self._client = rpc.Rpc()
+        self._mb_by_model: dict[str, int] = {}
+        self._mb_by_adapter: dict[tuple[str, str], int] = {}
+
+    async def model_mb(self, model: str) -> int | None:
+        """Return a model's megabytes, or None if the store lacks it."""
+        if model not in self._mb_by_model:
+            await self.read()
+        return self._mb_by_model.get(model)
+
+    async def adapter_mb(self, model: str, adapter: str) -> int | None:
+        """Return an adapter's megabytes, or None if the store lacks it."""
+        if (model, adapter) not in self._mb_by_adapter:
+            await self.read()
+        return self._mb_by_adapter.get((model, adapter))
+
+    async def read(self) -> None:
+        """Read the catalogue, or keep the last if it cannot be read."""
+        try:
+            catalogue = await self._client.get(
+                self._address,
+                '/v1/catalogue',
+                weight_store.Catalogue,
+                timeout_s=CATALOGUE_TIMEOUT_S,
+            )
+        except (errors.PlatformError, rpc.RpcRefused):
+            return
+        self._mb_by_model = {
+            model.name: model.memory_mb for model in catalogue.models
+        }
+        self._mb_by_adapter = {
+            (adapter.model, adapter.name): adapter.memory_mb
+            for adapter in catalogue.adapters
+        }
--- /dev/null
+++ b/emulator/weight_store_config.py
@@ -0,0 +1,20 @@
+"""Configure the weight-store stand-in."""
+
+import msgspec
+
+from oatcrank import weight_store
+
+
+class WeightStoreConfig(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Give the store's rates, limits and catalogue."""
+
+    loads_per_s: float
+    concurrent: int
+    model_load_s: float
+    adapters_in_transit: int
+    adapter_min_ms: float
+    adapter_max_ms: float
+    seed: int = 1
+    catalogue: weight_store.Catalogue = weight_store.Catalogue()
--- /dev/null
+++ b/oatcrank/_engine_http.py
@@ -0,0 +1,70 @@
+"""Order, report on and cancel the work of a model engine by HTTP."""
+
+import msgspec
+
+from oatcrank import _platform_call, engine, errors, ids, order, rpc
+
+
+class _Cancel(msgspec.Struct, frozen=True):
+    request_id: ids.RequestId
+
+
+class _OldFence(msgspec.Struct, frozen=True):
+    fence: ids.Revision
+
+
+class HttpModelEngine(engine.ModelEngine):
+    """Speak to the engine at one address."""
+
+    def __init__(
+        self,
+        client: rpc.Rpc,
+        address: str,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Use the engine at `ip:port`; timeout_s bounds each cancel."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def order(self, wanted: order.Order, *, timeout_s: float) -> None:
+        """Take an order; its end shows in a later report."""
+        try:
+            await self._write(
+                '/v1/orders', msgspec.json.encode(wanted), timeout_s
+            )
+        except rpc.RpcRefused as error:
+            raise errors.Conflict(
+                f'fence of {self._address}', _found_fence(error)
+            ) from error
+
+    async def report(self, *, timeout_s: float) -> engine.EngineReport:
+        """Return the current report."""
+        try:
+            body = await _platform_call.read(
+                self._client, self._address, '/v1/report', timeout_s=timeout_s
+            )
+            return msgspec.json.decode(body, type=engine.EngineReport)
+        except (rpc.RpcRefused, msgspec.MsgspecError) as error:
+            raise errors.Unavailable(f'report: {error}') from error
+
+    async def cancel(self, request_id: ids.RequestId) -> None:
+        """Stop a running request."""
+        wanted = msgspec.json.encode(_Cancel(request_id))
+        try:
+            await self._write('/v1/cancel', wanted, self._timeout_s)
+        except (errors.UnknownOutcome, rpc.RpcRefused) as error:
+            raise errors.Unavailable(f'cancel: {error}') from error
+
+    async def _write(self, path: str, body: bytes, timeout_s: float) -> None:
+        await _platform_call.write(
+            self._client, self._address, 'POST', path, body, timeout_s=timeout_s
+        )
+
+
+def _found_fence(error: rpc.RpcRefused) -> ids.Revision:
+    try:
+        return msgspec.json.decode(error.body, type=_OldFence).fence
+    except msgspec.MsgspecError:
+        return ids.Revision(0)
--- /dev/null
+++ b/oatcrank/_instance_list_http.py
@@ -0,0 +1,38 @@
+"""Read the platform's instance list by HTTP with JSON."""
+
+import msgspec
+
+from oatcrank import _platform_call, errors, instance_list, rpc
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    instances: tuple[instance_list.Instance, ...] = ()
+
+
+class HttpInstanceList(instance_list.InstanceList):
+    """Read the list at one address."""
+
+    def __init__(
+        self,
+        client: rpc.Rpc,
+        address: str,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Use the list at `ip:port`; timeout_s bounds each call."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def read(self) -> tuple[instance_list.Instance, ...]:
+        """Return the listed instances."""
+        try:
+            body = await _platform_call.read(
+                self._client,
+                self._address,
+                '/v1/instances',
+                timeout_s=self._timeout_s,
+            )
+            return msgspec.json.decode(body, type=_Listing).instances
+        except (rpc.RpcRefused, msgspec.MsgspecError) as error:
+            raise errors.Unavailable(f'instance list: {error}') from error
--- /dev/null
+++ b/oatcrank/_keyvalue_http.py
@@ -0,0 +1,117 @@
+"""Speak to the key-value service by HTTP with JSON."""
+
+from urllib import parse as url_parse
+
+import msgspec
+
+from oatcrank import _platform_call, errors, ids, keyvalue, rpc
+
+
+class _Put(msgspec.Struct, frozen=True):
+    value: str
+    expected: ids.Revision
+
+
+class _Written(msgspec.Struct, frozen=True):
+    revision: ids.Revision
+
+
+class HttpKeyValue(keyvalue.KeyValue):
+    """Read, write and watch single keys of the service at one address."""
+
+    def __init__(
+        self,
+        client: rpc.Rpc,
+        address: str,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Use the service at `ip:port`; timeout_s bounds each call."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def get(self, key: str) -> keyvalue.Entry | None:
+        """Return the entry, which may be stale, or None if absent."""
+        try:
+            body = await _platform_call.read(
+                self._client,
+                self._address,
+                _path('keys', key),
+                timeout_s=self._timeout_s,
+            )
+        except rpc.RpcRefused:
+            return None
+        return _read_entry(body)
+
+    async def put(
+        self,
+        key: str,
+        value: str,
+        *,
+        expected: ids.Revision,
+    ) -> ids.Revision:
+        """Write if the revision matches and return the new one."""
+        sent = msgspec.json.encode(_Put(value=value, expected=expected))
+        try:
+            body = await self._write('PUT', key, sent)
+        except rpc.RpcRefused as error:
+            raise errors.Conflict(key, _written(error.body).revision) from error
+        return _written(body).revision
+
+    async def delete(self, key: str) -> None:
+        """Remove the key."""
+        try:
+            await self._write('DELETE', key, None)
+        except rpc.RpcRefused as error:
+            raise _platform_call.refused(error) from error
+
+    async def watch(
+        self,
+        key: str,
+        *,
+        after: ids.Revision,
+        wait_s: float,
+    ) -> keyvalue.Entry | None:
+        """Return the first entry newer than after, or None when time is up."""
+        query = url_parse.urlencode({'after': after, 'wait_s': wait_s})
+        watched = _path('watch', key)
+        try:
+            body = await _platform_call.read(
+                self._client,
+                self._address,
+                f'{watched}?{query}',
+                timeout_s=wait_s + self._timeout_s,
+            )
+        except rpc.RpcRefused:
+            return None
+        return _read_entry(body) if body else None
+
+    async def _write(self, method: str, key: str, body: bytes | None) -> bytes:
+        return await _platform_call.write(
+            self._client,
+            self._address,
+            method,
+            _path('keys', key),
+            body,
+            timeout_s=self._timeout_s,
+        )
+
+
+def _path(kind: str, key: str) -> str:
+    quoted = url_parse.quote(key, safe='/')
+    return f'/v1/{kind}/{quoted}'
+
+
+def _read_entry(body: bytes) -> keyvalue.Entry:
+    try:
+        return msgspec.json.decode(body, type=keyvalue.Entry)
+    except msgspec.MsgspecError as error:
+        raise errors.Unavailable(f'unreadable entry: {error}') from error
+
+
+def _written(body: bytes) -> _Written:
+    try:
+        return msgspec.json.decode(body, type=_Written)
+    except msgspec.MsgspecError as error:
+        raise errors.UnknownOutcome(f'unreadable answer: {error}') from error
--- /dev/null
+++ b/oatcrank/_weight_store_http.py
@@ -0,0 +1,34 @@
+"""Read the weight store's catalogue by HTTP with JSON."""
+
+import msgspec
+
+from oatcrank import _platform_call, errors, rpc, weight_store
+
+
+class HttpWeightStore(weight_store.WeightStore):
+    """Read the catalogue of the store at one address."""
+
+    def __init__(
+        self,
+        client: rpc.Rpc,
+        address: str,
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Use the store at `ip:port`; timeout_s bounds each call."""
+        self._client = client
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def catalogue(self) -> weight_store.Catalogue:
+        """Return what can be loaded."""
+        try:
+            body = await _platform_call.read(
+                self._client,
+                self._address,
+                '/v1/catalogue',
+                timeout_s=self._timeout_s,
+            )
+            return msgspec.json.decode(body, type=weight_store.Catalogue)
+        except (rpc.RpcRefused, msgspec.MsgspecError) as error:
+            raise errors.Unavailable(f'weight store: {error}') from error
--- /dev/null
+++ b/tests/test_engine_stand_in.py
@@ -0,0 +1,288 @@
+"""Check that the engine stand-in speaks and fails as described."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from tornado import httpclient
+
+from emulator import (
+    answer_text,
+    engine_app,
+    engine_config,
+    poll,
+    stand_in,
+    stand_in_engine,
+    weight_store_app,
+    weight_store_config,
+)
+from oatcrank import _engine_http, errors, ids, order, rpc, weight_store
+
+MODEL = ids.ModelName('m')
+ADAPTER = ids.AdapterName('a')
+CATALOGUE = weight_store.Catalogue(
+    models=(
+        weight_store.ModelWeights(
+            name=MODEL, pool=ids.PoolName('p'), memory_mb=80
+        ),
+        weight_store.ModelWeights(
+            name=ids.ModelName('n'), pool=ids.PoolName('p'), memory_mb=80
+        ),
+    ),
+    adapters=(
+        weight_store.AdapterWeights(name=ADAPTER, model=MODEL, memory_mb=5),
+    ),
+)
+STORE = weight_store_config.WeightStoreConfig(
+    loads_per_s=1000,
+    concurrent=4,
+    model_load_s=0.01,
+    adapters_in_transit=5,
+    adapter_min_ms=1,
+    adapter_max_ms=2,
+    catalogue=CATALOGUE,
+)
+
+
+class Bench:
+    """Hold one engine, its client and its address."""
+
+    def __init__(
+        self, engine: stand_in_engine.StandInEngine, address: str
+    ) -> None:
+        self.engine = engine
+        self.address = address
+        self.client = _engine_http.HttpModelEngine(
+            rpc.Rpc(), address, timeout_s=5
+        )
+
+    async def send(self, kind: str, fence: int = 1, **named: Any) -> None:
+        named = {'model': MODEL, **named}
+        wanted = order.Order(
+            order_id=ids.OrderId('o'),
+            fence=ids.Fence(fence),
+            kind=order.OrderKind(kind),
+            **named,
+        )
+        await self.client.order(wanted, timeout_s=5)
+
+    async def loaded(self, model: str = MODEL, adapter: str = '') -> None:
+        await poll.until(lambda: self.engine.memory.serves(model, adapter))
+
+    async def ask(self, **named: Any) -> httpclient.HTTPResponse:
+        body = {'model': MODEL, 'prompt': 'hi', 'max_tokens': 4, **named}
+        client = httpclient.AsyncHTTPClient(force_instance=True)
+        return await client.fetch(
+            f'http://{self.address}/v1/completions',
+            method='POST',
+            body=json.dumps(body),
+            raise_error=False,
+        )
+
+
+@contextlib.asynccontextmanager
+async def bench(**config: Any) -> AsyncIterator[Bench]:
+    async with stand_in.listening(weight_store_app.make_app(STORE)) as store:
+        settings: dict[str, Any] = {
+            'server_id': 'e',
+            'pool': 'p',
+            'weight_store': store,
+            'memory_mb': 100,
+            'slots': 2,
+            'tokens_per_s': 1000,
+            'first_token_ms': 1,
+            **config,
+        }
+        engine = stand_in_engine.StandInEngine(
+            engine_config.EngineConfig(**settings)
+        )
+        ticking = asyncio.create_task(engine.batch.run())
+        async with stand_in.listening(engine_app.make_app(engine)) as address:
+            yield Bench(engine, address)
+        ticking.cancel()
+
+
+def events_of(body: bytes) -> list[dict[str, Any]]:
+    lines = body.decode().split('\n\n')
+    assert lines[-2:] == ['data: [DONE]', '']
+    return [json.loads(line.removeprefix('data: ')) for line in lines[:-2]]
+
+
+@pytest.mark.parametrize('resume_from', [0, 3, 4])
+@pytest.mark.parametrize('adapter', ['', ADAPTER])
+def test_streams(resume_from: int, adapter: str) -> None:
+    async def run() -> httpclient.HTTPResponse:
+        async with bench() as seen:
+            await seen.send('load_model')
+            await seen.loaded()
+            await seen.send('load_adapter', adapter=ADAPTER)
+            await seen.loaded(adapter=ADAPTER)
+            return await seen.ask(
+                stream=True, adapter=adapter, resume_from=resume_from
+            )
+
+    answer = asyncio.run(run())
+    events = events_of(answer.body)
+    seed = answer_text.seed(MODEL, adapter, 'hi')
+    texts = [answer_text.token(seed, index) for index in range(4)]
+    wanted = texts[resume_from:] or ['']
+    assert [event['text'] for event in events] == wanted
+    assert events[-1]['digest'] == answer_text.digest(texts)
+    assert [event['index'] for event in events] == list(
+        range(resume_from, resume_from + len(wanted))
+    )
+    assert answer.headers['X-Load'] == '1,0,2'
+
+
+def test_whole_answer() -> None:
+    async def run() -> httpclient.HTTPResponse:
+        async with bench() as seen:
+            await seen.send('load_model')
+            await seen.loaded()
+            return await seen.ask()
+
+    answer = json.loads(asyncio.run(run()).body)
+    text = answer['choices'][0]['text']
+    assert answer['digest'] == answer_text.digest([text])
+
+
+@pytest.mark.parametrize(
+    ('faults', 'status', 'code'),
+    [
+        ({}, 409, 'not_loaded'),
+        ({'leaving': True}, 503, 'leaving'),
+    ],
+)
+def test_refusals(faults: dict[str, Any], status: int, code: str) -> None:
+    async def run() -> httpclient.HTTPResponse:
+        async with bench() as seen:
+            seen.engine.faults.merge(faults)
+            return await seen.ask()
+
+    answer = asyncio.run(run())
+    assert answer.code == status
+    assert json.loads(answer.body) == {'code': code}
+
+
+@pytest.mark.parametrize(('checks', 'held'), [(True, ['m']), (False, [])])
+def test_old_fences(checks: bool, held: list[str]) -> None:
+    async def run() -> list[str]:
+        async with bench(checks_fencing=checks) as seen:
+            await seen.send('load_model', fence=2)
+            await seen.loaded()
+            with contextlib.suppress(errors.Conflict):
+                await seen.send('unload_model', fence=1)
+            report = await seen.client.report(timeout_s=5)
+            return [each.model for each in report.held]
+
+    assert asyncio.run(run()) == held
+
+
+@pytest.mark.parametrize(
+    ('faults', 'error', 'held'),
+    [
+        ({'drop_orders': 1}, None, False),
+        ({'lose_order_answers': 1}, errors.UnknownOutcome, True),
+        ({'delay_orders_s': 0.05}, None, True),
+    ],
+)
+def test_order_faults(
+    faults: dict[str, Any],
+    error: type[Exception] | None,
+    held: bool,
+) -> None:
+    async def run() -> bool:
+        async with bench() as seen:
+            seen.engine.faults.merge(faults)
+            caught = pytest.raises(error) if error else contextlib.nullcontext()
+            with caught:
+                await seen.send('load_model')
+            if held:
+                await seen.loaded()
+            return seen.engine.memory.serves(MODEL, '')
+
+    assert asyncio.run(run()) is held
+
+
+def test_excess_is_recorded() -> None:
+    async def run() -> list[int]:
+        async with bench() as seen:
+            for model in ('m', 'n'):
+                await seen.send('load_model', model=model)
+                await seen.loaded(model)
+            return [each.used_mb for each in seen.engine.memory.excess]
+
+    assert asyncio.run(run()) == [160]
+
+
+def test_queue_and_priority() -> None:
+    async def run() -> list[str]:
+        async with bench(slots=1, queue_limit=3, tokens_per_s=100) as seen:
+            await seen.send('load_model')
+            await seen.loaded()
+            asked = [
+                asyncio.create_task(
+                    seen.ask(request_id=str(place), priority=priority)
+                )
+                for place, priority in enumerate((0, 2, 1, 0))
+            ]
+            await poll.until(lambda: len(seen.engine.batch.queued) == 3)
+            busy = await seen.ask()
+            await asyncio.gather(*asked)
+            entries = seen.engine.batch.ledger.page().entries
+            return [str(busy.code), *(each.request_id for each in entries[1:])]
+
+    order_seen = asyncio.run(run())
+    assert order_seen[0] == '429'
+    assert order_seen[1:] == sorted(order_seen[1:], key='3 2 1 0'.index)
+
+
+@pytest.mark.parametrize('ending', ['cancel', 'unload', 'cut'])
+def test_streams_end_early(ending: str) -> None:
+    async def run() -> bool:
+        async with bench(tokens_per_s=50) as seen:
+            await seen.send('load_model')
+            await seen.loaded()
+            asked = asyncio.create_task(
+                seen.ask(stream=True, request_id='r', max_tokens=100_000)
+            )
+            batch = seen.engine.batch
+            await poll.until(
+                lambda: any(running.texts for running in batch.running)
+            )
+            if ending == 'cancel':
+                await seen.client.cancel(ids.RequestId('r'))
+            elif ending == 'unload':
+                await seen.send('unload_model')
+            else:
+                seen.engine.faults.merge({'cut_stream_after': 1})
+            await poll.until(lambda: not batch.running)
+            with pytest.raises(httpclient.HTTPError):
+                await asked
+            return batch.ledger.page().entries[0].cancelled
+
+    assert asyncio.run(run())
+
+
+def test_caller_gone() -> None:
+    async def run() -> bool:
+        async with bench() as seen:
+            await seen.send('load_model')
+            await seen.loaded()
+            host, port = seen.address.split(':')
+            _, caller = await asyncio.open_connection(host, int(port))
+            body = b'{"model": "m", "max_tokens": 100000, "stream": true}'
+            caller.write(
+                b'POST /v1/completions HTTP/1.1\r\nHost: e\r\n'
+                b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+            )
+            batch = seen.engine.batch
+            await poll.until(lambda: bool(batch.running))
+            caller.close()
+            await poll.until(lambda: not batch.running)
+            return batch.ledger.page().entries[0].cancelled
+
+    assert asyncio.run(run())
--- /dev/null
+++ b/tests/test_platform_stand_ins.py
@@ -0,0 +1,137 @@
+"""Check the instance list, the weight store and plain services."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+import pytest
+
+from emulator import (
+    instance_list_app,
+    instance_list_config,
+    plain_service,
+    plain_service_app,
+    plain_service_config,
+    stand_in,
+    timed_store,
+    transit,
+    weight_load,
+    weight_store_config,
+)
+from oatcrank import _instance_list_http, errors, ids, instance_list, rpc
+
+INSTANCE = instance_list.Instance(
+    instance_id='e',
+    kind=instance_list.Kind.engine,
+    address='127.0.0.1:1',
+    failure_domain=ids.FailureDomain('d'),
+)
+
+
+@pytest.mark.parametrize(('lag_s', 'shown'), [(0, ()), (3600, (INSTANCE,))])
+def test_list_lags(lag_s: float, shown: tuple[Any, ...]) -> None:
+    async def run() -> tuple[instance_list.Instance, ...]:
+        app = instance_list_app.make_app(
+            instance_list_config.InstanceListConfig(
+                lag_s=lag_s, instances=(INSTANCE,)
+            )
+        )
+        calls = rpc.Rpc()
+        async with stand_in.listening(app) as address:
+            await calls.fetch(
+                address, 'POST', '/control/instances', b'{}', timeout_s=5
+            )
+            client = _instance_list_http.HttpInstanceList(
+                calls, address, timeout_s=5
+            )
+            return await client.read()
+
+    assert asyncio.run(run()) == shown
+
+
+@pytest.mark.parametrize(
+    ('faults', 'error', 'runs'),
+    [
+        ({}, None, 1),
+        ({'cut_before': 1}, errors.UnknownOutcome, 0),
+        ({'cut_after': 1}, errors.UnknownOutcome, 1),
+        ({'leaving': True}, rpc.RpcRefused, 0),
+    ],
+)
+def test_service_faults(
+    faults: dict[str, Any],
+    error: type[Exception] | None,
+    runs: int,
+) -> None:
+    async def run() -> plain_service.PlainService:
+        service = plain_service.PlainService(
+            plain_service_config.PlainServiceConfig(
+                server_id='s', service='bookings'
+            )
+        )
+        service.faults.merge(faults)
+        app = plain_service_app.make_app(service)
+        async with stand_in.listening(app) as address:
+            call = rpc.Rpc().fetch(address, 'POST', '/book', b'{}', timeout_s=5)
+            if error is None:
+                await call
+                return service
+            with pytest.raises(error):
+                await call
+        return service
+
+    assert len(asyncio.run(run()).ledger.page().entries) == runs
+
+
+@pytest.mark.parametrize(('transfers', 'floor_s'), [(2, 0.1), (4, 0.2)])
+def test_transfers_slow_each_other(transfers: int, floor_s: float) -> None:
+    async def run() -> float:
+        carrier = transit.Transit(2)
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        await asyncio.gather(*(carrier.carry(0.1) for _ in range(transfers)))
+        return loop.time() - before
+
+    assert asyncio.run(run()) >= floor_s
+
+
+def test_load_starts_keep_their_rate() -> None:
+    async def run() -> float:
+        before = asyncio.get_running_loop().time()
+        store = timed_store.TimedStore(
+            weight_store_config.WeightStoreConfig(
+                loads_per_s=20,
+                concurrent=8,
+                model_load_s=0.01,
+                adapters_in_transit=1,
+                adapter_min_ms=1,
+                adapter_max_ms=1,
+            )
+        )
+        load = weight_load.WeightLoad(server_id='s', model='m')
+        await asyncio.gather(*(store.transfer(load) for _ in range(4)))
+        return asyncio.get_running_loop().time() - before
+
+    assert asyncio.run(run()) >= 3 / 20
+
+
+def test_unknown_fault_is_refused() -> None:
+    async def run() -> int:
+        service = plain_service.PlainService(
+            plain_service_config.PlainServiceConfig(
+                server_id='s', service='bookings'
+            )
+        )
+        app = plain_service_app.make_app(service)
+        async with stand_in.listening(app) as address:
+            with pytest.raises(rpc.RpcRefused, match='status 400'):
+                await rpc.Rpc().fetch(
+                    address,
+                    'POST',
+                    '/control/faults',
+                    msgspec.json.encode({'no_such': 1}),
+                    timeout_s=5,
+                )
+        return len(service.ledger.page().entries)
+
+    assert asyncio.run(run()) == 0
