Check claims under lost, late and repeated calls

Cause: the claims were written before any test of them. Ruled out: tests of single classes: the faults lie between instances and the service. Change: stories over several instances with lost answers, lost and late writes, outages, owners and claimants gone or frozen; a ledger counts the dispatches of each key.

--- /dev/null
+++ b/emulator/claims_fleet.py
@@ -0,0 +1,83 @@
+"""Run the claims of several entry instances in one event loop."""
+
+import collections
+from types import TracebackType
+
+from emulator import (
+    claims_instance,
+    memory_key_value,
+    memory_network,
+    memory_rpc,
+)
+from oatcrank import (
+    claim,
+    claim_router,
+    claims_settings,
+    clock,
+)
+
+HEX = 16
+
+
+class ClaimsFleet:
+    """Start instances that share a key-value service and a ledger."""
+
+    def __init__(
+        self,
+        *,
+        size: int,
+        settings: claims_settings.ClaimsSettings,
+        time: clock.Clock | None = None,
+        network: memory_network.MemoryNetwork | None = None,
+    ) -> None:
+        """Let every instance know every other; without a network, by TCP."""
+        self.store = memory_key_value.MemoryKeyValue()
+        self.ledger: collections.Counter[str] = collections.Counter()
+        self.settings = settings
+        self.instances = [
+            claims_instance.ClaimsInstance(
+                name=f'entry-{number}',
+                store=self.store,
+                settings=settings,
+                time=time or clock.MonotonicClock(),
+                ledger=self.ledger,
+                client=memory_rpc.MemoryRpc(network) if network else None,
+            )
+            for number in range(size)
+        ]
+        everyone = tuple(instance.this for instance in self.instances)
+        for instance in self.instances:
+            instance.peers.believed = everyone
+            if network is not None:
+                network.add(instance)
+
+    async def __aenter__(self) -> 'ClaimsFleet':
+        """Use the fleet."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop every instance."""
+        for instance in self.instances:
+            await instance.stop()
+
+    def owner(self, key: str) -> claims_instance.ClaimsInstance:
+        """Return the instance that everybody believes owns the key's shard."""
+        return self.ranked(key)[0]
+
+    def ranked(self, key: str) -> list[claims_instance.ClaimsInstance]:
+        """Return the instances, the best owner of the key's shard first."""
+        digest = claim.digest_of(claims_instance.PROFILE, key)
+        shard = int(digest, HEX) % self.settings.shards
+        return sorted(
+            self.instances,
+            key=lambda instance: claim_router.rank(
+                instance.this.instance_id,
+                shard,
+            ),
+            reverse=True,
+        )
--- /dev/null
+++ b/emulator/claims_instance.py
@@ -0,0 +1,162 @@
+"""Run the claims of one entry instance on a loopback port."""
+
+import asyncio
+import collections
+from typing import Any
+
+from tornado import httpserver, netutil, web
+
+from emulator import faulty_key_value, faulty_rpc, settable_members
+from oatcrank import (
+    begun_claim,
+    claim,
+    claim_handlers,
+    claimed_answer,
+    claims,
+    claims_settings,
+    clock,
+    ids,
+    keyvalue,
+    member,
+    metrics,
+    refusal,
+)
+
+HOST = '127.0.0.1'
+PROFILE = ids.ProfileName('bookings')
+OK = 200
+
+
+class ClaimsInstance:
+    """Claim keys and pretend to run requests; a ledger counts dispatches."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        store: keyvalue.KeyValue,
+        settings: claims_settings.ClaimsSettings,
+        time: clock.Clock,
+        ledger: collections.Counter[str],
+        client: faulty_rpc.FaultyRpc | None = None,
+    ) -> None:
+        """Listen on a free port."""
+        sockets = netutil.bind_sockets(0, HOST)
+        port = sockets[0].getsockname()[1]
+        self.this = member.Member(
+            instance_id=ids.InstanceId(name),
+            address=f'{HOST}:{port}',
+            failure_domain=ids.FailureDomain('a'),
+            incarnation=1,
+        )
+        self.store = faulty_key_value.FaultyKeyValue(store)
+        self.client = client or faulty_rpc.FaultyRpc()
+        self.peers = settable_members.SettableMembers(self.this)
+        self.claims = claims.Claims(
+            store=self.store,
+            peers=self.peers,
+            client=self.client,
+            settings=settings,
+            time=time,
+            meter=metrics.NoMetrics(),
+        )
+        self.running = asyncio.Event()
+        self.running.set()
+        self._ledger = ledger
+        self._server = httpserver.HTTPServer(
+            web.Application(
+                self._routes(),
+                log_function=_log_nothing,
+            ),
+        )
+        self._server.add_sockets(sockets)
+
+    async def run(
+        self,
+        key: str,
+        body: bytes = b'',
+    ) -> claimed_answer.ClaimedAnswer:
+        """Run a request, or get its one answer; raises refusal.Refused."""
+        found = await self.begin(key, body)
+        if not isinstance(found, begun_claim.Begun):
+            return await found.answer()
+        await self.client.open.wait()
+        if not self.dispatch(key, found):
+            await self.claims.release(found.attempt)
+            return await self.run(key, body)
+        await self.running.wait()
+        answer = answer_to(key)
+        await self.claims.end(found.attempt, answer)
+        return answer
+
+    async def begin(
+        self,
+        key: str,
+        body: bytes = b'',
+    ) -> begun_claim.Begun | claims.known_claim.Known:
+        """Claim a key; raises refusal.Refused."""
+        return await self.claims.begin(
+            key=key,
+            profile=PROFILE,
+            fingerprint=claim.fingerprint_of(body),
+            request_id=ids.RequestId(f'{self.this.instance_id}-{key}'),
+        )
+
+    def dispatch(self, key: str, begun: begun_claim.Begun) -> bool:
+        """Dispatch if still allowed and note it in the ledger."""
+        allowed = self.claims.may_dispatch(begun.attempt)
+        if allowed:
+            self._ledger[key] += 1
+        return allowed
+
+    def freeze(self) -> None:
+        """Pause everything that goes in or out."""
+        self.client.open.clear()
+        self.store.open.clear()
+
+    def thaw(self) -> None:
+        """Go on where everything paused."""
+        self.client.open.set()
+        self.store.open.set()
+
+    async def stop(self) -> None:
+        """Be gone: nothing answers on the port any more."""
+        self.thaw()
+        self._server.stop()
+        await self._server.close_all_connections()
+        await self.claims.close()
+        self.client.close()
+
+    def _routes(self) -> list[claim_handlers.Route]:
+        opened = self.client.open
+        return [
+            (path, _paused(handler, opened), bound)
+            for path, handler, bound in claim_handlers.routes(self.claims)
+        ]
+
+
+def answer_to(key: str) -> claimed_answer.ClaimedAnswer:
+    """Return the answer that every run of a key gives."""
+    return claimed_answer.ClaimedAnswer(
+        status=OK,
+        content_type='text/plain',
+        body=f'done {key}'.encode(),
+    )
+
+
+def run_state_of(error: BaseException) -> refusal.RunState | None:
+    """Return the run state that a refusal tells."""
+    if isinstance(error, refusal.Refused):
+        return error.refusal.run_state
+    return None
+
+
+def _paused(handler: type, opened: asyncio.Event) -> type:
+    async def prepare(_: Any) -> None:
+        await opened.wait()
+
+    return type(handler.__name__, (handler,), {'prepare': prepare})
+
+
+def _log_nothing(_: Any) -> None:
+    """Keep the access log quiet."""
--- /dev/null
+++ b/emulator/faulty_rpc.py
@@ -0,0 +1,66 @@
+"""Lose calls between instances, or hold them up."""
+
+import asyncio
+
+from oatcrank import errors, rpc
+
+
+class FaultyRpc(rpc.Rpc):
+    """Call other processes; the attributes switch faults on.
+
+    open: calls wait while this is not set, as in a paused process.
+    lose_requests: that many next calls never arrive.
+    lose_answers: that many next calls arrive, but not their answers.
+    repeat: that many next calls arrive twice.
+    """
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        super().__init__()
+        self.open = asyncio.Event()
+        self.open.set()
+        self.lose_requests = 0
+        self.lose_answers = 0
+        self.repeat = 0
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        *,
+        timeout_s: float,
+    ) -> bytes:
+        """Send a raw body and return the raw answer."""
+        await self.open.wait()
+        if self.lose_requests:
+            self.lose_requests -= 1
+            raise errors.UnknownOutcome(f'{path}: the request was lost')
+        if self.repeat:
+            self.repeat -= 1
+            await self.deliver(address, method, path, body, timeout_s)
+        answer = await self.deliver(address, method, path, body, timeout_s)
+        await self.open.wait()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise errors.UnknownOutcome(f'{path}: the answer was lost')
+        return answer
+
+    async def deliver(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> bytes:
+        """Send without faults."""
+        return await rpc.Rpc.fetch(
+            self,
+            address,
+            method,
+            path,
+            body,
+            timeout_s=timeout_s,
+        )
--- /dev/null
+++ b/emulator/memory_rpc.py
@@ -0,0 +1,28 @@
+"""Call the other instances of one process, with faults."""
+
+from emulator import faulty_rpc, memory_network
+
+
+class MemoryRpc(faulty_rpc.FaultyRpc):
+    """Deliver over a network in memory instead of TCP."""
+
+    def __init__(self, network: memory_network.MemoryNetwork) -> None:
+        """Start without faults."""
+        super().__init__()
+        self._network = network
+
+    async def deliver(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> bytes:
+        """Send without faults."""
+        return await self._network.call(
+            address,
+            path,
+            body or b'',
+            timeout_s=timeout_s,
+        )
--- a/oatcrank/claim_log.py
+++ b/oatcrank/claim_log.py
@@ -47,7 +47,7 @@
         self._retention_s = settings.retention_s
         self._prefix = prefix
         self._time = time
-        self._anchor = (0, time.now())
+        self._anchor: tuple[int, float] | None = None
         self._saved_number = 0
         self._saver: asyncio.Task[None] | None = None
 
@@ -100,7 +100,7 @@
         loaded = await self._snapshots.load()
         self.state = loaded
         self._saved_number = loaded.number
-        self._anchor = (loaded.tick, self._time.now())
+        self._advance(loaded.tick)
 
     async def _catch_up(self) -> None:
         while True:
@@ -130,11 +130,17 @@
         return False
 
     def _apply(self, record: claim_record.ClaimRecord) -> None:
-        if record.tick > self._tick():
-            self._anchor = (record.tick, self._time.now())
+        self._advance(record.tick)
         self.state.apply(self.state.number + 1, record)
 
+    def _advance(self, tick: int) -> None:
+        # A tick is read after it was written, so this can only lag.
+        if self._anchor is None or tick > self._tick():
+            self._anchor = (tick, self._time.now())
+
     def _tick(self) -> int:
+        if self._anchor is None:
+            return 0
         tick, read_at = self._anchor
         return tick + int(self._time.now() - read_at)
 
--- a/oatcrank/claim_shard_count.py
+++ b/oatcrank/claim_shard_count.py
@@ -1,8 +1,11 @@
 """Agree once on the number of shards."""
 
+import contextlib
+
 from oatcrank import errors, keyvalue, logs
 
 KEY = 'claims/shards'
+TRIES = 4
 
 
 class ClaimShardCount:
@@ -30,15 +33,15 @@
         return self._agreed
 
     async def _recorded(self) -> int:
-        entry = await self._store.get(KEY)
-        if entry is None:
-            try:
+        for _ in range(TRIES):
+            entry = await self._store.get(KEY)
+            if entry is not None:
+                return int(entry.value)
+            # The next read tells whose number was recorded.
+            with contextlib.suppress(errors.Conflict, errors.UnknownOutcome):
                 await self._store.put(
                     KEY,
                     str(self._wanted),
                     expected=keyvalue.ABSENT,
                 )
-            except errors.Conflict as conflict:
-                raise errors.Unavailable(f'{KEY} is new') from conflict
-            return self._wanted
-        return int(entry.value)
+        raise errors.Unavailable(f'{KEY} cannot be read')
--- a/oatcrank/claim_state.py
+++ b/oatcrank/claim_state.py
@@ -63,8 +63,13 @@
     def first_kept(self) -> int:
         """Return the first record that a claim still kept can point to."""
         kept = 1
-        while self.marks and self.marks[0][0] < self.drop_before:
-            kept = self.marks.popleft()[1]
+        # The records between two marks are less than a step older.
+        while (
+            len(self.marks) > 1
+            and self.marks[0][0] + MARK_STEP_S <= self.drop_before
+        ):
+            self.marks.popleft()
+            kept = self.marks[0][1]
         return kept
 
     def _drop(self, drop_before: int) -> None:
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,359 @@
+"""Check that no fault runs an unrepeatable request twice."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from emulator import claims_fleet, claims_instance
+from oatcrank import (
+    begun_claim,
+    claim_attempts,
+    claim_log,
+    claim_router,
+    claims_settings,
+    clock,
+    refusal,
+)
+
+KEY = 'booking-1'
+SETTINGS = claims_settings.ClaimsSettings(batch_spacing_ms=1)
+ONE_SHARD = claims_settings.ClaimsSettings(shards=1, batch_spacing_ms=1)
+ANSWER = claims_instance.answer_to(KEY)
+Fleet = claims_fleet.ClaimsFleet
+Story = Callable[[Fleet], Awaitable[None]]
+
+
+@pytest.fixture(autouse=True)
+def _short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claim_router, 'FORWARD_S', 0.3)
+    monkeypatch.setattr(claim_attempts, 'ANSWER_S', 0.3)
+
+
+def play(
+    story: Story,
+    time: clock.Clock | None = None,
+    settings: claims_settings.ClaimsSettings = SETTINGS,
+) -> None:
+    async def run() -> None:
+        async with Fleet(size=3, settings=settings, time=time) as fleet:
+            await story(fleet)
+            assert max(fleet.ledger.values(), default=0) <= 1
+
+    asyncio.run(run())
+
+
+async def refused_by(call: Awaitable[object]) -> refusal.Refusal:
+    try:
+        await call
+    except refusal.Refused as refused:
+        return refused.refusal
+    pytest.fail('not refused')
+
+
+async def begun_at(
+    instance: claims_instance.ClaimsInstance,
+) -> begun_claim.Begun:
+    begun = await instance.begin(KEY)
+    assert isinstance(begun, begun_claim.Begun)
+    return begun
+
+
+def test_resends_at_the_same_moment_get_one_answer() -> None:
+    async def story(fleet: Fleet) -> None:
+        keys = [f'key-{number}' for number in range(8)]
+        answers = await asyncio.gather(
+            *(
+                instance.run(key)
+                for key in keys
+                for instance in fleet.instances * 2
+            ),
+        )
+        assert answers == [
+            claims_instance.answer_to(key) for key in keys for _ in range(6)
+        ]
+        assert fleet.ledger == dict.fromkeys(keys, 1)
+
+    play(story)
+
+
+@pytest.mark.parametrize('rank', [0, 1, 2])
+@pytest.mark.parametrize(
+    ('part', 'fault', 'times'),
+    [
+        ('store', 'lose_answers', 1),
+        ('store', 'lose_answers', 5),
+        ('store', 'late_writes', 1),
+        ('store', 'late_writes', 9),
+        ('client', 'lose_requests', 1),
+        ('client', 'lose_requests', 4),
+        ('client', 'lose_answers', 1),
+        ('client', 'lose_answers', 4),
+        ('client', 'repeat', 4),
+    ],
+)
+def test_lost_and_late_calls(
+    rank: int,
+    part: str,
+    fault: str,
+    times: int,
+) -> None:
+    async def story(fleet: Fleet) -> None:
+        setattr(getattr(fleet.ranked(KEY)[rank], part), fault, times)
+        outcomes = await asyncio.gather(
+            *(instance.run(KEY) for instance in fleet.instances),
+            return_exceptions=True,
+        )
+        assert all(
+            outcome == ANSWER or isinstance(outcome, refusal.Refused)
+            for outcome in outcomes
+        )
+        for instance in fleet.instances:
+            await instance.store.land()
+            setattr(getattr(instance, part), fault, 0)
+        for instance in fleet.instances:
+            assert await instance.run(KEY) == ANSWER
+        assert fleet.ledger == {KEY: 1}
+
+    play(story)
+
+
+def test_late_write_does_not_run_what_was_refused() -> None:
+    async def story(fleet: Fleet) -> None:
+        owner = fleet.owner(KEY)
+        claimant = fleet.ranked(KEY)[1]
+        owner.store.late_writes = 100
+        refused = await refused_by(claimant.run(KEY))
+        assert refused.run_state is refusal.RunState.did_not_run
+        assert not fleet.ledger
+        owner.store.late_writes = 0
+        await owner.store.land()
+        assert await fleet.ranked(KEY)[2].run(KEY) == ANSWER
+        assert fleet.ledger == {KEY: 1}
+
+    play(story)
+
+
+def test_service_down_refuses_at_once() -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.store.down = True
+        for instance in fleet.instances:
+            refused = await refused_by(instance.run(KEY))
+            assert refused.code is refusal.Code.platform_unavailable
+            assert refused.run_state is refusal.RunState.did_not_run
+            assert refused.retry_after_s
+        fleet.store.down = False
+        assert await fleet.instances[0].run(KEY) == ANSWER
+
+    play(story)
+
+
+@pytest.mark.parametrize('frozen', [False, True])
+def test_owner_silent(*, frozen: bool) -> None:
+    async def story(fleet: Fleet) -> None:
+        owner, *others = fleet.ranked(KEY)
+        if frozen:
+            owner.freeze()
+        else:
+            await owner.stop()
+        for other in others:
+            assert await other.run(KEY) == ANSWER
+        owner.thaw()
+
+    play(story)
+
+
+def test_owner_frozen_between_commit_and_answer() -> None:
+    async def story(fleet: Fleet) -> None:
+        owner, claimant, other = fleet.ranked(KEY)
+        await claimant.run('warm up')
+        await claimant.claims.drain()
+        owner.store.pause_after_write = True
+        assert await claimant.run(KEY) == ANSWER
+        assert not owner.store.open.is_set()
+        assert await other.run(KEY) == ANSWER
+        owner.thaw()
+        assert await owner.run(KEY) == ANSWER
+
+    play(story, settings=ONE_SHARD)
+
+
+@pytest.mark.parametrize(
+    ('step', 'run_state'),
+    [
+        ('begun', refusal.RunState.may_have_run),
+        ('dispatched', refusal.RunState.may_have_run),
+        ('interrupted', refusal.RunState.may_have_run),
+        ('released', None),
+        ('ended', None),
+    ],
+)
+def test_claimant_gone(step: str, run_state: refusal.RunState | None) -> None:
+    async def story(fleet: Fleet) -> None:
+        _, claimant, other = fleet.ranked(KEY)
+        begun = await begun_at(claimant)
+        attempt = begun.attempt
+        if step == 'released':
+            await claimant.claims.release(attempt)
+            assert not claimant.dispatch(KEY, begun)
+        elif step != 'begun':
+            assert claimant.dispatch(KEY, begun)
+        if step == 'interrupted':
+            await claimant.claims.interrupt(attempt)
+        if step == 'ended':
+            await claimant.claims.end(attempt, ANSWER)
+        await claimant.claims.drain()
+        await claimant.stop()
+        if run_state is None:
+            assert await other.run(KEY) == ANSWER
+        else:
+            refused = await refused_by(other.run(KEY))
+            assert refused.run_state is run_state
+            assert refused.code is refusal.Code.outcome_unknown
+
+    play(story)
+
+
+def test_claimant_frozen_before_dispatch() -> None:
+    async def story(fleet: Fleet) -> None:
+        _, claimant, other = fleet.ranked(KEY)
+        begun = await begun_at(claimant)
+        claimant.freeze()
+        refused = await refused_by(other.run(KEY))
+        assert refused.code is refusal.Code.outcome_unknown
+        claimant.thaw()
+        assert claimant.dispatch(KEY, begun)
+        assert not claimant.dispatch(KEY, begun)
+
+    play(story)
+
+
+def test_release_not_recorded_is_learnt_from_the_claimant() -> None:
+    async def story(fleet: Fleet) -> None:
+        _, claimant, other = fleet.ranked(KEY)
+        begun = await begun_at(claimant)
+        claimant.client.lose_requests = 100
+        claimant.store.down = True
+        await claimant.claims.release(begun.attempt)
+        assert await other.run(KEY) == ANSWER
+        assert not claimant.dispatch(KEY, begun)
+
+    play(story)
+
+
+def test_end_not_recorded_is_learnt_from_the_claimant() -> None:
+    async def story(fleet: Fleet) -> None:
+        _, claimant, other = fleet.ranked(KEY)
+        begun = await begun_at(claimant)
+        assert claimant.dispatch(KEY, begun)
+        fleet.store.down = True
+        await claimant.claims.end(begun.attempt, ANSWER)
+        assert await claimant.run(KEY) == ANSWER
+        fleet.store.down = False
+        assert await other.run(KEY) == ANSWER
+
+    play(story)
+
+
+def test_every_instance_believes_to_be_the_owner() -> None:
+    async def story(fleet: Fleet) -> None:
+        for instance in fleet.instances:
+            instance.peers.believed = (instance.this,)
+        keys = [f'key-{number}' for number in range(20)]
+        await asyncio.gather(
+            *(each.run(key) for key in keys for each in fleet.instances),
+        )
+        assert fleet.ledger == dict.fromkeys(keys, 1)
+
+    play(story)
+
+
+def test_key_reused_with_another_body() -> None:
+    async def story(fleet: Fleet) -> None:
+        first, second, _ = fleet.instances
+        assert await first.run(KEY, b'one') == ANSWER
+        for instance in (first, second):
+            refused = await refused_by(instance.run(KEY, b'two'))
+            assert refused.code is refusal.Code.key_reused
+            assert refused.run_state is refusal.RunState.did_not_run
+
+    play(story)
+
+
+def test_long_answer_is_not_kept() -> None:
+    async def story(fleet: Fleet) -> None:
+        first, second, _ = fleet.instances
+        assert await first.run(KEY) == ANSWER
+        await first.claims.drain()
+        refused = await refused_by(second.run(KEY))
+        assert refused.code is refusal.Code.answer_not_kept
+        assert refused.run_state is refusal.RunState.ran
+
+    settings = claims_settings.ClaimsSettings(kept_answer_bytes=3)
+    play(story, settings=settings)
+
+
+def test_backend_that_started_nothing_may_be_replaced_by_another() -> None:
+    async def story(fleet: Fleet) -> None:
+        claimant = fleet.instances[0]
+        begun = await begun_at(claimant)
+        assert claimant.claims.may_dispatch(begun.attempt)
+        assert not claimant.claims.may_dispatch(begun.attempt)
+        claimant.claims.not_started(begun.attempt)
+        assert claimant.claims.may_dispatch(begun.attempt)
+
+    play(story)
+
+
+def test_number_of_shards_is_agreed_once() -> None:
+    async def story(fleet: Fleet) -> None:
+        assert await fleet.instances[0].run(KEY) == ANSWER
+        fleet.settings = claims_settings.ClaimsSettings(shards=7)
+        late = claims_instance.ClaimsInstance(
+            name='late',
+            store=fleet.store,
+            settings=fleet.settings,
+            time=clock.MonotonicClock(),
+            ledger=fleet.ledger,
+        )
+        fleet.instances.append(late)
+        assert await late.run(KEY) == ANSWER
+
+    play(story)
+
+
+@pytest.mark.parametrize('age_s', [0, 400, 1300])
+def test_snapshots_and_retention(
+    monkeypatch: pytest.MonkeyPatch,
+    age_s: int,
+) -> None:
+    monkeypatch.setattr(claim_log, 'SNAPSHOT_RECORDS', 10)
+    time = clock.ManualClock()
+    settings = claims_settings.ClaimsSettings(
+        shards=1,
+        batch_spacing_ms=0,
+        retention_s=800,
+    )
+
+    async def story(fleet: Fleet) -> None:
+        first, second, third = fleet.instances
+        await third.run(KEY)
+        for number in range(60):
+            await first.run(f'key-{number}')
+            await first.claims.drain()
+        assert fleet.store.keys('claims/0/snapshot')
+        time.advance(age_s)
+        for number in range(60):
+            await second.run(f'other-{number}')
+            await second.claims.drain()
+        kept = fleet.store.keys('claims/0/1')
+        assert ('claims/0/1' in kept) == (age_s < settings.retention_s)
+        if age_s < settings.retention_s:
+            assert await third.run(KEY) == ANSWER
+            assert await third.run('key-7')
+            assert set(fleet.ledger.values()) == {1}
+        else:
+            found = await third.begin(KEY)
+            assert isinstance(found, begun_claim.Begun)
+
+    play(story, time=time, settings=settings)
