--- a/emulator/claims_instance.py
+++ b/emulator/claims_instance.py
@@ -25,6 +25,11 @@
 HOST = '127.0.0.1'
 PROFILE = ids.ProfileName('bookings')
 OK = 200
+REJECTED = refusal.Refusal(
+    code=refusal.Code.overloaded,
+    message='rejected before dispatch',
+    run_state=refusal.RunState.did_not_run,
+)
 
 
 class ClaimsInstance:
@@ -62,6 +67,7 @@
         )
         self.running = asyncio.Event()
         self.running.set()
+        self.rejecting = False
         self._ledger = ledger
         self._server = httpserver.HTTPServer(
             web.Application(
@@ -81,9 +87,9 @@
         if not isinstance(found, begun_claim.Begun):
             return await found.answer()
         await self.client.open.wait()
-        if not self.dispatch(key, found):
+        if self.rejecting or not self.dispatch(key, found):
             await self.claims.release(found.attempt)
-            return await self.run(key, body)
+            raise refusal.Refused(REJECTED)
         await self.running.wait()
         answer = answer_to(key)
         await self.claims.end(found.attempt, answer)
@@ -144,13 +150,6 @@
     )
 
 
-def run_state_of(error: BaseException) -> refusal.RunState | None:
-    """Return the run state that a refusal tells."""
-    if isinstance(error, refusal.Refused):
-        return error.refusal.run_state
-    return None
-
-
 def _paused(handler: type, opened: asyncio.Event) -> type:
     async def prepare(_: Any) -> None:
         await opened.wait()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -268,6 +268,29 @@
     play(story)
 
 
+@pytest.mark.parametrize('late', [1, 2, 3, 9])
+def test_late_write_between_two_owners(late: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        for instance in fleet.instances:
+            instance.peers.believed = (instance.this,)
+            await instance.run('warm up')
+            await instance.claims.drain()
+        first, *others = fleet.instances
+        first.store.late_writes = late
+        outcomes = await asyncio.gather(
+            first.run(KEY),
+            *(other.run(KEY) for other in others),
+            return_exceptions=True,
+        )
+        first.store.late_writes = 0
+        assert outcomes[1:] == [ANSWER, ANSWER]
+        await first.store.land()
+        assert await first.run(KEY) == ANSWER
+        assert fleet.ledger[KEY] == 1
+
+    play(story, settings=ONE_SHARD)
+
+
 def test_key_reused_with_another_body() -> None:
     async def story(fleet: Fleet) -> None:
         first, second, _ = fleet.instances
