Send ends along with claims and measure what claims cost

Cause: each end of a claim cost a write of its own. Ruled out: leaving ends unrecorded: a resend would get may-have-run for what has ended. Change: ends travel with the next batch; a benchmark measures what claims cost.

--- /dev/null
+++ b/emulator/claims_benchmark.py
@@ -0,0 +1,92 @@
+"""Measure what claims cost: `python -m emulator.claims_benchmark`."""
+
+import argparse
+import asyncio
+import sys
+
+from emulator import (
+    claims_faults,
+    claims_fleet,
+    claims_load,
+    claims_memory,
+)
+from oatcrank import claims_settings
+
+FLEET_SIZE = 8
+FAULT_RATE = 50
+FAULT_AT = 0.3
+HEAL_AT = 0.7
+
+
+async def measure(
+    *,
+    settings: claims_settings.ClaimsSettings,
+    rate: float,
+    seconds: float,
+    fault: claims_faults.Change = claims_faults.nothing,
+) -> claims_load.ClaimsFigures:
+    """Return the figures of one run, with a fault in its middle part."""
+    async with claims_fleet.ClaimsFleet(
+        size=FLEET_SIZE,
+        settings=settings,
+    ) as fleet:
+        fleet.store.delay_s = claims_faults.SERVICE_DELAY_S
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds * FAULT_AT, fault, fleet)
+        loop.call_later(seconds * HEAL_AT, claims_faults.heal, fleet)
+        return await claims_load.ClaimsLoad(fleet).run(
+            rate=rate,
+            seconds=seconds,
+        )
+
+
+def _print(name: str, figures: claims_load.ClaimsFigures) -> None:
+    share = figures.answered / figures.offered
+    sys.stdout.write(
+        f'| {name} | {figures.offered} | {share:.2%} | '
+        f'{figures.did_not_run} | {figures.may_have_run} | '
+        f'{figures.dispatched_twice} | {figures.writes:.1f} | '
+        f'{figures.reads:.1f} | {figures.median_ms:.1f} | '
+        f'{figures.tail_ms:.1f} | {figures.core_ms:.2f} |\n',
+    )
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Print one line for each load and for each fault."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seconds', type=float, default=10)
+    usual = claims_settings.ClaimsSettings()
+    parser.add_argument('--shards', type=int, default=usual.shards)
+    parser.add_argument(
+        '--batch-spacing-ms',
+        type=int,
+        default=usual.batch_spacing_ms,
+    )
+    options = parser.parse_args()
+    settings = claims_settings.ClaimsSettings(
+        shards=options.shards,
+        batch_spacing_ms=options.batch_spacing_ms,
+    )
+    runs: list[tuple[str, int, claims_faults.Change]] = [
+        (f'{rate} claims/s', rate, claims_faults.nothing)
+        for rate in (5, 50, 500)
+    ]
+    runs.extend(
+        (f'{FAULT_RATE} claims/s, {name}', FAULT_RATE, fault)
+        for name, fault in claims_faults.FAULT_BY_NAME.items()
+    )
+    for name, rate, fault in runs:
+        measured = measure(
+            settings=settings,
+            rate=rate,
+            seconds=options.seconds,
+            fault=fault,
+        )
+        _print(name, asyncio.run(measured))
+    kept = claims_memory.bytes_per_claim()
+    sys.stdout.write(f'bytes for each claim kept: {kept:.0f}\n')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/oatcrank/claim_forwarder.py
@@ -0,0 +1,92 @@
+"""Send entries to the instances that gather batches, several in one call."""
+
+import asyncio
+
+from oatcrank import (
+    claim,
+    claim_holder,
+    claim_holders,
+    claim_offers,
+    errors,
+    rpc,
+)
+
+PATH = '/internal/claims'
+FORWARD_S = 1.0
+LINGER_S = 0.05
+
+Waiting = asyncio.Future[claim_holder.ClaimHolder | None]
+Batch = list[tuple[claim.Offer, Waiting]]
+
+
+class ClaimForwarder:
+    """Send claims at once; ends travel with them or a little later."""
+
+    def __init__(self, client: rpc.Rpc) -> None:
+        """Call other instances through the client."""
+        self._client = client
+        self._batch_by_address: dict[str, Batch] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+
+    async def send(
+        self,
+        address: str,
+        offer: claim.Offer,
+    ) -> claim_holder.ClaimHolder | None:
+        """Return who holds the offer's key according to that instance.
+
+        Raises errors.PlatformError and rpc.RpcRefused.
+        """
+        loop = asyncio.get_running_loop()
+        waiting: Waiting = loop.create_future()
+        batch = self._batch_by_address.setdefault(address, [])
+        batch.append((offer, waiting))
+        waits = isinstance(offer, (claim.Released, claim.Ended))
+        loop.call_later(LINGER_S if waits else 0, self._flush, address, batch)
+        return await waiting
+
+    async def close(self) -> None:
+        """Stop every call."""
+        for call in tuple(self._calls):
+            call.cancel()
+            await asyncio.wait([call])
+
+    def _flush(self, address: str, batch: Batch) -> None:
+        if self._batch_by_address.get(address) is not batch:
+            return
+        self._batch_by_address.pop(address)
+        call = asyncio.create_task(self._call(address, batch))
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _call(self, address: str, batch: Batch) -> None:
+        holders: list[claim_holder.ClaimHolder | None] = []
+        error: Exception = errors.UnknownOutcome('not one holder for each')
+        try:
+            holders = await self._post(address, batch)
+        except (errors.PlatformError, rpc.RpcRefused) as raised:
+            error = raised
+        except asyncio.CancelledError:
+            error = errors.UnknownOutcome('closed')
+        whole = len(holders) == len(batch)
+        for index, (_, waiting) in enumerate(batch):
+            if waiting.done():
+                continue
+            if whole:
+                waiting.set_result(holders[index])
+            else:
+                waiting.set_exception(error)
+
+    async def _post(
+        self,
+        address: str,
+        batch: Batch,
+    ) -> list[claim_holder.ClaimHolder | None]:
+        answer = await self._client.post(
+            address,
+            PATH,
+            claim_offers.ClaimOffers(offers=[offer for offer, _ in batch]),
+            claim_holders.ClaimHolders,
+            timeout_s=FORWARD_S,
+        )
+        return answer.holders
--- a/oatcrank/claim_handlers.py
+++ b/oatcrank/claim_handlers.py
@@ -8,9 +8,9 @@
     attempt_query,
     attempt_reply,
     claim_attempts,
+    claim_forwarder,
     claim_holders,
     claim_offers,
-    claim_router,
     claims,
     errors,
     ids,
@@ -73,6 +73,6 @@
     """Return the routes by which instances reach each other's claims."""
     bound = {'served': served}
     return [
-        (claim_router.PATH, ClaimsHandler, bound),
+        (claim_forwarder.PATH, ClaimsHandler, bound),
         (claim_attempts.PATH, AttemptsHandler, bound),
     ]
--- a/oatcrank/claim_router.py
+++ b/oatcrank/claim_router.py
@@ -5,9 +5,8 @@
 
 from oatcrank import (
     claim,
+    claim_forwarder,
     claim_holder,
-    claim_holders,
-    claim_offers,
     claim_shard,
     claim_shard_count,
     claims_settings,
@@ -22,9 +21,7 @@
     rpc,
 )
 
-PATH = '/internal/claims'
 FORWARD_TRIES = 2
-FORWARD_S = 1.0
 AVOID_S = 2.0
 HEX = 16
 
@@ -48,7 +45,7 @@
         """Load no shard yet."""
         self._store = store
         self._peers = peers
-        self._client = client
+        self._forwarder = claim_forwarder.ClaimForwarder(client)
         self._settings = settings
         self._time = time
         self._shard_count = claim_shard_count.ClaimShardCount(
@@ -71,7 +68,7 @@
             if owner.instance_id == self._peers.this.instance_id:
                 break
             try:
-                return await self._forward(owner, offer)
+                return await self._forwarder.send(owner.address, offer)
             except (errors.UnknownOutcome, errors.Unavailable) as error:
                 self._avoid(owner, error)
             except rpc.RpcRefused as error:
@@ -96,7 +93,8 @@
         return f'claims/{shard}'
 
     async def close(self) -> None:
-        """Stop every shard."""
+        """Stop every call and every shard."""
+        await self._forwarder.close()
         for shard in self._shard_by_number.values():
             await shard.close()
 
@@ -135,22 +133,6 @@
             error=str(error),
         )
 
-    async def _forward(
-        self,
-        owner: member.Member,
-        offer: claim.Offer,
-    ) -> claim_holder.ClaimHolder | None:
-        answer = await self._client.post(
-            owner.address,
-            PATH,
-            claim_offers.ClaimOffers(offers=[offer]),
-            claim_holders.ClaimHolders,
-            timeout_s=FORWARD_S,
-        )
-        if len(answer.holders) != 1:
-            raise errors.UnknownOutcome('not one holder for one offer')
-        return answer.holders[0]
-
 
 def rank(instance_id: ids.InstanceId, shard: int) -> int:
     """Return the rendezvous weight of an instance for a shard."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,14 +9,17 @@
 from oatcrank import (
     begun_claim,
     claim_attempts,
+    claim_forwarder,
     claim_log,
-    claim_router,
+    claim_opener,
     claims_settings,
     clock,
     refusal,
 )
 
 KEY = 'booking-1'
+LONG_S = 60.0
+SHORT_S = 0.2
 SETTINGS = claims_settings.ClaimsSettings(batch_spacing_ms=1)
 ONE_SHARD = claims_settings.ClaimsSettings(shards=1, batch_spacing_ms=1)
 ANSWER = claims_instance.answer_to(KEY)
@@ -25,9 +28,10 @@
 
 
 @pytest.fixture(autouse=True)
-def _short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(claim_router, 'FORWARD_S', 0.3)
-    monkeypatch.setattr(claim_attempts, 'ANSWER_S', 0.3)
+def patience(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claim_forwarder, 'FORWARD_S', LONG_S)
+    monkeypatch.setattr(claim_attempts, 'ANSWER_S', LONG_S)
+    monkeypatch.setattr(claim_opener, 'OPEN_S', 2 * LONG_S)
 
 
 def play(
@@ -149,7 +153,10 @@
 
 
 @pytest.mark.parametrize('frozen', [False, True])
-def test_owner_silent(*, frozen: bool) -> None:
+def test_owner_silent(monkeypatch: pytest.MonkeyPatch, *, frozen: bool) -> None:
+    if frozen:
+        monkeypatch.setattr(claim_forwarder, 'FORWARD_S', SHORT_S)
+
     async def story(fleet: Fleet) -> None:
         owner, *others = fleet.ranked(KEY)
         if frozen:
@@ -163,7 +170,11 @@
     play(story)
 
 
-def test_owner_frozen_between_commit_and_answer() -> None:
+def test_owner_frozen_between_commit_and_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claim_forwarder, 'FORWARD_S', SHORT_S)
+
     async def story(fleet: Fleet) -> None:
         owner, claimant, other = fleet.ranked(KEY)
         await claimant.run('warm up')
@@ -214,7 +225,11 @@
     play(story)
 
 
-def test_claimant_frozen_before_dispatch() -> None:
+def test_claimant_frozen_before_dispatch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claim_attempts, 'ANSWER_S', SHORT_S)
+
     async def story(fleet: Fleet) -> None:
         _, claimant, other = fleet.ranked(KEY)
         begun = await begun_at(claimant)
