Free shards that are not used and bound kept answers

Cause: an instance that once appended for a silent owner kept that shard's state for ever; a kept answer could outgrow a value of the key-value service; an unforeseen error of a forwarded call left its waiters without an end.

Ruled out: dropping the whole shard object. The retention test failed with it, because what the instance knew of the log's age went too and old claims stayed.

Change: forget the state and keep the log's age; cap kept answers; settle waiters whatever ends a call.

--- a/oatcrank/claim_forwarder.py
+++ b/oatcrank/claim_forwarder.py
@@ -66,16 +66,9 @@
             holders = await self._post(address, batch)
         except (errors.PlatformError, rpc.RpcRefused) as raised:
             error = raised
-        except asyncio.CancelledError:
-            error = errors.UnknownOutcome('closed')
-        whole = len(holders) == len(batch)
-        for index, (_, waiting) in enumerate(batch):
-            if waiting.done():
-                continue
-            if whole:
-                waiting.set_result(holders[index])
-            else:
-                waiting.set_exception(error)
+        finally:
+            # Whatever ended the call, nobody may wait for ever.
+            _settle(batch, holders, error)
 
     async def _post(
         self,
@@ -90,3 +83,18 @@
             timeout_s=FORWARD_S,
         )
         return answer.holders
+
+
+def _settle(
+    batch: Batch,
+    holders: list[claim_holder.ClaimHolder | None],
+    error: Exception,
+) -> None:
+    whole = len(holders) == len(batch)
+    for index, (_, waiting) in enumerate(batch):
+        if waiting.done():
+            continue
+        if whole:
+            waiting.set_result(holders[index])
+        else:
+            waiting.set_exception(error)
--- a/oatcrank/claim_log.py
+++ b/oatcrank/claim_log.py
@@ -82,14 +82,23 @@
                 break
         raise errors.Unavailable(f'{self._prefix}: overtaken by records')
 
+    @property
+    def is_saving(self) -> bool:
+        """Return whether a snapshot is being saved."""
+        return self._saver is not None and not self._saver.done()
+
     def save_if_due(self) -> None:
         """Save a snapshot when enough records have come since the last."""
-        saving = self._saver is not None and not self._saver.done()
         due = max(SNAPSHOT_RECORDS, len(self.state) // SNAPSHOT_SHARE)
-        if not saving and self.state.number - self._saved_number >= due:
+        if not self.is_saving and self.state.number - self._saved_number >= due:
             self._saved_number = self.state.number
             self._saver = asyncio.create_task(self._save())
 
+    def forget(self) -> None:
+        """Free the state; what is known of the log's age stays."""
+        self.state = claim_state.ClaimState()
+        self.seen_at = -math.inf
+
     async def close(self) -> None:
         """Stop saving."""
         if self._saver is not None:
--- a/oatcrank/claim_router.py
+++ b/oatcrank/claim_router.py
@@ -82,6 +82,9 @@
     ) -> claim_holder.ClaimHolder | None:
         """Append from this instance; raises as submit does."""
         shard = await self.shard_number(offer.digest)
+        # Other instances may gather for shards that were used here once.
+        for known in self._shard_by_number.values():
+            known.forget_if_idle()
         return await self._shard(shard).submit(offer)
 
     async def shard_number(self, digest: str) -> int:
--- a/oatcrank/claim_shard.py
+++ b/oatcrank/claim_shard.py
@@ -17,6 +17,7 @@
 ENTRY_BYTES = 400
 BASE64_GROWTH = 4 / 3
 FRESH_S = 60.0
+IDLE_S = 600.0
 MS_PER_S = 1000
 
 Waiting = asyncio.Future[claim_holder.ClaimHolder | None]
@@ -44,9 +45,18 @@
         self._prefix = prefix
         self._spacing_s = settings.batch_spacing_ms / MS_PER_S
         self._time = time
+        self._used_at = time.now()
         self._pending: Batch = []
         self._writer: asyncio.Task[None] | None = None
 
+    def forget_if_idle(self) -> None:
+        """Free the memory if nobody used it for long."""
+        writing = self._writer is not None and not self._writer.done()
+        if writing or self._pending or self._log.is_saving:
+            return
+        if self._time.now() - self._used_at > IDLE_S:
+            self._log.forget()
+
     async def submit(
         self,
         offer: claim.Offer,
@@ -55,6 +65,7 @@
 
         Raises errors.PlatformError if that could not be found out.
         """
+        self._used_at = self._time.now()
         known = self._known(offer)
         if known is not None:
             return known
--- a/oatcrank/claims.py
+++ b/oatcrank/claims.py
@@ -24,6 +24,8 @@
 )
 
 DISPATCH_SHARE = 4
+# A record must stay below the size of a value, encoded.
+MAX_KEPT_BYTES = 262_144
 MS_PER_S = 1000
 
 Phase = claim_attempt.Phase
@@ -118,7 +120,8 @@
         answer: claimed_answer.ClaimedAnswer,
     ) -> None:
         """Give the answer to all who wait, and record it meanwhile."""
-        kept = len(answer.body) <= self._settings.kept_answer_bytes
+        limit = min(self._settings.kept_answer_bytes, MAX_KEPT_BYTES)
+        kept = len(answer.body) <= limit
         reply = attempt_reply.AttemptReply(state=State.ended, answer=answer)
         attempt.finish(reply)
         entry = claim.Ended(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,6 +12,7 @@
     claim_forwarder,
     claim_log,
     claim_opener,
+    claim_shard,
     claims_settings,
     clock,
     refusal,
@@ -360,6 +361,22 @@
     play(story)
 
 
+def test_idle_shard_is_forgotten_and_loaded_again() -> None:
+    time = clock.ManualClock()
+
+    async def story(fleet: Fleet) -> None:
+        first, second, _ = fleet.instances
+        second.peers.believed = (first.this,)
+        assert await first.run(KEY) == ANSWER
+        await first.claims.drain()
+        time.advance(claim_shard.IDLE_S + 1)
+        assert await first.run('other')
+        assert await first.run(KEY) == ANSWER
+        assert await second.run(KEY) == ANSWER
+
+    play(story, time=time)
+
+
 @pytest.mark.parametrize('age_s', [0, 400, 1300])
 def test_snapshots_and_retention(
     monkeypatch: pytest.MonkeyPatch,
