Answer a shared refusal under each resend's own request id

Cause: resends that share one claim got the refusal with the first one's request id. Ruled out: refusals without an id. Change: each resend's refusal names its own request. Conclusion: logs can be followed by the id that the caller knows.

--- a/emulator/claims_instance.py
+++ b/emulator/claims_instance.py
@@ -17,6 +17,7 @@
     clock,
     ids,
     keyvalue,
+    known_claim,
     member,
     metrics,
     refusal,
@@ -99,7 +100,7 @@
         self,
         key: str,
         body: bytes = b'',
-    ) -> begun_claim.Begun | claims.known_claim.Known:
+    ) -> begun_claim.Begun | known_claim.Known:
         """Claim a key; raises refusal.Refused."""
         return await self.claims.begin(
             key=key,
--- a/oatcrank/claim_attempts.py
+++ b/oatcrank/claim_attempts.py
@@ -4,12 +4,15 @@
 import itertools
 import uuid
 
+import msgspec
+
 from oatcrank import (
     attempt_query,
     attempt_reply,
     claim,
     claim_attempt,
     errors,
+    ids,
     logs,
     refusal,
     rpc,
@@ -64,7 +67,11 @@
         """Return whether the attempt is kept."""
         return attempt.entry.attempt in self._attempt_by_id
 
-    async def opened(self, digest: str) -> claim_attempt.ClaimAttempt | None:
+    async def opened(
+        self,
+        digest: str,
+        request_id: ids.RequestId,
+    ) -> claim_attempt.ClaimAttempt | None:
         """Return this process's attempt at a key, once its claim is decided.
 
         Raises refusal.Refused with what refused the attempt's opening.
@@ -76,7 +83,9 @@
             await asyncio.wait([attempt.opened])
             refused = attempt.opened.result()
             if refused is not None:
-                raise refusal.Refused(refused)
+                raise refusal.Refused(
+                    msgspec.structs.replace(refused, request_id=request_id),
+                )
             if self._attempt_by_digest.get(digest) is attempt:
                 return attempt
 
--- a/oatcrank/claims.py
+++ b/oatcrank/claims.py
@@ -81,7 +81,7 @@
         Raises refusal.Refused; the request then did not run.
         """
         digest = claim.digest_of(profile, key)
-        local = await self.attempts.opened(digest)
+        local = await self.attempts.opened(digest, request_id)
         if local is not None:
             holder = claim_holder.running(local.entry)
             known = self._known(holder, digest, request_id)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,6 +15,7 @@
     claim_shard,
     claims_settings,
     clock,
+    ids,
     refusal,
 )
 
@@ -307,6 +308,47 @@
     play(story, settings=ONE_SHARD)
 
 
+@pytest.mark.parametrize('alone', [False, True])
+def test_outdated_reads(*, alone: bool) -> None:
+    async def story(fleet: Fleet) -> None:
+        await asyncio.gather(*(each.run('warm up') for each in fleet.instances))
+        for instance in fleet.instances:
+            if alone:
+                instance.peers.believed = (instance.this,)
+        fleet.store.stale_reads = True
+        outcomes = await asyncio.gather(
+            *(each.run(KEY) for each in fleet.instances),
+            return_exceptions=True,
+        )
+        assert all(
+            outcome == ANSWER or isinstance(outcome, refusal.Refused)
+            for outcome in outcomes
+        )
+        fleet.store.stale_reads = False
+        for instance in fleet.instances:
+            assert await instance.run(KEY) == ANSWER
+
+    play(story, settings=ONE_SHARD)
+
+
+def test_resends_share_a_refusal_under_their_own_ids() -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.store.down = True
+        begins = [
+            fleet.instances[0].claims.begin(
+                key=KEY,
+                profile=claims_instance.PROFILE,
+                fingerprint=0,
+                request_id=ids.RequestId(name),
+            )
+            for name in ('one', 'two')
+        ]
+        found = await asyncio.gather(*(refused_by(begin) for begin in begins))
+        assert [refused.request_id for refused in found] == ['one', 'two']
+
+    play(story)
+
+
 def test_key_reused_with_another_body() -> None:
     async def story(fleet: Fleet) -> None:
         first, second, _ = fleet.instances
