--- a/emulator/claims_instance.py
+++ b/emulator/claims_instance.py
@@ -17,6 +17,7 @@
     clock,
     ids,
     keyvalue,
+    known_claim,
     member,
     metrics,
     refusal,
@@ -25,6 +26,11 @@
 HOST = '127.0.0.1'
 PROFILE = ids.ProfileName('bookings')
 OK = 200
+REJECTED = refusal.Refusal(
+    code=refusal.Code.overloaded,
+    message='rejected before dispatch',
+    run_state=refusal.RunState.did_not_run,
+)
 
 
 class ClaimsInstance:
@@ -62,6 +68,7 @@
         )
         self.running = asyncio.Event()
         self.running.set()
+        self.rejecting = False
         self._ledger = ledger
         self._server = httpserver.HTTPServer(
             web.Application(
@@ -81,9 +88,9 @@
         if not isinstance(found, begun_claim.Begun):
             return await found.answer()
         await self.client.open.wait()
-        if not self.dispatch(key, found):
+        if self.rejecting or not self.dispatch(key, found):
             await self.claims.release(found.attempt)
-            return await self.run(key, body)
+            raise refusal.Refused(REJECTED)
         await self.running.wait()
         answer = answer_to(key)
         await self.claims.end(found.attempt, answer)
@@ -93,7 +100,7 @@
         self,
         key: str,
         body: bytes = b'',
-    ) -> begun_claim.Begun | claims.known_claim.Known:
+    ) -> begun_claim.Begun | known_claim.Known:
         """Claim a key; raises refusal.Refused."""
         return await self.claims.begin(
             key=key,
@@ -144,13 +151,6 @@
     )
 
 
-def run_state_of(error: BaseException) -> refusal.RunState | None:
-    """Return the run state that a refusal tells."""
-    if isinstance(error, refusal.Refused):
-        return error.refusal.run_state
-    return None
-
-
 def _paused(handler: type, opened: asyncio.Event) -> type:
     async def prepare(_: Any) -> None:
         await opened.wait()
--- a/oatcrank/claim_log.py
+++ b/oatcrank/claim_log.py
@@ -47,7 +47,7 @@
         self._retention_s = settings.retention_s
         self._prefix = prefix
         self._time = time
-        self._anchor = (0, time.now())
+        self._anchor: tuple[int, float] | None = None
         self._saved_number = 0
         self._saver: asyncio.Task[None] | None = None
 
@@ -82,14 +82,23 @@
                 break
         raise errors.Unavailable(f'{self._prefix}: overtaken by records')
 
+    @property
+    def is_saving(self) -> bool:
+        """Return whether a snapshot is being saved."""
+        return self._saver is not None and not self._saver.done()
+
     def save_if_due(self) -> None:
         """Save a snapshot when enough records have come since the last."""
-        saving = self._saver is not None and not self._saver.done()
         due = max(SNAPSHOT_RECORDS, len(self.state) // SNAPSHOT_SHARE)
-        if not saving and self.state.number - self._saved_number >= due:
+        if not self.is_saving and self.state.number - self._saved_number >= due:
             self._saved_number = self.state.number
             self._saver = asyncio.create_task(self._save())
 
+    def forget(self) -> None:
+        """Free the state; what is known of the log's age stays."""
+        self.state = claim_state.ClaimState()
+        self.seen_at = -math.inf
+
     async def close(self) -> None:
         """Stop saving."""
         if self._saver is not None:
@@ -100,7 +109,7 @@
         loaded = await self._snapshots.load()
         self.state = loaded
         self._saved_number = loaded.number
-        self._anchor = (loaded.tick, self._time.now())
+        self._advance(loaded.tick)
 
     async def _catch_up(self) -> None:
         while True:
@@ -130,11 +139,17 @@
         return False
 
     def _apply(self, record: claim_record.ClaimRecord) -> None:
-        if record.tick > self._tick():
-            self._anchor = (record.tick, self._time.now())
+        self._advance(record.tick)
         self.state.apply(self.state.number + 1, record)
 
+    def _advance(self, tick: int) -> None:
+        # A tick is read after it was written, so this can only lag.
+        if self._anchor is None or tick > self._tick():
+            self._anchor = (tick, self._time.now())
+
     def _tick(self) -> int:
+        if self._anchor is None:
+            return 0
         tick, read_at = self._anchor
         return tick + int(self._time.now() - read_at)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,14 +9,19 @@
 from oatcrank import (
     begun_claim,
     claim_attempts,
+    claim_forwarder,
     claim_log,
-    claim_router,
+    claim_opener,
+    claim_shard,
     claims_settings,
     clock,
+    ids,
     refusal,
 )
 
 KEY = 'booking-1'
+LONG_S = 60.0
+SHORT_S = 0.2
 SETTINGS = claims_settings.ClaimsSettings(batch_spacing_ms=1)
 ONE_SHARD = claims_settings.ClaimsSettings(shards=1, batch_spacing_ms=1)
 ANSWER = claims_instance.answer_to(KEY)
@@ -25,9 +30,10 @@
 
 
 @pytest.fixture(autouse=True)
-def _short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(claim_router, 'FORWARD_S', 0.3)
-    monkeypatch.setattr(claim_attempts, 'ANSWER_S', 0.3)
+def patience(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(claim_forwarder, 'FORWARD_S', LONG_S)
+    monkeypatch.setattr(claim_attempts, 'ANSWER_S', LONG_S)
+    monkeypatch.setattr(claim_opener, 'OPEN_S', 2 * LONG_S)
 
 
 def play(
@@ -149,7 +155,10 @@
 
 
 @pytest.mark.parametrize('frozen', [False, True])
-def test_owner_silent(*, frozen: bool) -> None:
+def test_owner_silent(monkeypatch: pytest.MonkeyPatch, *, frozen: bool) -> None:
+    if frozen:
+        monkeypatch.setattr(claim_forwarder, 'FORWARD_S', SHORT_S)
+
     async def story(fleet: Fleet) -> None:
         owner, *others = fleet.ranked(KEY)
         if frozen:
@@ -163,7 +172,11 @@
     play(story)
 
 
-def test_owner_frozen_between_commit_and_answer() -> None:
+def test_owner_frozen_between_commit_and_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claim_forwarder, 'FORWARD_S', SHORT_S)
+
     async def story(fleet: Fleet) -> None:
         owner, claimant, other = fleet.ranked(KEY)
         await claimant.run('warm up')
@@ -214,7 +227,11 @@
     play(story)
 
 
-def test_claimant_frozen_before_dispatch() -> None:
+def test_claimant_frozen_before_dispatch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(claim_attempts, 'ANSWER_S', SHORT_S)
+
     async def story(fleet: Fleet) -> None:
         _, claimant, other = fleet.ranked(KEY)
         begun = await begun_at(claimant)
@@ -268,6 +285,70 @@
     play(story)
 
 
+@pytest.mark.parametrize('late', [1, 2, 3, 9])
+def test_late_write_between_two_owners(late: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        for instance in fleet.instances:
+            instance.peers.believed = (instance.this,)
+            await instance.run('warm up')
+            await instance.claims.drain()
+        first, *others = fleet.instances
+        first.store.late_writes = late
+        outcomes = await asyncio.gather(
+            first.run(KEY),
+            *(other.run(KEY) for other in others),
+            return_exceptions=True,
+        )
+        first.store.late_writes = 0
+        assert outcomes[1:] == [ANSWER, ANSWER]
+        await first.store.land()
+        assert await first.run(KEY) == ANSWER
+        assert fleet.ledger[KEY] == 1
+
+    play(story, settings=ONE_SHARD)
+
+
+@pytest.mark.parametrize('alone', [False, True])
+def test_outdated_reads(*, alone: bool) -> None:
+    async def story(fleet: Fleet) -> None:
+        await asyncio.gather(*(each.run('warm up') for each in fleet.instances))
+        for instance in fleet.instances:
+            if alone:
+                instance.peers.believed = (instance.this,)
+        fleet.store.stale_reads = True
+        outcomes = await asyncio.gather(
+            *(each.run(KEY) for each in fleet.instances),
+            return_exceptions=True,
+        )
+        assert all(
+            outcome == ANSWER or isinstance(outcome, refusal.Refused)
+            for outcome in outcomes
+        )
+        fleet.store.stale_reads = False
+        for instance in fleet.instances:
+            assert await instance.run(KEY) == ANSWER
+
+    play(story, settings=ONE_SHARD)
+
+
+def test_resends_share_a_refusal_under_their_own_ids() -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.store.down = True
+        begins = [
+            fleet.instances[0].claims.begin(
+                key=KEY,
+                profile=claims_instance.PROFILE,
+                fingerprint=0,
+                request_id=ids.RequestId(name),
+            )
+            for name in ('one', 'two')
+        ]
+        found = await asyncio.gather(*(refused_by(begin) for begin in begins))
+        assert [refused.request_id for refused in found] == ['one', 'two']
+
+    play(story)
+
+
 def test_key_reused_with_another_body() -> None:
     async def story(fleet: Fleet) -> None:
         first, second, _ = fleet.instances
@@ -322,6 +403,22 @@
     play(story)
 
 
+def test_idle_shard_is_forgotten_and_loaded_again() -> None:
+    time = clock.ManualClock()
+
+    async def story(fleet: Fleet) -> None:
+        first, second, _ = fleet.instances
+        second.peers.believed = (first.this,)
+        assert await first.run(KEY) == ANSWER
+        await first.claims.drain()
+        time.advance(claim_shard.IDLE_S + 1)
+        assert await first.run('other')
+        assert await first.run(KEY) == ANSWER
+        assert await second.run(KEY) == ANSWER
+
+    play(story, time=time)
+
+
 @pytest.mark.parametrize('age_s', [0, 400, 1300])
 def test_snapshots_and_retention(
     monkeypatch: pytest.MonkeyPatch,
