Add both sites, callers, the load tool and the demonstration

Each example file is tested against the figures in the code.

Cause of one change in the engine stand-in: a stream resumed after its last token had an event with an index but no token, which a relay that counts tokens by their index would have counted once more.

Starting processes is shielded from cancellation, so that a launcher which fails while it starts several ends all of them.

--- /dev/null
+++ b/emulator/_site_profiles.py
@@ -0,0 +1,72 @@
+"""Make the profiles of sites."""
+
+from emulator import site_pool
+from oatcrank import ids, profile, target
+
+BETWEEN_TOKENS_MS = 60
+CALL_MS = 5000
+
+
+QUICK_FIRST_TOKEN_MS = 1500
+QUICK_WHOLE_ANSWER_MS = 15_000
+SLOW_FIRST_TOKEN_MS = 4000
+SLOW_WHOLE_ANSWER_MS = 30_000
+
+
+def quick(
+    name: str,
+    pool: site_pool.SitePool,
+    adapters: tuple[ids.AdapterName, ...],
+) -> profile.Profile:
+    """Return a profile of a pool's models for short answers."""
+    return _of_pool(
+        name, pool, adapters, QUICK_FIRST_TOKEN_MS, QUICK_WHOLE_ANSWER_MS
+    )
+
+
+def slow(
+    name: str,
+    pool: site_pool.SitePool,
+    adapters: tuple[ids.AdapterName, ...],
+) -> profile.Profile:
+    """Return a profile of a pool's models for long answers."""
+    return _of_pool(
+        name, pool, adapters, SLOW_FIRST_TOKEN_MS, SLOW_WHOLE_ANSWER_MS
+    )
+
+
+def _of_pool(
+    name: str,
+    pool: site_pool.SitePool,
+    adapters: tuple[ids.AdapterName, ...],
+    first_token_ms: float,
+    whole_answer_ms: float,
+) -> profile.Profile:
+    return profile.Profile(
+        name=ids.ProfileName(name),
+        models=pool.models,
+        adapters=adapters,
+        targets=target.Targets(
+            first_token_ms=first_token_ms,
+            between_tokens_ms=BETWEEN_TOKENS_MS,
+            whole_answer_ms=whole_answer_ms,
+        ),
+    )
+
+
+def of_services(
+    name: str,
+    services: tuple[ids.ServiceName, ...],
+) -> profile.Profile:
+    """Return the at-most-once profile of plain services."""
+    return profile.Profile(
+        name=ids.ProfileName(name),
+        services=services,
+        targets=target.Targets(
+            first_token_ms=CALL_MS,
+            between_tokens_ms=CALL_MS,
+            whole_answer_ms=CALL_MS,
+        ),
+        at_most_once=True,
+        priority=profile.Priority.high,
+    )
--- /dev/null
+++ b/emulator/call_outcome.py
@@ -0,0 +1,30 @@
+"""Say how a call ended for its caller."""
+
+import enum
+
+import msgspec
+
+from oatcrank import refusal
+
+
+class Outcome(enum.Enum):
+    """Name the ends of a call."""
+
+    answered = 'answered'
+    refused = 'refused'
+    interrupted = 'interrupted'
+    wrong = 'wrong'
+    unreachable = 'unreachable'
+
+
+class CallOutcome(msgspec.Struct, kw_only=True):
+    """Hold an answer or why there is none; times are in seconds."""
+
+    outcome: Outcome
+    address: str = ''
+    text: str = ''
+    problem: str = ''
+    refused: refusal.Refusal | None = None
+    first_token_s: float = 0
+    between_tokens_s: list[float] = msgspec.field(default_factory=list)
+    whole_s: float = 0
--- /dev/null
+++ b/emulator/caller.py
@@ -0,0 +1,192 @@
+"""Call oatcrank as a service of a site does."""
+
+import time
+import uuid
+from http import HTTPStatus
+from typing import Any
+
+import msgspec
+from tornado import httpclient, simple_httpclient
+
+from emulator import (
+    address_book,
+    answer_text,
+    call_outcome,
+    completion,
+    stream_reader,
+)
+from oatcrank import errors, refusal, rpc
+
+TIMEOUT_S = 120
+CONNECT_TIMEOUT_S = 1
+
+
+class Caller:
+    """Send the requests of one profile to the addresses it was told."""
+
+    def __init__(
+        self,
+        client: rpc.Rpc,
+        known: tuple[str, ...],
+        profile: str,
+    ) -> None:
+        """Know some entry instances to ask, as `ip:port`."""
+        self.book = address_book.AddressBook(client, known, profile)
+        self._profile = profile
+        self._http = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=rpc.MAX_CONNECTIONS
+        )
+
+    async def complete(
+        self,
+        asked: completion.Completion,
+        *,
+        key: str = '',
+    ) -> call_outcome.CallOutcome:
+        """Ask for a streamed answer and check it."""
+        reader = stream_reader.StreamReader(time.monotonic())
+        request = {
+            'method': 'POST',
+            'body': msgspec.json.encode(asked),
+            'headers': self._headers(key, asked.request_id),
+        }
+        raw = bytearray()
+
+        def take(chunk: bytes) -> None:
+            raw.extend(chunk)
+            if raw.startswith(stream_reader.EVENT_START):
+                reader.feed(chunk, time.monotonic())
+
+        answer = await self._send(
+            '/v1/completions', {**request, 'streaming_callback': take}
+        )
+        if isinstance(answer, call_outcome.CallOutcome):
+            return answer
+        if answer.code != HTTPStatus.OK:
+            return _refused(answer, bytes(raw))
+        return _own(asked, reader.end(time.monotonic()), answer)
+
+    async def call_service(
+        self,
+        service: str,
+        path: str,
+        body: bytes,
+        *,
+        key: str = '',
+        request_id: str = '',
+    ) -> call_outcome.CallOutcome:
+        """Post to a plain service."""
+        started = time.monotonic()
+        request = {
+            'method': 'POST',
+            'body': body,
+            'headers': self._headers(key, request_id),
+        }
+        answer = await self._send(f'/v1/services/{service}/{path}', request)
+        if isinstance(answer, call_outcome.CallOutcome):
+            return answer
+        if answer.code != HTTPStatus.OK:
+            return _refused(answer, answer.body)
+        return call_outcome.CallOutcome(
+            outcome=call_outcome.Outcome.answered,
+            address=_address(answer),
+            text=answer.body.decode(),
+            whole_s=time.monotonic() - started,
+        )
+
+    async def _send(
+        self,
+        path: str,
+        request: dict[str, Any],
+    ) -> httpclient.HTTPResponse | call_outcome.CallOutcome:
+        try:
+            addresses = await self.book.read()
+        except errors.Unavailable as error:
+            return _ended(call_outcome.Outcome.unreachable, str(error))
+        for address in addresses:
+            try:
+                return await self._fetch(f'http://{address}{path}', request)
+            except (OSError, httpclient.HTTPError) as error:
+                self.book.forget()
+                if _is_unsent(error):
+                    continue
+                return _ended(call_outcome.Outcome.interrupted, repr(error))
+        return _ended(call_outcome.Outcome.unreachable, 'all refuse')
+
+    async def _fetch(
+        self,
+        url: str,
+        request: dict[str, Any],
+    ) -> httpclient.HTTPResponse:
+        return await self._http.fetch(
+            httpclient.HTTPRequest(
+                url,
+                connect_timeout=CONNECT_TIMEOUT_S,
+                request_timeout=TIMEOUT_S,
+                **request,
+            ),
+            raise_error=False,
+        )
+
+    def _headers(self, key: str, request_id: str) -> dict[str, str]:
+        headers = {
+            'Content-Type': rpc.JSON_TYPE,
+            'X-Oatcrank-Profile': self._profile,
+            'X-Request-Id': request_id or uuid.uuid4().hex,
+        }
+        if key:
+            headers['Idempotency-Key'] = key
+        return headers
+
+
+def _is_unsent(error: OSError | httpclient.HTTPError) -> bool:
+    if isinstance(error, ConnectionRefusedError):
+        return True
+    return 'while connecting' in str(error)
+
+
+def _address(answer: httpclient.HTTPResponse) -> str:
+    return answer.effective_url.split('/')[2]
+
+
+def _ended(
+    outcome: call_outcome.Outcome,
+    problem: str,
+) -> call_outcome.CallOutcome:
+    return call_outcome.CallOutcome(outcome=outcome, problem=problem)
+
+
+def _refused(
+    answer: httpclient.HTTPResponse,
+    body: bytes,
+) -> call_outcome.CallOutcome:
+    try:
+        refused = msgspec.json.decode(body, type=refusal.Refusal)
+    except msgspec.MsgspecError:
+        return _ended(
+            call_outcome.Outcome.wrong,
+            f'status {answer.code} without a typed refusal: {body!r}',
+        )
+    return call_outcome.CallOutcome(
+        outcome=call_outcome.Outcome.refused,
+        address=_address(answer),
+        problem=f'{refused.code.value}: {refused.message}',
+        refused=refused,
+    )
+
+
+def _own(
+    asked: completion.Completion,
+    ended: call_outcome.CallOutcome,
+    answer: httpclient.HTTPResponse,
+) -> call_outcome.CallOutcome:
+    ended.address = _address(answer)
+    seed = answer_text.seed(asked.model, asked.adapter, asked.text)
+    wanted = (
+        answer_text.token(seed, index) for index in range(asked.max_tokens)
+    )
+    is_own = ended.text == ''.join(wanted)
+    if ended.outcome is call_outcome.Outcome.answered and not is_own:
+        ended.outcome = call_outcome.Outcome.wrong
+        ended.problem = 'the answer is that of another request'
+    return ended
--- /dev/null
+++ b/emulator/demo.py
@@ -0,0 +1,66 @@
+"""Show a whole site at work on one machine."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+from emulator import (
+    demo_error,
+    demo_steps,
+    launch_error,
+    launcher,
+    running_site,
+    sites,
+)
+from oatcrank import errors, rpc
+
+FAILURES = (
+    demo_error.DemoError,
+    launch_error.LaunchError,
+    errors.OatcrankError,
+    rpc.RpcRefused,
+    OSError,
+)
+SHOWN_LINES = 5
+
+
+async def show(site_name: str, directory: pathlib.Path) -> None:
+    """Run the demonstration; raises one of FAILURES."""
+    async with launcher.Launcher(directory) as started:
+        running = running_site.RunningSite(
+            started, sites.SITE_BY_NAME[site_name], directory
+        )
+        steps = demo_steps.DemoSteps(started, running, directory)
+        await steps.start()
+        await steps.create_profiles()
+        await steps.ask_model()
+        await steps.call_service()
+        demo_steps.say('5. Ending what was started.')
+    demo_steps.say('Done.')
+
+
+def main(arguments: list[str]) -> int:
+    """Run the demonstration; 1 if anything failed."""
+    parser = argparse.ArgumentParser(prog='emulator demo')
+    parser.add_argument('--site', choices=sites.SITE_BY_NAME, default='yard')
+    options = parser.parse_args(arguments)
+    with tempfile.TemporaryDirectory(
+        prefix=f'oatcrank-{options.site}-'
+    ) as name:
+        directory = pathlib.Path(name)
+        try:
+            asyncio.run(show(options.site, directory))
+        except FAILURES as error:
+            sys.stderr.write(f'The demonstration failed: {error}\n')
+            _show_logs(directory)
+            return 1
+    return 0
+
+
+def _show_logs(directory: pathlib.Path) -> None:
+    for log in sorted(directory.glob('*.log')):
+        lines = log.read_text(errors='replace').splitlines()
+        for line in lines[-SHOWN_LINES:]:
+            sys.stderr.write(f'{log.stem}: {line}\n')
--- a/emulator/launched.py
+++ b/emulator/launched.py
@@ -37,6 +37,12 @@
             )
         self.address = fields[-1]
 
+    async def output(self) -> str:
+        """Return standard output up to its end."""
+        if self._process.stdout is None:
+            return ''
+        return (await self._process.stdout.read()).decode()
+
     @property
     def pid(self) -> int:
         """Return the process id."""
--- a/emulator/launcher.py
+++ b/emulator/launcher.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from emulator import launched, stand_in
+from emulator import command_end, launched, stand_in
 
 READY_TIMEOUT_S = 20
 STOP_GRACE_S = 5
@@ -23,6 +23,7 @@
         """Write the processes' logs to a directory, or drop them."""
         self._log_directory = log_directory
         self._started: list[launched.Launched] = []
+        self._spawns: set[asyncio.Task[launched.Launched]] = set()
 
     async def __aenter__(self) -> 'Launcher':
         """Start with no process."""
@@ -35,6 +36,7 @@
         trace: TracebackType | None,
     ) -> None:
         """End what still runs."""
+        await asyncio.gather(*self._spawns, return_exceptions=True)
         await asyncio.gather(
             *(process.stop(STOP_GRACE_S) for process in self._started)
         )
@@ -67,22 +69,38 @@
         arguments: list[str],
     ) -> launched.Launched:
         """Run a module and await its ready line; raises LaunchError."""
-        process = await self._spawn(name, arguments)
-        started = launched.Launched(name, process)
-        self._started.append(started)
+        started = await self._spawn(name, arguments)
         await started.ready(READY_TIMEOUT_S)
         return started
 
+    async def command(self, arguments: list[str]) -> command_end.CommandEnd:
+        """Run a module to its end."""
+        started = await self._spawn('command', arguments)
+        return command_end.CommandEnd(
+            output=await started.output(), status=await started.wait()
+        )
+
     async def _spawn(
         self,
         name: str,
         arguments: list[str],
-    ) -> asyncio.subprocess.Process:
+    ) -> launched.Launched:
+        # A cancelled start still has to leave a process that can be ended.
+        spawn = asyncio.create_task(self._start(name, arguments))
+        self._spawns.add(spawn)
+        spawn.add_done_callback(self._spawns.discard)
+        return await asyncio.shield(spawn)
+
+    async def _start(
+        self,
+        name: str,
+        arguments: list[str],
+    ) -> launched.Launched:
         log_file = pathlib.Path(os.devnull)
         if self._log_directory is not None:
             log_file = self._log_directory / f'{name}.log'
         with log_file.open('ab') as log:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 *arguments,
                 cwd=ROOT,
@@ -90,6 +108,9 @@
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
             )
+        started = launched.Launched(name, process)
+        self._started.append(started)
+        return started
 
 
 def free_port() -> int:
--- /dev/null
+++ b/emulator/site.py
@@ -0,0 +1,66 @@
+"""Describe one of the sites that the demonstration runs."""
+
+import itertools
+
+import msgspec
+
+from emulator import site_pool
+from oatcrank import ids, profile, weight_store
+
+MODEL_SIZES_MB = (27_000, 36_000, 41_000, 33_000, 22_000)
+ADAPTER_MB = 100
+
+
+class SiteStore(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the limits of a site's weight store."""
+
+    loads_per_s: float
+    concurrent: int
+    adapters_in_transit: int
+    adapter_min_ms: float
+    adapter_max_ms: float
+
+    @property
+    def model_load_s(self) -> float:
+        """Return the seconds of a load that fit both limits at once."""
+        return self.concurrent / self.loads_per_s
+
+
+class Site(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a site's figures."""
+
+    name: str
+    title: str
+    region: str
+    failure_domains: tuple[ids.FailureDomain, ...]
+    pools: tuple[site_pool.SitePool, ...]
+    adapter_names: tuple[ids.AdapterName, ...]
+    store: SiteStore
+    profiles: tuple[profile.Profile, ...]
+    accelerator_weight: float
+    move_weight: float
+
+    def catalogue(self) -> weight_store.Catalogue:
+        """Return the models of every pool and the adapters dealt to them."""
+        models = tuple(
+            weight_store.ModelWeights(
+                name=model, pool=pool, memory_mb=memory_mb
+            )
+            for (pool, model), memory_mb in zip(
+                self._models(), itertools.cycle(MODEL_SIZES_MB), strict=False
+            )
+        )
+        adapters = tuple(
+            weight_store.AdapterWeights(
+                name=adapter, model=model.name, memory_mb=ADAPTER_MB
+            )
+            for adapter, model in zip(
+                self.adapter_names, itertools.cycle(models), strict=False
+            )
+        )
+        return weight_store.Catalogue(models=models, adapters=adapters)
+
+    def _models(self) -> list[tuple[ids.PoolName, ids.ModelName]]:
+        return [
+            (pool.name, model) for pool in self.pools for model in pool.models
+        ]
--- a/emulator/stream_sink.py
+++ b/emulator/stream_sink.py
@@ -38,10 +38,11 @@
 
 
 def _end_event(first: int, texts: list[str], digest: str) -> str:
-    text = texts[-1] if texts else ''
-    index = first + max(0, len(texts) - 1)
-    token = f'"index":{index},"text":"{text}"'
+    token = ''
+    if texts:
+        index = first + len(texts) - 1
+        token = f'"index":{index},"text":"{texts[-1]}",'
     return (
-        f'data: {{{token},"finish_reason":"length","digest":"{digest}"}}\n\n'
+        f'data: {{{token}"finish_reason":"length","digest":"{digest}"}}\n\n'
         f'{LAST_EVENT}'
     )
--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,73 @@
+"""Check the sites' figures and that the examples say the same."""
+
+import pathlib
+
+import jsonc
+import msgspec
+import pytest
+
+from emulator import site, site_configs, sites
+from oatcrank import profile, settings
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+SITES = sorted(sites.SITE_BY_NAME)
+
+
+@pytest.mark.parametrize(
+    ('name', 'engines', 'models', 'adapters'),
+    [('yard', (5, 3), 14, 40), ('trilha', (6, 3), 15, 80)],
+)
+def test_sizes(
+    name: str,
+    engines: tuple[int, ...],
+    models: int,
+    adapters: int,
+) -> None:
+    chosen = sites.SITE_BY_NAME[name]
+    catalogue = chosen.catalogue()
+    assert tuple(pool.engines for pool in chosen.pools) == engines
+    assert len({model.name for model in catalogue.models}) == models
+    assert len({each.name for each in catalogue.adapters}) == adapters
+    assert len(set(chosen.failure_domains)) == 3
+
+
+@pytest.mark.parametrize('name', SITES)
+def test_each_pool_holds_each_model_once(name: str) -> None:
+    chosen = sites.SITE_BY_NAME[name]
+    for pool in chosen.pools:
+        free = [site_configs.ENGINE_MEMORY_MB for _ in range(pool.engines)]
+        for needed in sorted(needs(chosen, pool.name), reverse=True):
+            fits = [each for each in free if each >= needed]
+            assert fits
+            free.remove(min(fits))
+            free.append(min(fits) - needed)
+
+
+def needs(chosen: site.Site, pool: str) -> list[int]:
+    catalogue = chosen.catalogue()
+    return [
+        model.memory_mb
+        + sum(
+            adapter.memory_mb
+            for adapter in catalogue.adapters
+            if adapter.model == model.name
+        )
+        for model in catalogue.models
+        if model.pool == pool
+    ]
+
+
+@pytest.mark.parametrize('name', SITES)
+def test_example_profiles(name: str) -> None:
+    for wanted in sites.SITE_BY_NAME[name].profiles:
+        text = (EXAMPLES / name / f'{wanted.name}.json').read_bytes()
+        assert msgspec.json.decode(text, type=profile.Profile) == wanted
+
+
+@pytest.mark.parametrize('name', SITES)
+def test_example_settings(name: str) -> None:
+    text = (EXAMPLES / name / 'settings.json').read_text(encoding='utf-8')
+    shown = msgspec.convert(jsonc.loads(text), type=settings.Settings)
+    chosen = sites.SITE_BY_NAME[name]
+    made = site_configs.entry_of(chosen, 1, shown.listen, shown.platform)
+    assert shown == made
