Check doubled orders, failed loads and a crash in mid-work

The engine's faults that had no test: an order that takes effect twice loads the model again after its unload, a load that the weight store fails frees its memory, and a poisoned prompt ends the process while it runs.

--- a/emulator/weight_store_app.py
+++ b/emulator/weight_store_app.py
@@ -15,9 +15,8 @@
 )
 
 
-def make_app(config: weight_store_config.WeightStoreConfig) -> web.Application:
+def make_app(store: timed_store.TimedStore) -> web.Application:
     """Return the application of one store."""
-    store = timed_store.TimedStore(config)
     state = {'store': store}
     return web.Application(
         [
@@ -42,4 +41,5 @@
     config = stand_in.parse_config(
         arguments.config, weight_store_config.WeightStoreConfig
     )
-    await stand_in.serve('weight-store', make_app(config), arguments.port)
+    store = timed_store.TimedStore(config)
+    await stand_in.serve('weight-store', make_app(store), arguments.port)
--- a/tests/test_engine_stand_in.py
+++ b/tests/test_engine_stand_in.py
@@ -16,6 +16,7 @@
     poll,
     stand_in,
     stand_in_engine,
+    timed_store,
     weight_store_app,
     weight_store_config,
 )
@@ -51,9 +52,13 @@
     """Hold one engine, its client and its address."""
 
     def __init__(
-        self, engine: stand_in_engine.StandInEngine, address: str
+        self,
+        engine: stand_in_engine.StandInEngine,
+        store: timed_store.TimedStore,
+        address: str,
     ) -> None:
         self.engine = engine
+        self.store = store
         self.address = address
         self.client = _engine_http.HttpModelEngine(
             rpc.Rpc(), address, timeout_s=5
@@ -85,11 +90,13 @@
 
 @contextlib.asynccontextmanager
 async def bench(**config: Any) -> AsyncIterator[Bench]:
-    async with stand_in.listening(weight_store_app.make_app(STORE)) as store:
+    store = timed_store.TimedStore(STORE)
+    app = weight_store_app.make_app(store)
+    async with stand_in.listening(app) as store_address:
         settings: dict[str, Any] = {
             'server_id': 'e',
             'pool': 'p',
-            'weight_store': store,
+            'weight_store': store_address,
             'memory_mb': 100,
             'slots': 2,
             'tokens_per_s': 1000,
@@ -101,7 +108,7 @@
         )
         ticking = asyncio.create_task(engine.batch.run())
         async with stand_in.listening(engine_app.make_app(engine)) as address:
-            yield Bench(engine, address)
+            yield Bench(engine, store, address)
         ticking.cancel()
 
 
@@ -207,6 +214,33 @@
     assert asyncio.run(run()) is held
 
 
+def test_doubled_load_comes_back() -> None:
+    async def run() -> None:
+        async with bench() as seen:
+            seen.engine.faults.merge({'double_orders': True})
+            await seen.send('load_model')
+            await seen.loaded()
+            seen.engine.faults.merge({'double_orders': False})
+            await seen.send('unload_model')
+            await poll.until(lambda: not seen.engine.memory.used_mb)
+            await seen.loaded()
+
+    asyncio.run(run())
+
+
+def test_failed_load_frees_its_memory() -> None:
+    async def run() -> int:
+        async with bench() as seen:
+            await seen.engine.orders.sizes.read()
+            seen.store.faults.merge({'down': True, 'hang_s': 0.05})
+            await seen.send('load_model')
+            await poll.until(lambda: seen.engine.memory.used_mb > 0)
+            await poll.until(lambda: not seen.engine.memory.used_mb)
+            return len(seen.engine.memory.excess)
+
+    assert asyncio.run(run()) == 0
+
+
 def test_excess_is_recorded() -> None:
     async def run() -> list[int]:
         async with bench() as seen:
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -10,13 +10,28 @@
     launched,
     launcher,
     plain_service_config,
+    site_configs,
+    sites,
 )
-from oatcrank import errors, rpc
+from oatcrank import _engine_http, errors, ids, order, rpc
 
 CONFIG = plain_service_config.PlainServiceConfig(server_id='s', service='b')
 CRASH_STATUS = 70
 
 
+async def post(started: launched.Launched, path: str, body: bytes) -> bytes:
+    return await rpc.Rpc().fetch(
+        started.address, 'POST', path, body, timeout_s=5
+    )
+
+
+async def load_ended(client: _engine_http.HttpModelEngine) -> None:
+    is_ready = False
+    while not is_ready:
+        report = await client.report(timeout_s=5)
+        is_ready = any(held.ready for held in report.held)
+
+
 async def call(started: launched.Launched, body: bytes) -> bytes:
     return await rpc.Rpc().fetch(
         started.address, 'POST', '/book', body, timeout_s=0.5
@@ -45,13 +60,7 @@
     async def run() -> int:
         async with launcher.Launcher() as started:
             service = await started.stand_in('plain-service', CONFIG)
-            await rpc.Rpc().fetch(
-                service.address,
-                'POST',
-                '/control/faults',
-                b'{"crash_on": "poison"}',
-                timeout_s=5,
-            )
+            await post(service, '/control/faults', b'{"crash_on": "poison"}')
             with pytest.raises(errors.UnknownOutcome):
                 await call(service, b'poison')
             return await service.wait()
@@ -59,6 +68,39 @@
     assert asyncio.run(run()) == CRASH_STATUS
 
 
+def test_engine_crashes_mid_work() -> None:
+    async def run() -> int:
+        async with launcher.Launcher() as started:
+            chosen = sites.SITE_BY_NAME['trilha']
+            store = await started.stand_in(
+                'weight-store', site_configs.weight_store_of(chosen)
+            )
+            pool = chosen.pools[0]
+            config = site_configs.engines_of(pool, store.address)[0]
+            engine = await started.stand_in('engine', config)
+            client = _engine_http.HttpModelEngine(
+                rpc.Rpc(), engine.address, timeout_s=5
+            )
+            await client.order(
+                order.Order(
+                    order_id=ids.OrderId('o'),
+                    fence=ids.Fence(1),
+                    kind=order.OrderKind.load_model,
+                    model=pool.models[0],
+                ),
+                timeout_s=5,
+            )
+            await post(engine, '/control/faults', b'{"crash_on": "poison"}')
+            body = b'{"model": "%b", "prompt": "poison"}'
+            asked = body % pool.models[0].encode()
+            await load_ended(client)
+            with pytest.raises(errors.UnknownOutcome):
+                await post(engine, '/v1/completions', asked)
+            return await engine.wait()
+
+    assert asyncio.run(run()) == CRASH_STATUS
+
+
 def test_bad_start() -> None:
     async def run() -> None:
         async with launcher.Launcher() as started:
