--- /dev/null
+++ b/emulator/load_counts.py
@@ -0,0 +1,101 @@
+"""Count how the calls of a load ended and how long they took."""
+
+import collections
+
+from hdrh import histogram
+
+from emulator import call_outcome, load_report
+
+LONGEST_MICROSECONDS = 600_000_000
+DIGITS = 3
+MICROSECONDS_IN_SECOND = 1_000_000
+MICROSECONDS_IN_MILLISECOND = 1000
+PERCENTILES = (50, 90, 95, 99, 99.9)
+EXAMPLES_KEPT = 10
+SENT_LATE = 'sent late'
+FIRST_TOKEN = 'first token'
+BETWEEN_TOKENS = 'between tokens'
+WHOLE_ANSWER = 'whole answer'
+
+
+class LoadCounts:
+    """Gather the outcomes of calls."""
+
+    def __init__(self) -> None:
+        """Start without a call."""
+        self.sent = 0
+        self._outcomes: collections.Counter[str] = collections.Counter()
+        self._refusals: collections.Counter[str] = collections.Counter()
+        self._problems: list[str] = []
+        self._histogram_by_measure = {
+            measure: histogram.HdrHistogram(1, LONGEST_MICROSECONDS, DIGITS)
+            for measure in (
+                SENT_LATE,
+                FIRST_TOKEN,
+                BETWEEN_TOKENS,
+                WHOLE_ANSWER,
+            )
+        }
+
+    def send(self, late_s: float) -> None:
+        """Count a call that is sent late_s seconds after it was due."""
+        self.sent += 1
+        self._record(SENT_LATE, late_s)
+
+    def add(self, ended: call_outcome.CallOutcome) -> None:
+        """Count the end of one call."""
+        self._outcomes[ended.outcome.value] += 1
+        if ended.refused is not None:
+            run_state = ended.refused.run_state.value
+            self._refusals[f'{ended.refused.code.value} {run_state}'] += 1
+        if ended.problem:
+            self._keep_problems([ended.problem])
+        if ended.first_token_s:
+            self._record(FIRST_TOKEN, ended.first_token_s)
+        for gap_s in ended.between_tokens_s:
+            self._record(BETWEEN_TOKENS, gap_s)
+        if ended.outcome is call_outcome.Outcome.answered:
+            self._record(WHOLE_ANSWER, ended.whole_s)
+
+    def merge(self, other: load_report.LoadReport) -> None:
+        """Add what another process counted."""
+        self.sent += other.sent
+        self._outcomes.update(other.count_by_outcome)
+        self._refusals.update(other.count_by_refusal)
+        self._keep_problems(other.problems)
+        for measure, encoded in other.histogram_by_measure.items():
+            self._histogram_by_measure[measure].decode_and_add(encoded)
+
+    def report(self) -> load_report.LoadReport:
+        """Return what was counted so far."""
+        return load_report.LoadReport(
+            sent=self.sent,
+            count_by_outcome=dict(self._outcomes),
+            count_by_refusal=dict(self._refusals),
+            milliseconds_by_measure={
+                measure: _percentiles(seen)
+                for measure, seen in self._histogram_by_measure.items()
+            },
+            histogram_by_measure={
+                measure: seen.encode().decode()
+                for measure, seen in self._histogram_by_measure.items()
+            },
+            problems=self._problems,
+        )
+
+    def _record(self, measure: str, seconds: float) -> None:
+        microseconds = max(1, int(seconds * MICROSECONDS_IN_SECOND))
+        self._histogram_by_measure[measure].record_value(microseconds)
+
+    def _keep_problems(self, problems: list[str]) -> None:
+        self._problems = [*self._problems, *problems][:EXAMPLES_KEPT]
+
+
+def _percentiles(seen: histogram.HdrHistogram) -> dict[str, float]:
+    if not seen.get_total_count():
+        return {}
+    return {
+        f'p{percentile}': seen.get_value_at_percentile(percentile)
+        / MICROSECONDS_IN_MILLISECOND
+        for percentile in PERCENTILES
+    }
