--- /dev/null
+++ b/oatcrank/_fake_fleet.py
@@ -0,0 +1,119 @@
+"""Keep the servers of all pools during a replay."""
+
+import collections
+
+from oatcrank import (
+    _fake_server,
+    errors,
+    ids,
+    placement,
+    plan,
+    trace_head,
+)
+
+States = plan.ReplicaState
+
+
+class MoveRefused(errors.OatcrankError):
+    """Report a move that breaks the rules of a placement."""
+
+
+class FakeFleet:
+    """Apply moves to servers and refuse those that break the rules."""
+
+    def __init__(self, head: trace_head.TraceHead) -> None:
+        """Start with empty servers."""
+        self.model_by_name = {model.name: model for model in head.models}
+        self.servers_by_pool = {
+            pool.name: [
+                _fake_server.FakeServer(
+                    ids.ServerId(f'{pool.name}-{number}'),
+                    head.failure_domains[number % len(head.failure_domains)],
+                    memory_mb=pool.memory_mb,
+                    slots=pool.slots,
+                )
+                for number in range(pool.servers)
+            ]
+            for pool in head.pools
+        }
+        self._server_by_id = {
+            server.server: server
+            for servers in self.servers_by_pool.values()
+            for server in servers
+        }
+        self._holders_by_model: dict[
+            ids.ModelName, list[_fake_server.FakeServer]
+        ] = collections.defaultdict(list)
+
+    @property
+    def used(self) -> int:
+        """Return how many servers hold a model."""
+        servers = self._server_by_id.values()
+        return sum(bool(server.replica_by_model) for server in servers)
+
+    def holders(self, model: ids.ModelName) -> list[_fake_server.FakeServer]:
+        """Return the servers that hold a model, in whatever state."""
+        return self._holders_by_model[model]
+
+    def is_loaded(self, model: ids.ModelName) -> bool:
+        """Say whether a replica of the model can take work."""
+        return any(
+            server.replica_by_model[model].state is States.loaded
+            for server in self.holders(model)
+        )
+
+    def choose(self, model: ids.ModelName) -> _fake_server.FakeServer | None:
+        """Return the fullest server with a free slot and a loaded replica."""
+        free = [
+            server
+            for server in self.holders(model)
+            if server.running < server.slots
+            and server.replica_by_model[model].state is States.loaded
+        ]
+        return max(free, key=lambda server: server.running, default=None)
+
+    def load(self, move: placement.Move) -> _fake_server.FakeReplica:
+        """Reserve memory for a model; raises MoveRefused."""
+        server = self._server_by_id[move.server]
+        replica = _fake_server.FakeReplica(
+            move.model,
+            self.model_by_name[move.model].memory_mb,
+        )
+        if move.model in server.replica_by_model:
+            raise MoveRefused(f'{move} is there already')
+        if replica.memory_mb > server.free_mb:
+            raise MoveRefused(f'{move} overcommits memory')
+        server.replica_by_model[move.model] = replica
+        self.holders(move.model).append(server)
+        return replica
+
+    def unload(self, move: placement.Move) -> None:
+        """Begin to unload an idle model; raises MoveRefused."""
+        replica = self._replica(move, (States.loaded, States.draining))
+        if replica.running:
+            raise MoveRefused(f'{move} is busy')
+        replica.state = States.unloading
+
+    def drain(self, move: placement.Move) -> None:
+        """Take a replica out of routing; raises MoveRefused."""
+        replica = self._replica(move, (States.loaded,))
+        replica.state = States.draining
+        if not self.is_loaded(move.model):
+            raise MoveRefused(f'{move} is the last')
+
+    def remove(self, move: placement.Move) -> None:
+        """Release the memory of a model."""
+        server = self._server_by_id[move.server]
+        server.replica_by_model.pop(move.model)
+        self.holders(move.model).remove(server)
+
+    def _replica(
+        self,
+        move: placement.Move,
+        states: tuple[plan.ReplicaState, ...],
+    ) -> _fake_server.FakeReplica:
+        server = self._server_by_id[move.server]
+        replica = server.replica_by_model.get(move.model)
+        if replica is None or replica.state not in states:
+            raise MoveRefused(f'{move} finds no such replica')
+        return replica
--- /dev/null
+++ b/oatcrank/_fake_queues.py
@@ -0,0 +1,70 @@
+"""Keep the requests that wait for each model during a replay."""
+
+import collections
+
+from oatcrank import _fake_request, ids, slack_queue
+
+QUEUE_BOUND = 256
+IN_TIME = 0
+LATE = 1
+
+
+class FakeQueues:
+    """Order waiting requests by slack; those past their target come last."""
+
+    def __init__(self) -> None:
+        """Start with nothing waiting."""
+        self._queue_by_model: dict[
+            ids.ModelName,
+            slack_queue.SlackQueue[_fake_request.FakeRequest],
+        ] = collections.defaultdict(_queue)
+        self._late_by_model: dict[
+            ids.ModelName,
+            slack_queue.SlackQueue[_fake_request.FakeRequest],
+        ] = collections.defaultdict(_queue)
+
+    def put(self, arrived: _fake_request.FakeRequest) -> bool:
+        """Queue a request, or return False when its queue is full."""
+        queue = self._queue_by_model[arrived.arrival.model]
+        return queue.put(arrived, deadline=arrived.in_time_s)
+
+    def waiting(self, model: ids.ModelName) -> int:
+        """Return how many requests wait for a model."""
+        in_time = len(self._queue_by_model[model])
+        return in_time + len(self._late_by_model[model])
+
+    def total(self) -> int:
+        """Return how many requests wait in all."""
+        return sum(map(self.waiting, tuple(self._queue_by_model)))
+
+    def expired(self, now: float) -> list[_fake_request.FakeRequest]:
+        """Remove and return what is of no use any more."""
+        gone: list[_fake_request.FakeRequest] = []
+        for model, queue in self._queue_by_model.items():
+            late = self._late_by_model[model]
+            gone.extend(
+                queued
+                for queued in queue.expired(now)
+                if not late.put(queued, deadline=queued.useful_s)
+            )
+            gone.extend(late.expired(now))
+        return gone
+
+    def first(
+        self,
+        models: list[ids.ModelName],
+    ) -> _fake_request.FakeRequest | None:
+        """Remove and return the first request of these models, by slack."""
+        for queue_by_model in (self._queue_by_model, self._late_by_model):
+            ranked = [
+                (rank.deadline, model)
+                for model in models
+                if (rank := queue_by_model[model].first())
+            ]
+            if ranked:
+                return queue_by_model[min(ranked)[1]].get()
+        return None
+
+
+def _queue() -> slack_queue.SlackQueue[_fake_request.FakeRequest]:
+    return slack_queue.SlackQueue(bound=QUEUE_BOUND)
--- /dev/null
+++ b/oatcrank/_fake_server.py
@@ -0,0 +1,78 @@
+"""Keep the memory and slots of a backend server during a replay."""
+
+from oatcrank import ids, placement, plan
+
+
+class FakeReplica:
+    """Hold a model on a server."""
+
+    def __init__(self, model: ids.ModelName, memory_mb: int) -> None:
+        """Start to load."""
+        self.model = model
+        self.memory_mb = memory_mb
+        self.state = plan.ReplicaState.loading
+        self.running = 0
+        self.adapters: set[ids.AdapterName] = set()
+
+
+class FakeServer:
+    """Hold replicas in bounded memory and run requests in slots."""
+
+    def __init__(
+        self,
+        server: ids.ServerId,
+        domain: ids.FailureDomain,
+        *,
+        memory_mb: int,
+        slots: int,
+    ) -> None:
+        """Start empty."""
+        self.server = server
+        self.domain = domain
+        self.memory_mb = memory_mb
+        self.slots = slots
+        self.running = 0
+        self.replica_by_model: dict[ids.ModelName, FakeReplica] = {}
+
+    @property
+    def free_mb(self) -> int:
+        """Return the memory that no replica reserves."""
+        used = sum(held.memory_mb for held in self.replica_by_model.values())
+        return self.memory_mb - used
+
+    def view(
+        self,
+        waiting_by_model: dict[ids.ModelName, int],
+    ) -> placement.ServerView:
+        """Return what a placement is told of the server."""
+        held = self.replica_by_model.values()
+        return placement.ServerView(
+            server=self.server,
+            failure_domain=self.domain,
+            memory_mb=self.memory_mb,
+            free_mb=self.free_mb,
+            slots=self.slots,
+            loaded=self._in_state(plan.ReplicaState.loaded),
+            loading=self._in_state(plan.ReplicaState.loading),
+            unloading=self._in_state(plan.ReplicaState.unloading),
+            draining=self._in_state(plan.ReplicaState.draining),
+            busy=tuple(
+                replica.model
+                for replica in held
+                if replica.running
+                or (
+                    waiting_by_model[replica.model]
+                    and replica.state is plan.ReplicaState.loaded
+                )
+            ),
+        )
+
+    def _in_state(
+        self,
+        state: plan.ReplicaState,
+    ) -> tuple[ids.ModelName, ...]:
+        return tuple(
+            replica.model
+            for replica in self.replica_by_model.values()
+            if replica.state is state
+        )
--- /dev/null
+++ b/oatcrank/_harness_moves.py
@@ -0,0 +1,66 @@
+"""Carry out a placement's moves during a replay."""
+
+import functools
+from collections.abc import Callable
+
+from oatcrank import (
+    _fake_fleet,
+    _fake_server,
+    _fake_store,
+    _harness_timeline,
+    ids,
+    placement,
+    plan,
+    policy_score,
+)
+
+UNLOAD_S = 0.25
+
+
+class HarnessMoves:
+    """Apply moves to the fleet, each taking its time."""
+
+    def __init__(
+        self,
+        fleet: _fake_fleet.FakeFleet,
+        store: _fake_store.FakeStore,
+        timeline: _harness_timeline.HarnessTimeline,
+        score: policy_score.Score,
+        when_loaded: Callable[[ids.ModelName], None],
+    ) -> None:
+        """Tell when_loaded of each model that can take work."""
+        self._fleet = fleet
+        self._store = store
+        self._timeline = timeline
+        self._score = score
+        self._when_loaded = when_loaded
+
+    def apply(self, moves: tuple[placement.Move, ...]) -> None:
+        """Start moves, best first; raises MoveRefused."""
+        for move in moves:
+            self._score.moves_by_kind[move.kind.value] += 1
+            if move.kind is placement.MoveKind.load:
+                self._load(move)
+            elif move.kind is placement.MoveKind.unload:
+                self._unload(move)
+            else:
+                self._fleet.drain(move)
+
+    def _load(self, move: placement.Move) -> None:
+        if not self._store.free_slots:
+            raise _fake_fleet.MoveRefused(f'{move} exceeds the load slots')
+        replica = self._fleet.load(move)
+        end_s = self._store.start_model(self._timeline.now())
+        self._timeline.add(end_s, functools.partial(self._loaded, replica))
+
+    def _loaded(self, replica: _fake_server.FakeReplica) -> None:
+        self._store.end_model()
+        replica.state = plan.ReplicaState.loaded
+        self._when_loaded(replica.model)
+
+    def _unload(self, move: placement.Move) -> None:
+        self._fleet.unload(move)
+        self._timeline.add(
+            self._timeline.now() + UNLOAD_S,
+            functools.partial(self._fleet.remove, move),
+        )
--- /dev/null
+++ b/oatcrank/_harness_service.py
@@ -0,0 +1,149 @@
+"""Queue, run and refuse requests during a replay."""
+
+import functools
+
+from oatcrank import (
+    _fake_fleet,
+    _fake_queues,
+    _fake_request,
+    _fake_server,
+    _fake_store,
+    _harness_timeline,
+    admission,
+    ids,
+    plan,
+    policy_score,
+    refusal,
+)
+
+
+class HarnessService:
+    """Serve requests from the fleet's slots, the earliest slack first."""
+
+    def __init__(
+        self,
+        fleet: _fake_fleet.FakeFleet,
+        store: _fake_store.FakeStore,
+        timeline: _harness_timeline.HarnessTimeline,
+        score: policy_score.Score,
+    ) -> None:
+        """Start with nothing waiting."""
+        self.queues = _fake_queues.FakeQueues()
+        self._fleet = fleet
+        self._store = store
+        self._timeline = timeline
+        self._score = score
+        self._waiting_since: dict[ids.ModelName, float] = {}
+
+    def take(
+        self,
+        arrived: _fake_request.FakeRequest,
+        expected: admission.Expectation,
+    ) -> None:
+        """Queue a request, or refuse it at once."""
+        arrival = arrived.arrival
+        for tally in self._score.tallies(arrival.profile, arrival.model):
+            tally.arrived += 1
+        self._waiting_since.setdefault(arrival.model, self._timeline.now())
+        if admission.retry_after_s(expected) is not None:
+            self._refuse(arrived, refusal.Code.not_in_time)
+        elif not self.queues.put(arrived):
+            self._refuse(arrived, refusal.Code.overloaded)
+        else:
+            self.serve_model(arrival.model)
+
+    def expire(self, now: float) -> None:
+        """Refuse what is of no use any more."""
+        for gone in self.queues.expired(now):
+            self._refuse(gone, refusal.Code.not_in_time)
+
+    def close(self) -> None:
+        """Note the models that still wait when the replay ends."""
+        for model, since_s in self._waiting_since.items():
+            self._score.waited(model, self._timeline.now() - since_s)
+
+    def serve_model(self, model: ids.ModelName) -> None:
+        """Start what waits for a model where there is a free slot."""
+        while self.queues.waiting(model):
+            server = self._fleet.choose(model)
+            if server is None:
+                return
+            self._start_first(server, [model])
+
+    def _serve_server(self, server: _fake_server.FakeServer) -> None:
+        loaded = [
+            replica.model
+            for replica in server.replica_by_model.values()
+            if replica.state is plan.ReplicaState.loaded
+        ]
+        while server.running < server.slots:
+            if not self._start_first(server, loaded):
+                return
+
+    def _start_first(
+        self,
+        server: _fake_server.FakeServer,
+        models: list[ids.ModelName],
+    ) -> bool:
+        queued = self.queues.first(models)
+        if queued is None:
+            return False
+        self._start(server, queued)
+        return True
+
+    def _start(
+        self,
+        server: _fake_server.FakeServer,
+        started: _fake_request.FakeRequest,
+    ) -> None:
+        arrival = started.arrival
+        replica = server.replica_by_model[arrival.model]
+        now = self._timeline.now()
+        since_s = self._waiting_since.pop(arrival.model, now)
+        self._score.waited(arrival.model, now - since_s)
+        adapter_s = self._fetch_adapter(replica, arrival.adapter)
+        server.running += 1
+        replica.running += 1
+        first_s = now - arrival.at + adapter_s + started.prefill_s
+        policy_score.record_s(self._score.first_token, first_s)
+        policy_score.record_s(self._score.between_tokens, started.between_s)
+        self._timeline.add(
+            now + adapter_s + started.service_s,
+            functools.partial(self._end, server, started, first_s),
+        )
+
+    def _fetch_adapter(
+        self,
+        replica: _fake_server.FakeReplica,
+        adapter: ids.AdapterName,
+    ) -> float:
+        if not adapter or adapter in replica.adapters:
+            return 0
+        replica.adapters.add(adapter)
+        self._score.moves_by_kind['load_adapter'] += 1
+        return self._store.adapter_s(self._timeline.now())
+
+    def _end(
+        self,
+        server: _fake_server.FakeServer,
+        ended: _fake_request.FakeRequest,
+        first_s: float,
+    ) -> None:
+        arrival = ended.arrival
+        server.running -= 1
+        server.replica_by_model[arrival.model].running -= 1
+        met = ended.meets(first_s, self._timeline.now() - arrival.at)
+        for tally in self._score.tallies(arrival.profile, arrival.model):
+            tally.answered += 1
+            tally.met += met
+        self._serve_server(server)
+
+    def _refuse(
+        self,
+        refused: _fake_request.FakeRequest,
+        code: refusal.Code,
+    ) -> None:
+        arrival = refused.arrival
+        self._score.refusals_by_code[code.value] += 1
+        for tally in self._score.tallies(arrival.profile, arrival.model):
+            tally.refused += 1
--- /dev/null
+++ b/oatcrank/_harness_view.py
@@ -0,0 +1,96 @@
+"""Gather what a placement is told during a replay."""
+
+import collections
+
+from oatcrank import (
+    _fake_fleet,
+    _fake_queues,
+    _fake_request,
+    _fake_store,
+    ids,
+    placement,
+    trace_head,
+)
+
+FIRST_SERVICE_S = 2.0
+SMOOTHING = 0.05
+
+
+class HarnessView:
+    """Count arrivals between rounds and keep mean service times."""
+
+    def __init__(self, head: trace_head.TraceHead) -> None:
+        """Start with nothing counted."""
+        self._head = head
+        self._since_s: float = 0
+        self._arrivals_by_model: collections.Counter[ids.ModelName] = (
+            collections.Counter()
+        )
+        self._service_by_model = {
+            model.name: FIRST_SERVICE_S for model in head.models
+        }
+        self._patience_s = min(
+            known.targets.first_token_ms / _fake_request.MS_PER_S
+            for known in head.profiles
+        )
+
+    def arrived(self, arrived: _fake_request.FakeRequest) -> None:
+        """Count an arrival."""
+        model = arrived.arrival.model
+        mean_s = self._service_by_model[model]
+        change_s = SMOOTHING * (arrived.service_s - mean_s)
+        self._service_by_model[model] = mean_s + change_s
+        self._arrivals_by_model[model] += 1
+
+    def expected_s(self, model: ids.ModelName) -> float:
+        """Return the mean time that a model's requests run."""
+        return self._service_by_model[model]
+
+    def observe(
+        self,
+        now: float,
+        pool: ids.PoolName,
+        fleet: _fake_fleet.FakeFleet,
+        queues: _fake_queues.FakeQueues,
+        store: _fake_store.FakeStore,
+    ) -> placement.Observation:
+        """Return what one pool's placement is told."""
+        models = [model for model in self._head.models if model.pool == pool]
+        waiting = {model.name: queues.waiting(model.name) for model in models}
+        return placement.Observation(
+            now_s=now,
+            since_s=self._since_s,
+            load_slots=store.free_slots,
+            load_s=self._head.store.load_s,
+            servers=tuple(
+                server.view(waiting) for server in fleet.servers_by_pool[pool]
+            ),
+            models=tuple(
+                self._model_view(model, waiting[model.name], fleet)
+                for model in models
+            ),
+        )
+
+    def end_round(self, now: float) -> None:
+        """Start to count anew."""
+        self._since_s = now
+        self._arrivals_by_model.clear()
+
+    def _model_view(
+        self,
+        model: trace_head.TraceModel,
+        waiting: int,
+        fleet: _fake_fleet.FakeFleet,
+    ) -> placement.ModelView:
+        return placement.ModelView(
+            model=model.name,
+            memory_mb=model.memory_mb,
+            arrivals=self._arrivals_by_model[model.name],
+            waiting=waiting,
+            running=sum(
+                server.replica_by_model[model.name].running
+                for server in fleet.holders(model.name)
+            ),
+            service_s=self._service_by_model[model.name],
+            first_token_s=self._patience_s,
+        )
--- /dev/null
+++ b/oatcrank/_loading.py
@@ -0,0 +1,143 @@
+"""Choose what to load and where, by expected gain against price."""
+
+import heapq
+
+import msgspec
+
+from oatcrank import (
+    _prices,
+    _room,
+    _spare,
+    _swap,
+    demand,
+    ids,
+    placement,
+)
+
+HORIZON_S = 30.0
+OPEN_S = 30.0
+RESERVED_SLOTS = 1
+CROWDED_SHARE = 0.5
+TRIED_PER_SLOT = 2
+
+
+class Want(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a model that gains from one more replica, in requests."""
+
+    model: ids.ModelName
+    gain: float
+    absent: bool
+
+
+class Loading:
+    """Load the best first; the last load slots are kept for the absent."""
+
+    def __init__(
+        self,
+        room: _room.Room,
+        prices: _prices.Prices,
+        spare: _spare.Spare,
+        swap: _swap.Swap,
+        book: demand.DemandBook,
+    ) -> None:
+        """Choose within one round's room."""
+        self._room = room
+        self._prices = prices
+        self._spare = spare
+        self._swap = swap
+        self._book = book
+        self.opened = False
+
+    def load_wanted(self) -> bool:
+        """Load what requests wait for; say whether any was wanted."""
+        wants = [
+            want
+            for model in self._room.seen.models
+            if model.waiting and (want := self._want(model))
+        ]
+        best = heapq.nsmallest(
+            TRIED_PER_SLOT * max(1, self._room.load_slots),
+            wants,
+            key=lambda want: (not want.absent, -want.gain),
+        )
+        for want in best:
+            if want.absent or self._room.load_slots > RESERVED_SLOTS:
+                self._load(want)
+        return bool(wants)
+
+    def load_floor(self) -> None:
+        """Load absent models where used servers have memory to spare."""
+        absent = [
+            (self._prices.keep(model), model)
+            for model, homes in self._room.homes_by_model.items()
+            if not homes
+        ]
+        for gain, model in sorted(absent, reverse=True):
+            full = self._room.load_slots <= RESERVED_SLOTS
+            if full or gain <= 2 * self._prices.move:
+                return
+            server = self._spare.find(model)
+            if server is not None:
+                self._spare.load(server, model)
+
+    def _want(self, model: placement.ModelView) -> Want | None:
+        homes = self._room.homes_by_model[model.model]
+        if not homes:
+            coming = self._book.of(model.model).fast * HORIZON_S
+            return Want(
+                model=model.model,
+                gain=(model.waiting + coming) * model.weight,
+                absent=True,
+            )
+        views = [self._room.server_by_id[server] for server in homes]
+        if any(model.model in view.loading for view in views):
+            return None
+        if model.waiting < CROWDED_SHARE * max(view.slots for view in views):
+            return None
+        return Want(
+            model=model.model,
+            gain=model.waiting * model.weight,
+            absent=False,
+        )
+
+    def _load(self, want: Want) -> None:
+        server = self._spare.find(want.model)
+        if server is not None:
+            self._spare.load(server, want.model)
+            return
+        if self._room.load_slots < 1 or self._frees_soon(want.model):
+            return
+        sites = [*self._empty_sites(want.model), *self._swaps(want.model)]
+        best = min(sites, key=lambda site: site.cost, default=None)
+        if best is None or (not want.absent and best.cost > want.gain):
+            return
+        if best.victims:
+            self._spare.closed.add(best.server)
+            for victim in best.victims:
+                self._room.unload(best.server, victim)
+            return
+        self.opened = not self._room.is_used(best.server)
+        self._spare.load(best.server, want.model)
+
+    def _frees_soon(self, model: ids.ModelName) -> bool:
+        needed_mb = self._room.model_by_name[model].memory_mb
+        return any(
+            view.unloading and self._room.free_soon_mb(server) >= needed_mb
+            for server, view in self._room.server_by_id.items()
+        )
+
+    def _empty_sites(self, model: ids.ModelName) -> list[_swap.Site]:
+        cost = self._prices.accelerator_s(OPEN_S)
+        return [
+            _swap.Site(cost=cost, server=server)
+            for server in self._room.server_by_id
+            if not self._room.is_used(server) and self._room.fits(server, model)
+        ][:1]
+
+    def _swaps(self, model: ids.ModelName) -> list[_swap.Site]:
+        return [
+            site
+            for server in self._room.server_by_id
+            if server not in self._spare.closed
+            and (site := self._swap.site(server, model))
+        ]
--- /dev/null
+++ b/oatcrank/_pressure.py
@@ -0,0 +1,33 @@
+"""Tell how full the slots of each server are expected to be."""
+
+import collections
+
+from oatcrank import _prices, _room, ids
+
+MOST_SHARE = 0.75
+
+
+class Pressure:
+    """Spread each model's need evenly over its replicas."""
+
+    def __init__(self, room: _room.Room, prices: _prices.Prices) -> None:
+        """Add up the needs of all models."""
+        self._room = room
+        self._prices = prices
+        self.slots_by_server: dict[ids.ServerId, float] = (
+            collections.defaultdict(float)
+        )
+        for model, homes in room.homes_by_model.items():
+            for server in homes:
+                share = prices.need(model) / len(homes)
+                self.slots_by_server[server] += share
+
+    def admits(self, server: ids.ServerId, slots: float) -> bool:
+        """Say whether a server can take so many more slots."""
+        most = self._room.server_by_id[server].slots * MOST_SHARE
+        return self.slots_by_server[server] + slots <= most
+
+    def add(self, server: ids.ServerId, model: ids.ModelName) -> None:
+        """Count a new replica of a model."""
+        homes = max(1, len(self._room.homes_by_model[model]))
+        self.slots_by_server[server] += self._prices.need(model) / homes
--- /dev/null
+++ b/oatcrank/_prices.py
@@ -0,0 +1,53 @@
+"""Price accelerators, moves and cold starts in requests within target."""
+
+from oatcrank import demand, ids, placement, policy_settings
+
+ACCELERATOR_SHARE = 0.5
+MOVE_PRICE = 0.5
+RETURN_S = 60.0
+ROUND_DELAY_S = 0.5
+NEARLY_IN_TIME = 0.2
+
+
+class Prices:
+    """Hold one round's prices."""
+
+    def __init__(
+        self,
+        seen: placement.Observation,
+        book: demand.DemandBook,
+        weights: policy_settings.PolicySettings,
+        *,
+        used: int,
+    ) -> None:
+        """Price an accelerator by what one earns on average."""
+        self._seen = seen
+        self._book = book
+        self._model_by_name = {model.model: model for model in seen.models}
+        earned = book.total() / max(1, used)
+        self.accelerator = (
+            weights.accelerator_weight * ACCELERATOR_SHARE * earned
+        )
+        self.move = weights.move_weight * MOVE_PRICE
+
+    def accelerator_s(self, seconds: float) -> float:
+        """Return the price of using an accelerator for seconds."""
+        return self.accelerator * seconds
+
+    def cold_start(self, model: ids.ModelName) -> float:
+        """Return the requests that miss their target in a cold start."""
+        view = self._model_by_name[model]
+        late_s = self._seen.load_s + ROUND_DELAY_S - view.first_token_s
+        if late_s <= 0:
+            return NEARLY_IN_TIME * view.weight
+        return view.weight * (1 + late_s * self._book.of(model).session)
+
+    def keep(self, model: ids.ModelName) -> float:
+        """Return what is lost when an idle model's only replica goes."""
+        returns = self._book.of(model).returns(RETURN_S)
+        return returns * (self.cold_start(model) + 2 * self.move)
+
+    def need(self, model: ids.ModelName) -> float:
+        """Return the slots that a model's demand fills."""
+        view = self._model_by_name[model]
+        return self._book.of(model).rate * view.service_s
--- /dev/null
+++ b/oatcrank/_room.py
@@ -0,0 +1,100 @@
+"""Plan moves against what a round's observation leaves free."""
+
+from oatcrank import ids, placement
+
+MOST_SLOTS = 0.75
+
+
+class Room:
+    """Track servers while moves are chosen, and keep to their rules."""
+
+    def __init__(self, seen: placement.Observation) -> None:
+        """Start from what is observed."""
+        self.seen = seen
+        self.moves: list[placement.Move] = []
+        self.load_slots = seen.load_slots
+        self.server_by_id = {server.server: server for server in seen.servers}
+        self.model_by_name = {model.model: model for model in seen.models}
+        self.free_by_server = {
+            server.server: server.free_mb for server in seen.servers
+        }
+        self.homes_by_model: dict[ids.ModelName, list[ids.ServerId]] = {
+            model.model: [] for model in seen.models
+        }
+        self._used: set[ids.ServerId] = set()
+        self._left: set[tuple[ids.ServerId, ids.ModelName]] = set()
+        for server in seen.servers:
+            if server.free_mb < server.memory_mb:
+                self._used.add(server.server)
+            for model in (*server.loaded, *server.loading):
+                self.homes_by_model[model].append(server.server)
+
+    @property
+    def used(self) -> int:
+        """Return how many servers hold a model."""
+        return len(self._used)
+
+    def is_used(self, server: ids.ServerId) -> bool:
+        """Say whether a server holds a model."""
+        return server in self._used
+
+    def fits(self, server: ids.ServerId, model: ids.ModelName) -> bool:
+        """Say whether a model can be loaded on a server now."""
+        view = self.server_by_id[server]
+        held = (
+            *view.loaded,
+            *view.loading,
+            *view.unloading,
+            *view.draining,
+        )
+        wanted_mb = self.model_by_name[model].memory_mb
+        return (
+            self.load_slots > 0
+            and model not in held
+            and self.free_by_server[server] >= wanted_mb
+            and server not in self.homes_by_model[model]
+        )
+
+    def free_soon_mb(self, server: ids.ServerId) -> int:
+        """Return the free memory once the unloads under way have ended."""
+        view = self.server_by_id[server]
+        leaving = [self.model_by_name.get(model) for model in view.unloading]
+        leaving_mb = sum(gone.memory_mb for gone in leaving if gone)
+        return self.free_by_server[server] + leaving_mb
+
+    def load(self, server: ids.ServerId, model: ids.ModelName) -> None:
+        """Choose a load that fits."""
+        self.load_slots -= 1
+        self.free_by_server[server] -= self.model_by_name[model].memory_mb
+        self.homes_by_model[model].append(server)
+        self._used.add(server)
+        self._add(placement.MoveKind.load, server, model)
+
+    def can_unload(self, server: ids.ServerId, model: ids.ModelName) -> bool:
+        """Say whether a model is idle on a server and not yet chosen."""
+        view = self.server_by_id[server]
+        held = model in view.loaded or model in view.draining
+        left = (server, model) in self._left
+        return held and not left and model not in view.busy
+
+    def unload(self, server: ids.ServerId, model: ids.ModelName) -> None:
+        """Choose an unload; its memory is free only in a later round."""
+        self._left.add((server, model))
+        if server in self.homes_by_model[model]:
+            self.homes_by_model[model].remove(server)
+        self._add(placement.MoveKind.unload, server, model)
+
+    def drain(self, server: ids.ServerId, model: ids.ModelName) -> None:
+        """Choose to send a replica no new work."""
+        self.homes_by_model[model].remove(server)
+        self._add(placement.MoveKind.drain, server, model)
+
+    def _add(
+        self,
+        kind: placement.MoveKind,
+        server: ids.ServerId,
+        model: ids.ModelName,
+    ) -> None:
+        self.moves.append(
+            placement.Move(kind=kind, server=server, model=model),
+        )
--- /dev/null
+++ b/oatcrank/_spare.py
@@ -0,0 +1,66 @@
+"""Find spare memory on the servers that are in use anyway."""
+
+import bisect
+import collections
+import itertools
+
+from oatcrank import _pressure, _prices, _room, ids
+
+MOST_TRIED = 16
+
+
+class Spare:
+    """Keep the used servers in order of their free memory."""
+
+    def __init__(
+        self,
+        room: _room.Room,
+        prices: _prices.Prices,
+        pressure: _pressure.Pressure,
+    ) -> None:
+        """Start from what the room leaves free."""
+        self.closed: set[ids.ServerId] = set()
+        self._room = room
+        self._prices = prices
+        self._pressure = pressure
+        self._by_free = sorted(
+            (free_mb, server)
+            for server, free_mb in room.free_by_server.items()
+            if room.is_used(server)
+        )
+
+    def find(
+        self,
+        model: ids.ModelName,
+        taken: collections.Counter[ids.ServerId] | None = None,
+    ) -> ids.ServerId | None:
+        """Return the server that a model fits best, less what is taken."""
+        wanted_mb = self._room.model_by_name[model].memory_mb
+        need = self._prices.need(model)
+        start = bisect.bisect_left(self._by_free, (wanted_mb, ''))
+        for free_mb, server in itertools.islice(
+            self._by_free,
+            start,
+            start + MOST_TRIED,
+        ):
+            taken_mb = taken[server] if taken else 0
+            if (
+                server not in self.closed
+                and free_mb - taken_mb >= wanted_mb
+                and self._room.fits(server, model)
+                and self._pressure.admits(server, need)
+            ):
+                return server
+        return None
+
+    def load(self, server: ids.ServerId, model: ids.ModelName) -> None:
+        """Load a model that fits, and keep the order."""
+        before = (self._room.free_by_server[server], server)
+        if self._room.is_used(server):
+            self._by_free.remove(before)
+        self._room.load(server, model)
+        self._pressure.add(server, model)
+        bisect.insort(
+            self._by_free,
+            (self._room.free_by_server[server], server),
+        )
--- /dev/null
+++ b/oatcrank/_trace_site.py
@@ -0,0 +1,119 @@
+"""Describe the sites that traces are generated for."""
+
+import msgspec
+
+from oatcrank import ids, profile, target, trace_head
+
+MEMORY_MB = 68_000
+SLOTS = 8
+PROMPT_TOKENS_PER_S = 4000.0
+ANSWER_TOKENS_PER_S = 40.0
+QUICK_MS = 1500
+SLOW_MS = 4000
+ONCE_MS = 2500
+BETWEEN_TOKENS_MS = 60
+WHOLE_ANSWER_FACTOR = 10
+MODEL_SIZES_MB = (27_000, 36_000, 41_000, 33_000, 22_000)
+
+REASONS = {
+    'memory_mb': 'an 80 GB accelerator less 15% for the key-value cache',
+    'slots': 'the batch at which an answer keeps its token rate',
+    'models.memory_mb': (
+        'weights of 11 to 40 thousand million parameters in eight or sixteen '
+        'bits: a server holds one to three models, and all the servers hold '
+        'each model about once'
+    ),
+    'models.prompt_tokens_per_s': 'usual for this class of accelerator',
+    'models.answer_tokens_per_s': 'usual for one stream of a small batch',
+    'store.load_s': 'concurrency by rate: what both at once imply',
+    'profiles.targets': 'a person waits: a first word within 1.5 to 4 s',
+    'arrivals': (
+        'sessions of about a minute on a model, few models in session at '
+        'once; popularity falls with rank'
+    ),
+}
+
+
+class SiteSize(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a site's figures, from which its heads are made."""
+
+    site: str
+    region: str
+    servers_by_pool: dict[ids.PoolName, int]
+    models_by_pool: dict[ids.PoolName, int]
+    adapters: int
+    store: trace_head.TraceStore
+    profiles: tuple[profile.Profile, ...]
+
+
+def pools(size: SiteSize) -> tuple[trace_head.TracePool, ...]:
+    """Return a site's pools."""
+    return tuple(
+        trace_head.TracePool(
+            name=pool,
+            servers=servers,
+            memory_mb=MEMORY_MB,
+            slots=SLOTS,
+        )
+        for pool, servers in size.servers_by_pool.items()
+    )
+
+
+def models(size: SiteSize) -> tuple[trace_head.TraceModel, ...]:
+    """Return a site's models with the adapters dealt out among them."""
+    names = [
+        (pool, ids.ModelName(f'{pool}-m{number}'))
+        for pool, count in size.models_by_pool.items()
+        for number in range(count)
+    ]
+    return tuple(
+        trace_head.TraceModel(
+            name=name,
+            pool=pool,
+            memory_mb=MODEL_SIZES_MB[index % len(MODEL_SIZES_MB)],
+            prompt_tokens_per_s=PROMPT_TOKENS_PER_S,
+            answer_tokens_per_s=ANSWER_TOKENS_PER_S,
+            adapters=tuple(
+                ids.AdapterName(f'a{number}')
+                for number in range(index, size.adapters, len(names))
+            ),
+        )
+        for index, (pool, name) in enumerate(names)
+    )
+
+
+def _profile(
+    name: str,
+    model_names: tuple[ids.ModelName, ...],
+    first_token_ms: float,
+    *,
+    at_most_once: bool = False,
+) -> profile.Profile:
+    return profile.Profile(
+        name=ids.ProfileName(name),
+        models=model_names,
+        targets=target.Targets(
+            first_token_ms=first_token_ms,
+            between_tokens_ms=BETWEEN_TOKENS_MS,
+            whole_answer_ms=first_token_ms * WHOLE_ANSWER_FACTOR,
+        ),
+        at_most_once=at_most_once,
+    )
+
+
+def with_profiles(
+    size: SiteSize,
+    quick: str,
+    slow: str,
+    once: str,
+) -> SiteSize:
+    """Return the site with a quick, a slow and an unrepeatable profile."""
+    names = tuple(model.name for model in models(size))
+    return msgspec.structs.replace(
+        size,
+        profiles=(
+            _profile(quick, names, QUICK_MS),
+            _profile(slow, names, SLOW_MS),
+            _profile(once, names, ONCE_MS, at_most_once=True),
+        ),
+    )
--- a/oatcrank/placement.py
+++ b/oatcrank/placement.py
@@ -13,10 +13,15 @@
 
     load = 'load'
     unload = 'unload'
+    drain = 'drain'
 
 
 class Move(msgspec.Struct, frozen=True, kw_only=True):
-    """Load or unload one model on one server."""
+    """Load, unload or drain one model on one server.
+
+    A drained replica gets no new requests; it keeps its memory until it is
+    idle and an unload follows.
+    """
 
     kind: MoveKind
     server: ids.ServerId
@@ -35,6 +40,7 @@
     loading: tuple[ids.ModelName, ...] = ()
     unloading: tuple[ids.ModelName, ...] = ()
     busy: tuple[ids.ModelName, ...] = ()
+    draining: tuple[ids.ModelName, ...] = ()
 
 
 class ModelView(msgspec.Struct, frozen=True, kw_only=True):
@@ -69,5 +75,6 @@
         """Return the moves to start now, best first.
 
         A load's memory must fit in free_mb; load_slots bounds the loads; a
-        model that is busy on a server may not be unloaded from it.
+        model that is busy on a server may not be unloaded from it.  Only a
+        model that stays loaded on another server may be drained.
         """
--- /dev/null
+++ b/oatcrank/policy_harness.py
@@ -0,0 +1,167 @@
+"""Replay a trace's demand over a fake of server memory and load time."""
+
+import functools
+from collections.abc import Iterator
+
+import msgspec
+
+from oatcrank import (
+    _fake_fleet,
+    _fake_request,
+    _fake_store,
+    _harness_moves,
+    _harness_service,
+    _harness_timeline,
+    _harness_view,
+    admission,
+    ids,
+    placement,
+    policy_score,
+    trace,
+)
+
+ROUND_S = 0.25
+DRAIN_LIMIT_S = 60.0
+
+PlacementByPool = dict[ids.PoolName, placement.Placement]
+
+
+class Sample(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the figures so far at one time of a replay."""
+
+    at_s: float
+    arrived: int
+    met: int
+    used: int
+    moves: int
+
+
+class PolicyHarness:
+    """Drive placements by a trace; the same trace gives the same figures."""
+
+    def __init__(
+        self,
+        replayed: trace.Trace,
+        placement_by_pool: PlacementByPool,
+    ) -> None:
+        """Start with empty servers at time 0."""
+        self._trace = replayed
+        self._placement_by_pool = placement_by_pool
+        self.score = policy_score.Score()
+        self.samples: list[Sample] = []
+        self._timeline = _harness_timeline.HarnessTimeline()
+        self._fleet = _fake_fleet.FakeFleet(replayed.head)
+        self._store = _fake_store.FakeStore(replayed.head.store)
+        self._views = _harness_view.HarnessView(replayed.head)
+        self._service = _harness_service.HarnessService(
+            self._fleet,
+            self._store,
+            self._timeline,
+            self.score,
+        )
+        self._moves = _harness_moves.HarnessMoves(
+            self._fleet,
+            self._store,
+            self._timeline,
+            self.score,
+            self._service.serve_model,
+        )
+
+    def run(self) -> policy_score.Score:
+        """Replay the whole trace and return its figures."""
+        self._await_next(_requests(self._trace))
+        self._timeline.add(0, self._round)
+        end_s = self._trace.head.seconds + DRAIN_LIMIT_S
+        while self._timeline.next_s() <= end_s:
+            self._count_held(self._timeline.next_s())
+            self._timeline.step()
+        self._service.expire(float('inf'))
+        self._service.close()
+        return self.score
+
+    def _count_held(self, until_s: float) -> None:
+        # What is held after the trace's end serves no arrival of it.
+        within_s = min(until_s, self._trace.head.seconds)
+        elapsed_s = max(0, within_s - self._timeline.now())
+        self.score.held_server_s += elapsed_s * self._fleet.used
+        self.score.seconds += elapsed_s
+
+    def _await_next(
+        self,
+        requests: Iterator[_fake_request.FakeRequest],
+    ) -> None:
+        arrived = next(requests, None)
+        if arrived is not None:
+            self._timeline.add(
+                arrived.arrival.at,
+                functools.partial(self._take, arrived, requests),
+            )
+
+    def _take(
+        self,
+        arrived: _fake_request.FakeRequest,
+        requests: Iterator[_fake_request.FakeRequest],
+    ) -> None:
+        self._views.arrived(arrived)
+        self._service.take(arrived, self._expected(arrived))
+        self._await_next(requests)
+
+    def _expected(
+        self,
+        arrived: _fake_request.FakeRequest,
+    ) -> admission.Expectation:
+        model = arrived.arrival.model
+        slots = sum(
+            server.slots / len(server.replica_by_model)
+            for server in self._fleet.holders(model)
+        )
+        waiting = self._service.queues.waiting(model)
+        start_s = waiting * self._views.expected_s(model) / max(1, slots)
+        if not self._fleet.is_loaded(model):
+            start_s += self._trace.head.store.load_s
+        return admission.Expectation(
+            start_s=start_s,
+            service_s=arrived.service_s,
+            useful_s=arrived.patience_s,
+        )
+
+    def _round(self) -> None:
+        now = self._timeline.now()
+        self._service.expire(now)
+        if now < self._trace.head.seconds or self._service.queues.total():
+            self._decide(now)
+        self._timeline.add(now + ROUND_S, self._round)
+        self.samples.append(
+            Sample(
+                at_s=now,
+                arrived=self.score.whole.arrived,
+                met=self.score.whole.met,
+                used=self._fleet.used,
+                moves=self.score.moves,
+            ),
+        )
+
+    def _decide(self, now: float) -> None:
+        for pool, chooser in self._placement_by_pool.items():
+            seen = self._views.observe(
+                now,
+                pool,
+                self._fleet,
+                self._service.queues,
+                self._store,
+            )
+            self._moves.apply(chooser.decide(seen))
+        self._views.end_round(now)
+
+
+def _requests(
+    replayed: trace.Trace,
+) -> Iterator[_fake_request.FakeRequest]:
+    model_by_name = {model.name: model for model in replayed.head.models}
+    profile_by_name = {known.name: known for known in replayed.head.profiles}
+    for arrival in replayed.arrivals:
+        yield _fake_request.FakeRequest(
+            arrival,
+            model_by_name[arrival.model],
+            profile_by_name[arrival.profile],
+        )
--- /dev/null
+++ b/oatcrank/slack_queue.py
@@ -0,0 +1,90 @@
+"""Queue work by what is left of the time to its deadline."""
+
+import heapq
+import itertools
+from typing import Generic, NamedTuple, TypeVar
+
+Item = TypeVar('Item')
+KEPT_FACTOR = 4
+
+
+class Rank(NamedTuple):
+    """Order items: lower priority numbers first, then earlier deadlines."""
+
+    priority: int
+    deadline: float
+    number: int
+
+
+class SlackQueue(Generic[Item]):
+    """Hold a bounded number of items, the earliest slack first.
+
+    Deadlines are in seconds of the caller's clock.
+    """
+
+    def __init__(self, *, bound: int) -> None:
+        """Hold at most bound items."""
+        self._bound = bound
+        self._numbers = itertools.count()
+        self._item_by_number: dict[int, Item] = {}
+        self._by_rank: list[Rank] = []
+        self._by_deadline: list[tuple[float, int]] = []
+
+    def __len__(self) -> int:
+        """Return how many items wait."""
+        return len(self._item_by_number)
+
+    def put(self, queued: Item, *, deadline: float, priority: int = 0) -> bool:
+        """Add an item, or return False when the queue is full."""
+        if len(self) >= self._bound:
+            return False
+        if len(self._by_deadline) > KEPT_FACTOR * self._bound:
+            self._forget_taken()
+        number = next(self._numbers)
+        self._item_by_number[number] = queued
+        heapq.heappush(self._by_rank, Rank(priority, deadline, number))
+        heapq.heappush(self._by_deadline, (deadline, number))
+        return True
+
+    def first(self) -> Rank | None:
+        """Return the rank of the item that get would return."""
+        ranks = self._by_rank
+        while ranks and ranks[0].number not in self._item_by_number:
+            heapq.heappop(ranks)
+        return ranks[0] if ranks else None
+
+    def get(self) -> Item | None:
+        """Remove and return the item with the earliest slack, or None."""
+        rank = self.first()
+        if rank is None:
+            return None
+        heapq.heappop(self._by_rank)
+        return self._item_by_number.pop(rank.number)
+
+    def expired(self, now: float) -> list[Item]:
+        """Remove and return the items whose deadline is before now."""
+        late = []
+        while self._by_deadline and self._by_deadline[0][0] < now:
+            _, number = heapq.heappop(self._by_deadline)
+            if number in self._item_by_number:
+                late.append(self._item_by_number.pop(number))
+        return late
+
+    def discard(self, unwanted: Item) -> bool:
+        """Remove an item whose caller has gone; say whether it waited."""
+        for number, queued in self._item_by_number.items():
+            if queued is unwanted:
+                self._item_by_number.pop(number)
+                return True
+        return False
+
+    def _forget_taken(self) -> None:
+        live = self._item_by_number
+        self._by_deadline = [
+            (deadline, number)
+            for deadline, number in self._by_deadline
+            if number in live
+        ]
+        heapq.heapify(self._by_deadline)
+        self._by_rank = [rank for rank in self._by_rank if rank.number in live]
+        heapq.heapify(self._by_rank)
--- /dev/null
+++ b/oatcrank/trace_generator.py
@@ -0,0 +1,131 @@
+"""Generate seeded traces of both sites."""
+
+import random
+
+from oatcrank import (
+    _trace_site,
+    _trace_sites,
+    _trace_spell,
+    ids,
+    profile,
+    trace,
+    trace_event,
+    trace_head,
+)
+
+SITES = tuple(_trace_sites.SIZE_BY_SITE)
+SPELLS = tuple(spell.value for spell in _trace_spell.Spell)
+COMMITTED_SEED = 1
+TUNING_SEEDS = (1, 2)
+HELD_OUT_SEEDS = (101, 102, 103)
+TRACE_S = 600.0
+ADAPTER_SHARE = 0.6
+WAVE_SHARE = 0.95
+PROFILE_WEIGHTS = (6, 3, 1)
+PROMPT_MEAN_TOKENS = 300
+ANSWER_MEAN_TOKENS = 80
+SHORTEST_TOKENS = 8
+PREFIXES = 12
+STATED_ATTAINMENT = 0.8
+TIME_DIGITS = 3
+
+
+def generate(site: str, spell: str, seed: int) -> trace.Trace:
+    """Return the trace that the seed gives for a site and spell."""
+    size = _trace_sites.SIZE_BY_SITE[site]
+    kind = _trace_spell.Spell(spell)
+    dice = random.Random(f'{site} {spell} {seed}')
+    head = _head(size, spell, seed)
+    demand = _trace_spell.SpellDemand(
+        kind,
+        models=len(head.models),
+        seconds=TRACE_S,
+        dice=dice,
+    )
+    arrivals = [
+        _arrival(head, model, at_s, demand, dice)
+        for index, model in enumerate(head.models)
+        for at_s in _times(demand, index, dice)
+    ]
+    arrivals.sort(key=lambda arrival: arrival.at)
+    return trace.Trace(head=head, arrivals=tuple(arrivals))
+
+
+def _head(
+    size: _trace_site.SiteSize,
+    spell: str,
+    seed: int,
+) -> trace_head.TraceHead:
+    return trace_head.TraceHead(
+        format=trace_head.FORMAT,
+        site=size.site,
+        region=size.region,
+        spell=spell,
+        seed=seed,
+        seconds=TRACE_S,
+        failure_domains=tuple(
+            ids.FailureDomain(f'{size.region}-{letter}') for letter in 'abc'
+        ),
+        store=size.store,
+        pools=_trace_site.pools(size),
+        models=_trace_site.models(size),
+        profiles=size.profiles,
+        reasons=_trace_site.REASONS,
+        stated_attainment=STATED_ATTAINMENT,
+    )
+
+
+def _times(
+    demand: _trace_spell.SpellDemand,
+    model: int,
+    dice: random.Random,
+) -> list[float]:
+    times = []
+    for second in range(int(TRACE_S)):
+        rate = demand.rate(model, second)
+        at_s = dice.expovariate(rate) if rate else 1
+        while at_s < 1:
+            times.append(round(second + at_s, TIME_DIGITS))
+            at_s += dice.expovariate(rate)
+    return times
+
+
+def _arrival(
+    head: trace_head.TraceHead,
+    model: trace_head.TraceModel,
+    at_s: float,
+    demand: _trace_spell.SpellDemand,
+    dice: random.Random,
+) -> trace_event.Arrival:
+    chosen = dice.choices(head.profiles, PROFILE_WEIGHTS)[0]
+    share = WAVE_SHARE if demand.in_wave(at_s) else ADAPTER_SHARE
+    adapter = ids.AdapterName('')
+    if dice.random() < share:
+        adapter = dice.choice(model.adapters)
+    return trace_event.Arrival(
+        at=at_s,
+        profile=chosen.name,
+        model=model.name,
+        prompt=_tokens(PROMPT_MEAN_TOKENS, dice),
+        answer=_tokens(ANSWER_MEAN_TOKENS, dice),
+        adapter=adapter,
+        prefix=f'p{dice.randrange(PREFIXES)}',
+        repeatable=not chosen.at_most_once,
+        outcome=_outcome(head, chosen),
+    )
+
+
+def _outcome(
+    head: trace_head.TraceHead,
+    chosen: profile.Profile,
+) -> trace_event.Outcome:
+    quiet = head.spell == _trace_spell.Spell.quiet.value
+    if quiet and not chosen.at_most_once:
+        return trace_event.Outcome.answered
+    return trace_event.Outcome.settled
+
+
+def _tokens(mean: int, dice: random.Random) -> int:
+    return SHORTEST_TOKENS + round(
+        dice.expovariate(1 / (mean - SHORTEST_TOKENS)),
+    )
--- /dev/null
+++ b/tests/test_policy_harness.py
@@ -0,0 +1,117 @@
+"""Check that replays repeat, and that placements keep to their rules."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies
+
+from oatcrank import (
+    expected_gain_placement,
+    ids,
+    on_demand_placement,
+    placement,
+    policy_harness,
+    policy_settings,
+    static_placement,
+    trace,
+    trace_event,
+    trace_generator,
+    trace_head,
+)
+
+MAKERS = {
+    'static': lambda: static_placement.StaticPlacement({}),
+    'on_demand': on_demand_placement.OnDemandPlacement,
+    'expected_gain': lambda: expected_gain_placement.ExpectedGainPlacement(
+        policy_settings.PolicySettings(),
+    ),
+}
+
+
+def _run(recorded: trace.Trace, policy: str) -> policy_harness.PolicyHarness:
+    placements: dict[ids.PoolName, placement.Placement] = {
+        pool.name: MAKERS[policy]() for pool in recorded.head.pools
+    }
+    harness = policy_harness.PolicyHarness(recorded, placements)
+    harness.run()
+    return harness
+
+
+@pytest.mark.parametrize('policy', MAKERS)
+def test_same_figures_every_run(policy: str) -> None:
+    recorded = trace_generator.generate('trilha', 'quiet', 7)
+    first = _run(recorded, policy)
+    second = _run(recorded, policy)
+    assert first.score.summary() == second.score.summary()
+    assert first.samples == second.samples
+    assert first.score.whole.arrived == len(recorded.arrivals)
+
+
+def _time(asked: tuple[float, trace_head.TraceModel, int]) -> float:
+    return asked[0]
+
+
+@strategies.composite
+def small_traces(draw: strategies.DrawFn) -> trace.Trace:
+    """Draw a few servers, models of any size that fits, and arrivals."""
+    usual = trace_generator.generate('yard', 'quiet', 7).head
+    sizes = draw(strategies.lists(strategies.integers(1, 100), min_size=1))
+    pool = trace_head.TracePool(
+        name=ids.PoolName('pool'),
+        servers=draw(strategies.integers(1, 4)),
+        memory_mb=100,
+        slots=draw(strategies.integers(1, 8)),
+    )
+    models = tuple(
+        trace_head.TraceModel(
+            name=ids.ModelName(f'm{number}'),
+            pool=pool.name,
+            memory_mb=size,
+            prompt_tokens_per_s=4000,
+            answer_tokens_per_s=40,
+        )
+        for number, size in enumerate(sizes)
+    )
+    head = msgspec.structs.replace(
+        usual,
+        pools=(pool,),
+        models=models,
+        seconds=60,
+    )
+    asked = strategies.tuples(
+        strategies.floats(0, 60),
+        strategies.sampled_from(models),
+        strategies.integers(1, 80),
+    )
+    drawn = draw(strategies.lists(asked, max_size=60))
+    arrivals = tuple(
+        trace_event.Arrival(
+            at=at_s,
+            profile=usual.profiles[1].name,
+            model=model.name,
+            prompt=10,
+            answer=answer,
+        )
+        for at_s, model, answer in sorted(drawn, key=_time)
+    )
+    return trace.Trace(head=head, arrivals=arrivals)
+
+
+@pytest.mark.parametrize('policy', ['on_demand', 'expected_gain'])
+@settings(derandomize=True, deadline=None, max_examples=20)
+@given(recorded=small_traces())
+def test_keeps_the_rules(policy: str, recorded: trace.Trace) -> None:
+    # The fleet raises MoveRefused on overcommitted memory, on unloading a
+    # busy model and on more loads than the store has slots for.
+    score = _run(recorded, policy).score
+    counted = score.whole.answered + score.whole.refused
+    assert counted == score.whole.arrived == len(recorded.arrivals)
+
+
+@settings(derandomize=True, deadline=None, max_examples=20)
+@given(recorded=small_traces())
+def test_every_model_is_reached(recorded: trace.Trace) -> None:
+    score = _run(recorded, 'expected_gain').score
+    unanswered = [
+        model for model, tally in score.by_model.items() if not tally.answered
+    ]
+    assert not unanswered
--- /dev/null
+++ b/tests/test_slack_queue.py
@@ -0,0 +1,76 @@
+"""Check the order, the bound and the expiry of waiting work."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from oatcrank import slack_queue
+
+BOUND = 6
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(('put', 'get', 'expire', 'discard')),
+        strategies.integers(0, 20),
+        strategies.integers(0, 2),
+    ),
+    max_size=80,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(STEPS)
+def test_agrees_with_a_sorted_list(steps: list[tuple[str, int, int]]) -> None:
+    pair = _Pair()
+    for step, deadline, priority in steps:
+        if step == 'put':
+            pair.put(deadline, priority)
+        elif step == 'get':
+            pair.get()
+        elif step == 'expire':
+            pair.expire(deadline)
+        else:
+            pair.discard(deadline)
+        assert len(pair.queue) == len(pair.entries)
+
+
+class _Pair:
+    def __init__(self) -> None:
+        self.queue: slack_queue.SlackQueue[str] = slack_queue.SlackQueue(
+            bound=BOUND,
+        )
+        self.entries: list[tuple[int, int, int, str]] = []
+        self._numbers = itertools.count()
+
+    def put(self, deadline: int, priority: int) -> None:
+        number = next(self._numbers)
+        name = f'item {number}'
+        taken = self.queue.put(name, deadline=deadline, priority=priority)
+        assert taken is (len(self.entries) < BOUND)
+        if taken:
+            self.entries.append((priority, deadline, number, name))
+
+    def get(self) -> None:
+        self.entries.sort()
+        wanted = self.entries.pop(0)[3] if self.entries else None
+        assert self.queue.get() == wanted
+
+    def expire(self, now: int) -> None:
+        late = {entry[3] for entry in self.entries if entry[1] < now}
+        assert set(self.queue.expired(now)) == late
+        self.entries = [entry for entry in self.entries if entry[1] >= now]
+
+    def discard(self, index: int) -> None:
+        if self.entries:
+            gone = self.entries.pop(index % len(self.entries))
+            assert self.queue.discard(gone[3])
+
+
+@pytest.mark.parametrize('rounds', [1, 1000])
+def test_forgets_what_was_taken(rounds: int) -> None:
+    queue: slack_queue.SlackQueue[int] = slack_queue.SlackQueue(bound=2)
+    for number in range(rounds):
+        queue.put(number, deadline=number)
+        assert queue.get() == number
+    assert queue.get() is None
+    assert not queue.expired(float('inf'))
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,69 @@
+"""Check that traces survive a round trip and that bad ones are named."""
+
+import pathlib
+
+import pytest
+
+from oatcrank import trace, trace_event, trace_generator
+
+
+@pytest.mark.parametrize('site', trace_generator.SITES)
+@pytest.mark.parametrize('spell', ['quiet', 'adapter_wave'])
+def test_round_trip(site: str, spell: str, tmp_path: pathlib.Path) -> None:
+    path = tmp_path / 'trace.jsonl'
+    recorded = trace_generator.generate(site, spell, 5)
+    event = trace_event.Event(
+        at=recorded.arrivals[10].at,
+        event=trace_event.EventKind.domain_lost,
+        subject=recorded.head.failure_domains[0],
+    )
+    recorded = trace.Trace(
+        head=recorded.head,
+        arrivals=recorded.arrivals,
+        events=(event,),
+    )
+    trace.write(path, recorded)
+    assert trace.read(path) == recorded
+    assert recorded == trace.Trace(
+        head=recorded.head,
+        arrivals=trace_generator.generate(site, spell, 5).arrivals,
+        events=(event,),
+    )
+
+
+ARRIVAL = (
+    '{"at":1,"profile":"bookings","model":"wordbay-m0","prompt":1,"answer":1}'
+)
+
+
+@pytest.mark.parametrize(
+    ('lines', 'fault'),
+    [
+        ([], 'line 1: the head is missing'),
+        (['{}'], 'line 1: Object missing required field `format`'),
+        (['head', ARRIVAL[:-1]], 'line 2: Input data was truncated'),
+        (['head', ARRIVAL.replace('bookings', 'x')], 'unknown profile x'),
+        (['head', ARRIVAL.replace('wordbay-m0', 'x')], 'unknown model x'),
+        (['head', ARRIVAL[:-1] + ',"adapter":"x"}'], 'unknown adapter x'),
+        (['head', ARRIVAL[:-1] + ',"more":1}'], 'unknown field `more`'),
+        (['head', ARRIVAL.replace('"answer":1', '"answer":0')], 'a token'),
+        (['head', ARRIVAL, ARRIVAL.replace('1,', '0,', 1)], 'line 3: at 0'),
+        (['head', '{"at":1,"event":"x"}'], "Invalid enum value 'x'"),
+    ],
+)
+def test_bad_lines(
+    lines: list[str],
+    fault: str,
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / 'trace.jsonl'
+    trace.write(path, trace_generator.generate('yard', 'quiet', 5))
+    head = path.read_text().splitlines()[0]
+    path.write_text('\n'.join(lines).replace('head', head, 1))
+    with pytest.raises(trace.TraceError, match=fault):
+        trace.read(path)
+
+
+def test_absent_file(tmp_path: pathlib.Path) -> None:
+    with pytest.raises(trace.TraceError, match='No such file'):
+        trace.read(tmp_path / 'none')
