Add the reference that knows the trace in advance

It searches a family of greedy plans with hindsight, by coordinate, and keeps each trace's best; it is a strong reference and no proved bound.

--- /dev/null
+++ b/oatcrank/_known_demand.py
@@ -0,0 +1,54 @@
+"""Look up the demand of a trace before it comes."""
+
+import bisect
+import collections
+import itertools
+
+from oatcrank import ids, trace
+
+
+class KnownDemand:
+    """Know every arrival of a trace, by model."""
+
+    def __init__(self, known: trace.Trace) -> None:
+        """Index the arrivals."""
+        self._times_by_model: dict[ids.ModelName, list[float]] = (
+            collections.defaultdict(list)
+        )
+        rates = {model.name: model for model in known.head.models}
+        work_by_model: dict[ids.ModelName, list[float]] = (
+            collections.defaultdict(list)
+        )
+        for arrival in known.arrivals:
+            model = rates[arrival.model]
+            self._times_by_model[arrival.model].append(arrival.at)
+            work_by_model[arrival.model].append(
+                arrival.prompt / model.prompt_tokens_per_s
+                + arrival.answer / model.answer_tokens_per_s,
+            )
+        self._work_until_by_model = {
+            model: list(itertools.accumulate(work, initial=0))
+            for model, work in work_by_model.items()
+        }
+
+    def next_s(self, model: ids.ModelName, now: float) -> float:
+        """Return the time of the next arrival, infinity if there is none."""
+        times = self._times_by_model[model]
+        index = bisect.bisect_left(times, now)
+        return times[index] if index < len(times) else float('inf')
+
+    def arrivals(self, model: ids.ModelName, start: float, end: float) -> int:
+        """Return how many requests come between two times."""
+        times = self._times_by_model[model]
+        first = bisect.bisect_left(times, start)
+        return bisect.bisect_left(times, end) - first
+
+    def slots(self, model: ids.ModelName, start: float, end: float) -> float:
+        """Return the mean slots that the requests between two times fill."""
+        times = self._times_by_model[model]
+        if not times:
+            return 0
+        work = self._work_until_by_model[model]
+        first = bisect.bisect_left(times, start)
+        last = bisect.bisect_left(times, end)
+        return (work[last] - work[first]) / (end - start)
--- /dev/null
+++ b/oatcrank/informed_placement.py
@@ -0,0 +1,271 @@
+"""Place models with knowledge of the whole trace, as a strong reference.
+
+It is no proved bound: best_plan searches a family of greedy plans with
+hindsight and keeps the best of each trace.
+"""
+
+import msgspec
+
+from oatcrank import (
+    _known_demand,
+    _room,
+    ids,
+    placement,
+    policy_harness,
+    trace,
+)
+
+START_MARGIN_S = 1.0
+WINDOW_S = 8.0
+
+
+class PlanShape(msgspec.Struct, frozen=True, kw_only=True):
+    """Shape a plan.
+
+    keep_s: for how long ahead an arrival keeps a model loaded.
+    least_arrivals: how many within keep_s are worth a load ahead of time.
+    share: how much of a server's slots is filled.
+    empties: whether models are moved to empty a server.
+    """
+
+    keep_s: float
+    least_arrivals: int
+    share: float
+    empties: bool
+
+
+FIRST_SHAPE = PlanShape(keep_s=15, least_arrivals=1, share=0.8, empties=True)
+VALUES_BY_FIELD: dict[str, tuple[float, ...]] = {
+    'keep_s': (2, 4, 8, 40),
+    'empties': (False,),
+    'share': (0.6, 1),
+    'least_arrivals': (4,),
+}
+
+
+class InformedPlacement(placement.Placement):
+    """Load before demand comes and unload as soon as none is near."""
+
+    def __init__(
+        self,
+        known: _known_demand.KnownDemand,
+        shape: PlanShape,
+    ) -> None:
+        """Know the trace and follow one shape of plan."""
+        self._known = known
+        self._shape = shape
+        self._closing: ids.ServerId | None = None
+
+    def decide(self, seen: placement.Observation) -> tuple[placement.Move, ...]:
+        """Load what is about to be asked for, the nearest first."""
+        room = _room.Room(seen)
+        filled = self._filled(room)
+        for model in self._wanted(room):
+            self._load(room, model, filled)
+        self._empty(room, filled)
+        for view in seen.servers:
+            for held in (*view.loaded, *view.draining):
+                self._unload(room, view, held)
+        return tuple(room.moves)
+
+    def _slots(self, model: ids.ModelName, now: float) -> float:
+        return self._known.slots(model, now, now + WINDOW_S)
+
+    def _filled(self, room: _room.Room) -> dict[ids.ServerId, float]:
+        filled = dict.fromkeys(room.server_by_id, 0.0)
+        for model, homes in room.homes_by_model.items():
+            for server in homes:
+                slots = self._slots(model, room.seen.now_s)
+                filled[server] += slots / len(homes)
+        return filled
+
+    def _wanted(self, room: _room.Room) -> list[ids.ModelName]:
+        now = room.seen.now_s
+        ahead_s = now + room.seen.load_s + START_MARGIN_S
+        ranked = []
+        for model in room.seen.models:
+            next_s = self._known.next_s(model.model, now)
+            if model.waiting or next_s <= ahead_s:
+                ranked.append((next_s - model.waiting, model.model))
+        return [
+            model
+            for _, model in sorted(ranked)
+            if self._lacks(room, room.model_by_name[model])
+        ]
+
+    def _lacks(self, room: _room.Room, model: placement.ModelView) -> bool:
+        homes = room.homes_by_model[model.model]
+        now = room.seen.now_s
+        if not homes:
+            coming = self._known.arrivals(
+                model.model,
+                now,
+                now + self._shape.keep_s,
+            )
+            return model.waiting > 0 or coming >= self._shape.least_arrivals
+        start = now + room.seen.load_s
+        slots = self._known.slots(model.model, start, start + WINDOW_S)
+        most = max(view.slots for view in room.seen.servers)
+        return slots > self._shape.share * most * len(homes)
+
+    def _load(
+        self,
+        room: _room.Room,
+        model: ids.ModelName,
+        filled: dict[ids.ServerId, float],
+    ) -> None:
+        slots = self._slots(model, room.seen.now_s)
+        fitting = [
+            server for server in room.server_by_id if room.fits(server, model)
+        ]
+        roomy = [
+            server
+            for server in fitting
+            if filled[server] + slots <= self._most(room, server)
+        ]
+        ranked = [
+            (
+                not room.is_used(server),
+                server == self._closing,
+                room.free_by_server[server],
+                server,
+            )
+            for server in roomy or fitting
+        ]
+        if ranked:
+            server = min(ranked)[-1]
+            room.load(server, model)
+            filled[server] += slots
+        elif room.load_slots:
+            self._make_room(room, model)
+
+    def _most(self, room: _room.Room, server: ids.ServerId) -> float:
+        return self._shape.share * room.server_by_id[server].slots
+
+    def _make_room(self, room: _room.Room, model: ids.ModelName) -> None:
+        if any(view.unloading for view in room.seen.servers):
+            return
+        now = room.seen.now_s
+        needed_mb = room.model_by_name[model].memory_mb
+        choices = []
+        for view in room.seen.servers:
+            victims = sorted(
+                (-self._known.next_s(held, now), held)
+                for held in view.loaded
+                if room.can_unload(view.server, held)
+            )
+            freed_mb = room.free_by_server[view.server]
+            for count, (_, held) in enumerate(victims, 1):
+                freed_mb += room.model_by_name[held].memory_mb
+                if freed_mb >= needed_mb:
+                    chosen = victims[:count]
+                    choices.append((max(chosen), view.server, chosen))
+                    break
+        if choices:
+            _, server, chosen = min(choices)
+            for _, held in chosen:
+                room.unload(server, held)
+
+    def _unload(
+        self,
+        room: _room.Room,
+        view: placement.ServerView,
+        model: ids.ModelName,
+    ) -> None:
+        if not room.can_unload(view.server, model):
+            return
+        now = room.seen.now_s
+        next_s = self._known.next_s(model, now)
+        if next_s > now + self._shape.keep_s or model in view.draining:
+            room.unload(view.server, model)
+
+    def _empty(
+        self,
+        room: _room.Room,
+        filled: dict[ids.ServerId, float],
+    ) -> None:
+        self._closing = None
+        used = [
+            view
+            for view in room.seen.servers
+            if room.is_used(view.server) and not view.loading
+        ]
+        if not self._shape.empties or len(used) < 2:
+            return
+        least = min(used, key=lambda view: filled[view.server])
+        moves = self._targets(room, least, filled)
+        if moves is None:
+            return
+        self._closing = least.server
+        for model, server in moves:
+            room.load(server, model)
+        for held in least.loaded:
+            homes = room.homes_by_model[held]
+            others = set(homes) - {least.server}
+            if least.server in homes and any(
+                held in room.server_by_id[other].loaded for other in others
+            ):
+                room.drain(least.server, held)
+
+    def _targets(
+        self,
+        room: _room.Room,
+        leaving: placement.ServerView,
+        filled: dict[ids.ServerId, float],
+    ) -> list[tuple[ids.ModelName, ids.ServerId]] | None:
+        free_by_server = {
+            server: free_mb
+            for server, free_mb in room.free_by_server.items()
+            if room.is_used(server) and server != leaving.server
+        }
+        slots_by_server = dict(filled)
+        moves = []
+        for model in leaving.loaded:
+            if len(room.homes_by_model[model]) > 1:
+                continue
+            slots = self._slots(model, room.seen.now_s)
+            fitting = [
+                (free_mb, server)
+                for server, free_mb in free_by_server.items()
+                if room.model_by_name[model].memory_mb <= free_mb
+                and room.fits(server, model)
+                and slots_by_server[server] + slots <= self._most(room, server)
+            ]
+            if not fitting or len(moves) >= room.load_slots:
+                return None
+            server = min(fitting)[1]
+            free_by_server[server] -= room.model_by_name[model].memory_mb
+            slots_by_server[server] += slots
+            moves.append((model, server))
+        return moves
+
+
+def best_plan(known: trace.Trace) -> policy_harness.PolicyHarness:
+    """Replay a trace by the shape of plan that serves it best."""
+    demand = _known_demand.KnownDemand(known)
+    best = _replay(known, demand, FIRST_SHAPE)
+    shape = FIRST_SHAPE
+    for name, values in VALUES_BY_FIELD.items():
+        for value in values:
+            tried_shape = msgspec.structs.replace(shape, **{name: value})
+            tried = _replay(known, demand, tried_shape)
+            if tried.score.per_accelerator > best.score.per_accelerator:
+                best = tried
+                shape = tried_shape
+    return best
+
+
+def _replay(
+    known: trace.Trace,
+    demand: _known_demand.KnownDemand,
+    shape: PlanShape,
+) -> policy_harness.PolicyHarness:
+    harness = policy_harness.PolicyHarness(
+        known,
+        {
+            pool.name: InformedPlacement(demand, shape)
+            for pool in known.head.pools
+        },
+    )
+    harness.run()
+    return harness
