Keep a model by the hazard of its next request

A smooth mean rate can't tell a pause in a session from its end.

Change: sessions are recognised by their gaps; the hazard of the next request falls with the time that none has come.

--- a/oatcrank/_consolidation.py
+++ b/oatcrank/_consolidation.py
@@ -4,9 +4,9 @@
 
 from oatcrank import _prices, _room, _spare, _swap, ids
 
-PAYBACK_S = 60.0
-MARGIN = 1.5
-PAUSE_S = 5.0
+PAYBACK_S = 30.0
+MARGIN = 1.2
+PAUSE_S = 2.0
 LONGEST_CLOSING_S = 20.0
 MOST_SHARE = 0.75
 IMPOSSIBLE = float('inf')
@@ -38,15 +38,15 @@
             return
         if not _enough_slots(room, prices):
             return
-        costs = [
-            (_cost(view.server, room, spare, swap), view.server)
+        losses = [
+            (_loss(view.server, room, spare, swap), view.server)
             for view in room.seen.servers
             if room.is_used(view.server) and not view.loading
         ]
-        if not costs:
+        if not losses:
             return
-        cost, server = min(costs)
-        if cost * MARGIN < prices.accelerator_s(PAYBACK_S):
+        loss, server = min(losses)
+        if loss * MARGIN < prices.accelerator:
             self.closing = server
             self._since_s = now
 
@@ -74,31 +74,31 @@
     return need <= MOST_SHARE * (sum(slots) - max(slots))
 
 
-def _cost(
+def _loss(
     server: ids.ServerId,
     room: _room.Room,
     spare: _spare.Spare,
     swap: _swap.Swap,
 ) -> float:
-    cost: float = 0
+    loss: float = 0
     taken: collections.Counter[ids.ServerId] = collections.Counter()
     spare.closed.add(server)
     for model in room.server_by_id[server].loaded:
-        dropped = swap.drop_price(server, model)
-        moved = swap.move_price(server, model)
+        lost = swap.loss(server, model)
+        moved = swap.move_price(server, model) / PAYBACK_S
         target = None
-        if moved < dropped or not room.can_unload(server, model):
+        if moved < lost:
             target = spare.find(model, taken)
         if target is not None:
             taken[target] += room.model_by_name[model].memory_mb
-            cost += moved
+            loss += moved
         elif room.can_unload(server, model):
-            cost += dropped
+            loss += lost
         else:
-            cost = IMPOSSIBLE
+            loss = IMPOSSIBLE
             break
     spare.closed.discard(server)
-    return cost
+    return loss
 
 
 def _vacate(
--- a/oatcrank/_loading.py
+++ b/oatcrank/_loading.py
@@ -19,6 +19,7 @@
 RESERVED_SLOTS = 1
 CROWDED_SHARE = 0.5
 TRIED_PER_SLOT = 2
+FLOOR_S = 20.0
 
 
 class Want(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,7 +75,7 @@
         ]
         for gain, model in sorted(absent, reverse=True):
             full = self._room.load_slots <= RESERVED_SLOTS
-            if full or gain <= 2 * self._prices.move:
+            if full or gain * FLOOR_S <= 2 * self._prices.move:
                 return
             server = self._spare.find(model)
             if server is not None:
@@ -127,7 +128,7 @@
         )
 
     def _empty_sites(self, model: ids.ModelName) -> list[_swap.Site]:
-        cost = self._prices.accelerator_s(OPEN_S)
+        cost = self._prices.accelerator * OPEN_S
         return [
             _swap.Site(cost=cost, server=server)
             for server in self._room.server_by_id
--- a/oatcrank/_prices.py
+++ b/oatcrank/_prices.py
@@ -2,9 +2,8 @@
 
 from oatcrank import demand, ids, placement, policy_settings
 
-ACCELERATOR_SHARE = 0.5
+ACCELERATOR_SHARE = 0.7
 MOVE_PRICE = 0.5
-RETURN_S = 60.0
 ROUND_DELAY_S = 0.5
 NEARLY_IN_TIME = 0.2
 
@@ -30,22 +29,19 @@
         )
         self.move = weights.move_weight * MOVE_PRICE
 
-    def accelerator_s(self, seconds: float) -> float:
-        """Return the price of using an accelerator for seconds."""
-        return self.accelerator * seconds
-
     def cold_start(self, model: ids.ModelName) -> float:
         """Return the requests that miss their target in a cold start."""
         view = self._model_by_name[model]
         late_s = self._seen.load_s + ROUND_DELAY_S - view.first_token_s
         if late_s <= 0:
             return NEARLY_IN_TIME * view.weight
-        return view.weight * (1 + late_s * self._book.of(model).session)
+        session_rate = self._book.of(model).session_rate
+        return view.weight * (1 + late_s * session_rate)
 
     def keep(self, model: ids.ModelName) -> float:
-        """Return what is lost when an idle model's only replica goes."""
-        returns = self._book.of(model).returns(RETURN_S)
-        return returns * (self.cold_start(model) + 2 * self.move)
+        """Return what is lost a second while no replica is loaded."""
+        hazard = self._book.of(model).hazard(self._seen.now_s)
+        return hazard * (self.cold_start(model) + 2 * self.move)
 
     def need(self, model: ids.ModelName) -> float:
         """Return the slots that a model's demand fills."""
--- a/oatcrank/_swap.py
+++ b/oatcrank/_swap.py
@@ -32,10 +32,13 @@
         self._book = book
 
     def drop_price(self, server: ids.ServerId, model: ids.ModelName) -> float:
-        """Return what the unloading of an idle replica costs."""
+        """Return what the unloading of an idle replica loses."""
+        return self._prices.move + HORIZON_S * self.loss(server, model)
+
+    def loss(self, server: ids.ServerId, model: ids.ModelName) -> float:
+        """Return what is lost a second once a replica is gone."""
         others = set(self._room.homes_by_model[model]) - {server}
-        kept = 0 if others else self._prices.keep(model)
-        return self._prices.move + kept
+        return 0 if others else self._prices.keep(model)
 
     def move_price(self, server: ids.ServerId, model: ids.ModelName) -> float:
         """Return what it costs to have the model elsewhere instead."""
--- a/oatcrank/demand.py
+++ b/oatcrank/demand.py
@@ -6,40 +6,65 @@
 
 FAST_S = 8.0
 SLOW_S = 90.0
-SESSION_S = 600.0
-FIRST_RATE = 0.01
+SESSION_END_S = 60.0
+LONGEST_GAP_S = 30.0
+GAP_SHARE = 0.15
+FIRST_GAP_S = 4.0
+FIRST_START_S = 240.0
 
 
 class Demand:
-    """Keep a fast and a slow estimate of requests a second."""
+    """Keep estimates of a model's requests a second.
+
+    fast and slow are means over seconds and minutes.  Requests come in
+    sessions: hazard is the rate at which the next one is expected, given for
+    how long none has come.
+    """
 
     def __init__(self, now: float) -> None:
-        """Start with the rate of a model that is seldom asked for."""
+        """Start as a model that is seldom asked for."""
         self.fast: float = 0
-        self.slow = FIRST_RATE
-        self.session = FIRST_RATE
-        self.last_s = now
+        self.slow: float = 0
+        self._first_s = now
+        self._last_s = -math.inf
+        self._gap_s = FIRST_GAP_S
+        self._starts = 1
 
     @property
     def rate(self) -> float:
         """Return the requests a second to make room for."""
         return max(self.fast, self.slow)
 
+    @property
+    def session_rate(self) -> float:
+        """Return the requests a second of a session."""
+        return 1 / self._gap_s
+
     def add(self, arrivals: int, now: float, elapsed_s: float) -> None:
         """Take in a round's arrivals."""
-        if arrivals:
-            self.last_s = now
         seen = arrivals / elapsed_s
         self.fast = _blend(self.fast, seen, elapsed_s / FAST_S)
         self.slow = _blend(self.slow, seen, elapsed_s / SLOW_S)
-        self.session = max(
-            self.fast,
-            _blend(self.session, self.slow, elapsed_s / SESSION_S),
-        )
-
-    def returns(self, horizon_s: float) -> float:
-        """Return the probability of a request within seconds."""
-        return 1 - math.exp(-self.slow * horizon_s)
+        if arrivals:
+            self._add_gap(now - self._last_s, arrivals)
+            self._last_s = now
+
+    def hazard(self, now: float) -> float:
+        """Return the rate at which the next request is expected now."""
+        start_rate = self._starts / (now - self._first_s + FIRST_START_S)
+        idle_s = now - self._last_s
+        leaves = self.session_rate + 1 / SESSION_END_S
+        alive = math.exp(-leaves * idle_s)
+        ended = (1 - alive) / (leaves * SESSION_END_S)
+        in_session = alive / (alive + ended)
+        return in_session * self.session_rate + (1 - in_session) * start_rate
+
+    def _add_gap(self, gap_s: float, arrivals: int) -> None:
+        if gap_s > LONGEST_GAP_S:
+            self._starts += 1
+            gap_s = FIRST_GAP_S
+        share = 1 - (1 - GAP_SHARE) ** arrivals
+        self._gap_s += share * (gap_s / arrivals - self._gap_s)
 
 
 class DemandBook:
