--- a/oatcrank/informed_placement.py
+++ b/oatcrank/informed_placement.py
@@ -34,7 +34,14 @@
     empties: bool
 
 
-FIRST_SHAPE = PlanShape(keep_s=15, least_arrivals=1, share=0.8, empties=True)
+FIRST_KEEP_S = 15
+FIRST_SHARE = 0.8
+FIRST_SHAPE = PlanShape(
+    keep_s=FIRST_KEEP_S,
+    least_arrivals=1,
+    share=FIRST_SHARE,
+    empties=True,
+)
 VALUES_BY_FIELD: dict[str, tuple[float, ...]] = {
     'keep_s': (2, 4, 8, 40),
     'empties': (False,),
@@ -72,7 +79,7 @@
         return self._known.slots(model, now, now + WINDOW_S)
 
     def _filled(self, room: _room.Room) -> dict[ids.ServerId, float]:
-        filled = dict.fromkeys(room.server_by_id, 0.0)
+        filled: dict[ids.ServerId, float] = dict.fromkeys(room.server_by_id, 0)
         for model, homes in room.homes_by_model.items():
             for server in homes:
                 slots = self._slots(model, room.seen.now_s)
@@ -88,9 +95,9 @@
             if model.waiting or next_s <= ahead_s:
                 ranked.append((next_s - model.waiting, model.model))
         return [
-            model
-            for _, model in sorted(ranked)
-            if self._lacks(room, room.model_by_name[model])
+            name
+            for _, name in sorted(ranked)
+            if self._lacks(room, room.model_by_name[name])
         ]
 
     def _lacks(self, room: _room.Room, model: placement.ModelView) -> bool:
@@ -219,7 +226,7 @@
             if room.is_used(server) and server != leaving.server
         }
         slots_by_server = dict(filled)
-        moves = []
+        moves: list[tuple[ids.ModelName, ids.ServerId]] = []
         for model in leaving.loaded:
             if len(room.homes_by_model[model]) > 1:
                 continue
--- /dev/null
+++ b/oatcrank/policies.py
@@ -0,0 +1,79 @@
+"""Name the placement policies that can be replayed."""
+
+import collections
+import enum
+
+from oatcrank import (
+    expected_gain_placement,
+    ids,
+    informed_placement,
+    on_demand_placement,
+    placement,
+    policy_harness,
+    policy_settings,
+    static_placement,
+    trace,
+)
+
+WEIGHTS_BY_SITE = {
+    'yard': policy_settings.PolicySettings(
+        accelerator_weight=2,
+        move_weight=0.5,
+    ),
+    'trilha': policy_settings.PolicySettings(
+        accelerator_weight=0.5,
+        move_weight=2,
+    ),
+}
+
+
+class Policy(enum.Enum):
+    """Name a policy."""
+
+    static = 'static'
+    on_demand = 'on_demand'
+    expected_gain = 'expected_gain'
+    informed = 'informed'
+
+
+def replay(
+    policy: Policy,
+    replayed: trace.Trace,
+    weights: policy_settings.PolicySettings | None = None,
+) -> policy_harness.PolicyHarness:
+    """Replay a trace under a policy; by default with its site's weights."""
+    if policy is Policy.informed:
+        return informed_placement.best_plan(replayed)
+    if weights is None:
+        weights = WEIGHTS_BY_SITE.get(
+            replayed.head.site,
+            policy_settings.PolicySettings(),
+        )
+    harness = policy_harness.PolicyHarness(
+        replayed,
+        {
+            pool.name: _placement(policy, replayed, weights)
+            for pool in replayed.head.pools
+        },
+    )
+    harness.run()
+    return harness
+
+
+def _placement(
+    policy: Policy,
+    replayed: trace.Trace,
+    weights: policy_settings.PolicySettings,
+) -> placement.Placement:
+    if policy is Policy.static:
+        return static_placement.StaticPlacement(_average_rates(replayed))
+    if policy is Policy.on_demand:
+        return on_demand_placement.OnDemandPlacement()
+    return expected_gain_placement.ExpectedGainPlacement(weights)
+
+
+def _average_rates(replayed: trace.Trace) -> dict[ids.ModelName, float]:
+    counts = collections.Counter(arrival.model for arrival in replayed.arrivals)
+    return {
+        model: count / replayed.head.seconds for model, count in counts.items()
+    }
--- a/oatcrank/trace_event.py
+++ b/oatcrank/trace_event.py
@@ -6,6 +6,8 @@
 
 from oatcrank import ids
 
+CONTROL_PATH = '/control/faults'
+
 
 class Outcome(enum.Enum):
     """State how a request must end.
@@ -18,13 +20,10 @@
 
 
 class EventKind(enum.Enum):
-    """Name a fault or change that is brought about during a replay."""
+    """Say what an event is."""
 
-    domain_lost = 'domain_lost'
-    domain_back = 'domain_back'
-    key_value_down = 'key_value_down'
-    key_value_up = 'key_value_up'
-    profile_change = 'profile_change'
+    fault = 'fault'
+    change = 'change'
 
 
 class Arrival(
@@ -54,8 +53,14 @@
     omit_defaults=True,
     forbid_unknown_fields=True,
 ):
-    """Describe a fault or change; subject names what it befalls."""
+    """Describe a fault or change as a body that is posted to a subject.
+
+    The subject is key_value, instance_list, weight_store, entry, or a failure
+    domain, whose model engines all get the body.
+    """
 
     at: float
     event: EventKind
-    subject: str = ''
+    subject: str
+    body: dict[str, bool | float | str]
+    path: str = CONTROL_PATH
--- a/oatcrank/trace_generator.py
+++ b/oatcrank/trace_generator.py
@@ -2,6 +2,8 @@
 
 import random
 
+import msgspec
+
 from oatcrank import (
     _trace_site,
     _trace_sites,
@@ -27,6 +29,8 @@
 SHORTEST_TOKENS = 8
 PREFIXES = 12
 STATED_ATTAINMENT = 0.8
+FAULT_START = 0.45
+FAULT_END = 0.55
 TIME_DIGITS = 3
 
 
@@ -51,6 +55,31 @@
     return trace.Trace(head=head, arrivals=tuple(arrivals))
 
 
+def with_faults(usual: trace.Trace) -> trace.Trace:
+    """Return the trace with the fault that is brought about in its spell.
+
+    At the morning peak a failure domain is lost; during a shift of demand the
+    key-value service is down for a while.
+    """
+    subject_by_spell = {
+        _trace_spell.Spell.morning_peak.value: usual.head.failure_domains[0],
+        _trace_spell.Spell.demand_shift.value: 'key_value',
+    }
+    subject = subject_by_spell.get(usual.head.spell)
+    if subject is None:
+        return usual
+    events = tuple(
+        trace_event.Event(
+            at=part * TRACE_S,
+            event=trace_event.EventKind.fault,
+            subject=subject,
+            body={'down': down},
+        )
+        for part, down in ((FAULT_START, True), (FAULT_END, False))
+    )
+    return msgspec.structs.replace(usual, events=events)
+
+
 def _head(
     size: _trace_site.SiteSize,
     spell: str,
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -14,8 +14,9 @@
     recorded = trace_generator.generate(site, spell, 5)
     event = trace_event.Event(
         at=recorded.arrivals[10].at,
-        event=trace_event.EventKind.domain_lost,
+        event=trace_event.EventKind.fault,
         subject=recorded.head.failure_domains[0],
+        body={'down': True},
     )
     recorded = trace.Trace(
         head=recorded.head,
@@ -48,7 +49,10 @@
         (['head', ARRIVAL[:-1] + ',"more":1}'], 'unknown field `more`'),
         (['head', ARRIVAL.replace('"answer":1', '"answer":0')], 'a token'),
         (['head', ARRIVAL, ARRIVAL.replace('1,', '0,', 1)], 'line 3: at 0'),
-        (['head', '{"at":1,"event":"x"}'], "Invalid enum value 'x'"),
+        (
+            ['head', '{"at":1,"event":"x","subject":"entry","body":{}}'],
+            "Invalid enum value 'x'",
+        ),
     ],
 )
 def test_bad_lines(
