--- a/oatcrank/_policy_table.py
+++ b/oatcrank/_policy_table.py
@@ -46,7 +46,7 @@
     for row in rows:
         rows_by_key.setdefault((row.site, row.policy), []).append(row)
     return [
-        _total(site, policy, [row.figures for row in alike])
+        _total(site, policy, [entry.figures for entry in alike])
         for (site, policy), alike in rows_by_key.items()
     ]
 
