Add the command replay

Cause: the decisions must also be shown against the running system, with the outcomes that a trace states.

Change: `oatcrank replay` sends a trace's requests as a caller does, checks each answer's tokens and digest, brings about the trace's faults, counts moves and used accelerators from the engines' reports, and ends with failure when a stated outcome did not hold.

Ruled out: counting moves from the audit trail; the engines' own reports also show what the system did not order.

--- /dev/null
+++ b/oatcrank/_replay_events.py
@@ -0,0 +1,64 @@
+"""Bring about a trace's faults and changes while it is replayed."""
+
+import asyncio
+
+import msgspec
+
+from oatcrank import _replay_watch, errors, rpc, settings, trace_event
+
+TIMEOUT_S = 5.0
+
+
+class ReplayEvents:
+    """Post each event's body to what it befalls."""
+
+    def __init__(
+        self,
+        known: settings.Settings,
+        watch: _replay_watch.ReplayWatch,
+    ) -> None:
+        """Find the subjects by the settings and the instance list."""
+        self._watch = watch
+        self._rpc = rpc.Rpc()
+        self._address_by_subject = {
+            'key_value': known.platform.key_value,
+            'instance_list': known.platform.instance_list,
+            'weight_store': known.platform.weight_store,
+            'entry': known.address,
+        }
+
+    async def bring_about(self, event: trace_event.Event) -> str:
+        """Post an event; return what went wrong, or an empty string."""
+        try:
+            addresses = await self._addresses(event.subject)
+            await asyncio.gather(
+                *(self._post(address, event) for address in addresses),
+            )
+        except errors.OatcrankError as error:
+            return f'{event.subject} at {event.at} s: {error}'
+        if not addresses:
+            return f'{event.subject} at {event.at} s: nothing of that name'
+        return ''
+
+    def close(self) -> None:
+        """Close every connection."""
+        self._rpc.close()
+
+    async def _addresses(self, subject: str) -> list[str]:
+        address = self._address_by_subject.get(subject)
+        if address is not None:
+            return [address]
+        return [
+            instance.address
+            for instance in await self._watch.engines()
+            if instance.failure_domain == subject
+        ]
+
+    async def _post(self, address: str, event: trace_event.Event) -> None:
+        await self._rpc.fetch(
+            address,
+            'POST',
+            event.path,
+            msgspec.json.encode(event.body),
+            timeout_s=TIMEOUT_S,
+        )
--- /dev/null
+++ b/oatcrank/replay_command.py
@@ -0,0 +1,151 @@
+"""Replay a trace against the running system: `oatcrank replay`."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+from collections.abc import Mapping
+from typing import TypeVar
+
+import jsonc
+import msgspec
+
+from oatcrank import (
+    _policy_table,
+    command,
+    errors,
+    plots,
+    policy_harness,
+    replay,
+    settings,
+    trace,
+)
+
+PERCENT = 100
+SYSTEM = 'system'
+
+Name = TypeVar('Name', bound=str)
+
+
+class ReplayCommand(command.Command):
+    """Replay a trace and say whether its stated outcomes held."""
+
+    name = 'replay'
+    summary = 'replay a trace against the running system'
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Describe the arguments."""
+        parser.add_argument('trace', type=pathlib.Path)
+        parser.add_argument(
+            '--settings',
+            type=pathlib.Path,
+            required=True,
+            help='settings of one entry instance',
+        )
+        parser.add_argument(
+            '--speed',
+            type=_speed,
+            default=1.0,
+            help='how many of the trace seconds pass in one',
+        )
+        parser.add_argument(
+            '--without-events',
+            action='store_true',
+            help="bring about none of the trace's faults and changes",
+        )
+        parser.add_argument('--output', choices=['table', 'json'])
+        parser.add_argument('--plot', type=pathlib.Path, metavar='FILE')
+
+    def run(self, options: argparse.Namespace) -> command.ExitStatus:
+        """Replay, print and draw; failed if an outcome did not hold."""
+        try:
+            report = _run(options)
+        except errors.OatcrankError as error:
+            sys.stderr.write(f'oatcrank replay: {error}\n')
+            return command.ExitStatus.usage
+        if report.held:
+            return command.ExitStatus.success
+        return command.ExitStatus.failed
+
+
+def _run(options: argparse.Namespace) -> replay.ReplayReport:
+    recorded = trace.read(options.trace)
+    if options.without_events:
+        recorded = msgspec.structs.replace(recorded, events=())
+    known = _settings(options.settings)
+    running = replay.Replay(recorded, known, speed=options.speed)
+    report = asyncio.run(running.run())
+    _print(options, report)
+    if options.plot:
+        plots.draw(options.plot, _panels(running.samples))
+    return report
+
+
+def _settings(path: pathlib.Path) -> settings.Settings:
+    try:
+        loaded = jsonc.loads(path.read_text())
+        return msgspec.convert(loaded, settings.Settings)
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(f'{path}: {error}') from error
+
+
+def _speed(text: str) -> float:
+    speed = float(text)
+    if speed <= 0:
+        raise argparse.ArgumentTypeError('speed must be above 0')
+    return speed
+
+
+def _print(options: argparse.Namespace, report: replay.ReplayReport) -> None:
+    if options.output == 'json':
+        encoded = msgspec.json.format(msgspec.json.encode(report))
+        sys.stdout.write(f'{encoded.decode()}\n')
+        return
+    row = _policy_table.Row(
+        site=report.site,
+        trace=f'{report.site}-{report.spell}',
+        policy=SYSTEM,
+        figures=report.figures,
+    )
+    figures = report.figures
+    lines = [
+        *_policy_table.lines([row]),
+        '',
+        *_shares('profile', figures.attainment_by_profile),
+        *_shares('model', figures.attainment_by_model),
+        f'moves: {figures.moves_by_kind}',
+        f'refusals: {figures.refusals_by_code}',
+        f'first token, ms: {figures.first_token_ms}',
+        f'between tokens, ms: {figures.between_tokens_ms}',
+        f'reports that could not be read: {report.unread_reports}',
+        f'not as stated: {report.not_as_stated}',
+        *report.shown,
+        f'stated outcomes held: {"yes" if report.held else "no"}',
+    ]
+    sys.stdout.write('\n'.join((*lines, '')))
+
+
+def _shares(kind: str, share_by_name: Mapping[Name, float]) -> list[str]:
+    return [
+        f'{kind} {name}: {share:.3f} attained'
+        for name, share in sorted(share_by_name.items())
+    ]
+
+
+def _panels(samples: list[policy_harness.Sample]) -> list[plots.Panel]:
+    across = tuple(sample.at_s for sample in samples)
+    figures_by_label: dict[str, list[float]] = {
+        'attained, %': [
+            PERCENT * sample.met / max(1, sample.arrived) for sample in samples
+        ],
+        'accelerators': [sample.used for sample in samples],
+        'moves': [sample.moves for sample in samples],
+    }
+    return [
+        plots.Panel(
+            across='seconds',
+            up=label,
+            lines=(plots.Line(name=SYSTEM, across=across, up=tuple(figures)),),
+        )
+        for label, figures in figures_by_label.items()
+    ]
--- a/oatcrank/trace_event.py
+++ b/oatcrank/trace_event.py
@@ -12,11 +12,14 @@
 class Outcome(enum.Enum):
     """State how a request must end.
 
+    answered: with its whole answer.
     settled: with its whole answer, or refused as not run.
+    told: with its whole answer, or a refusal that says whether it ran.
     """
 
     answered = 'answered'
     settled = 'settled'
+    told = 'told'
 
 
 class EventKind(enum.Enum):
--- a/oatcrank/trace_generator.py
+++ b/oatcrank/trace_generator.py
@@ -148,8 +148,9 @@
     head: trace_head.TraceHead,
     chosen: profile.Profile,
 ) -> trace_event.Outcome:
-    quiet = head.spell == _trace_spell.Spell.quiet.value
-    if quiet and not chosen.at_most_once:
+    if chosen.at_most_once:
+        return trace_event.Outcome.told
+    if head.spell == _trace_spell.Spell.quiet.value:
         return trace_event.Outcome.answered
     return trace_event.Outcome.settled
 
