--- /dev/null
+++ b/oatcrank/demand.py
@@ -0,0 +1,101 @@
+"""Estimate each model's demand from the arrivals of each round."""
+
+import math
+
+from oatcrank import ids, placement
+
+FAST_S = 8.0
+SLOW_S = 90.0
+SESSION_END_S = 60.0
+LONGEST_GAP_S = 30.0
+GAP_SHARE = 0.15
+FIRST_GAP_S = 4.0
+FIRST_START_S = 240.0
+
+
+class Demand:
+    """Keep estimates of a model's requests a second.
+
+    fast and slow are means over seconds and minutes.  Requests come in
+    sessions: hazard is the rate at which the next one is expected, given for
+    how long none has come.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start as a model that is seldom asked for."""
+        self.fast: float = 0
+        self.slow: float = 0
+        self._first_s = now
+        self._last_s = -math.inf
+        self._gap_s = FIRST_GAP_S
+        self._starts = 1
+
+    @property
+    def rate(self) -> float:
+        """Return the requests a second to make room for."""
+        return max(self.fast, self.slow)
+
+    @property
+    def session_rate(self) -> float:
+        """Return the requests a second of a session."""
+        return 1 / self._gap_s
+
+    def add(self, arrivals: int, now: float, elapsed_s: float) -> None:
+        """Take in a round's arrivals."""
+        seen = arrivals / elapsed_s
+        self.fast = _blend(self.fast, seen, elapsed_s / FAST_S)
+        self.slow = _blend(self.slow, seen, elapsed_s / SLOW_S)
+        if arrivals:
+            self._add_gap(now - self._last_s, arrivals)
+            self._last_s = now
+
+    def hazard(self, now: float) -> float:
+        """Return the rate at which the next request is expected now."""
+        start_rate = self._starts / (now - self._first_s + FIRST_START_S)
+        idle_s = now - self._last_s
+        leaves = self.session_rate + 1 / SESSION_END_S
+        alive = math.exp(-leaves * idle_s)
+        ended = (1 - alive) / (leaves * SESSION_END_S)
+        in_session = alive / (alive + ended)
+        return in_session * self.session_rate + (1 - in_session) * start_rate
+
+    def _add_gap(self, gap_s: float, arrivals: int) -> None:
+        if gap_s > LONGEST_GAP_S:
+            self._starts += 1
+            gap_s = FIRST_GAP_S
+        share = 1 - (1 - GAP_SHARE) ** arrivals
+        self._gap_s += share * (gap_s / arrivals - self._gap_s)
+
+
+class DemandBook:
+    """Keep the demand of every model of a pool."""
+
+    def __init__(self) -> None:
+        """Start with no model seen."""
+        self._demand_by_model: dict[ids.ModelName, Demand] = {}
+
+    def update(self, seen: placement.Observation) -> None:
+        """Take in a round, and forget models that are gone."""
+        elapsed_s = seen.now_s - seen.since_s
+        demand_by_model = {}
+        for model in seen.models:
+            known = self._demand_by_model.get(model.model)
+            if known is None:
+                known = Demand(seen.now_s)
+            if elapsed_s > 0:
+                known.add(model.arrivals, seen.now_s, elapsed_s)
+            demand_by_model[model.model] = known
+        self._demand_by_model = demand_by_model
+
+    def of(self, model: ids.ModelName) -> Demand:
+        """Return a model's demand."""
+        return self._demand_by_model[model]
+
+    def total(self) -> float:
+        """Return the slow estimate over all models, in requests a second."""
+        return sum(known.slow for known in self._demand_by_model.values())
+
+
+def _blend(before: float, seen: float, periods: float) -> float:
+    kept = math.exp(-periods)
+    return before * kept + seen * (1 - kept)
--- a/oatcrank/model_dispatch.py
+++ b/oatcrank/model_dispatch.py
@@ -9,9 +9,9 @@
 from tornado import httputil
 
 from oatcrank import (
-    admission,
     backend_server,
     dispatch,
+    dispatch_queue,
     engine,
     errors,
     event_splitter,
@@ -40,7 +40,7 @@
     def __init__(
         self,
         *,
-        places: admission.Admission,
+        places: dispatch_queue.DispatchQueue,
         engines: Engines,
         adapters: Any,
         **common: Any,
--- a/oatcrank/service_dispatch.py
+++ b/oatcrank/service_dispatch.py
@@ -6,10 +6,10 @@
 from tornado import httputil, iostream, tcpclient
 
 from oatcrank import (
-    admission,
     backend_server,
     backend_servers,
     dispatch,
+    dispatch_queue,
     errors,
     job,
     outlet,
@@ -50,7 +50,7 @@
             alone=alone,
         )
         if server is None:
-            raise admission.refused_in_queue(
+            raise dispatch_queue.refused_in_queue(
                 refusal.Code.no_backend_server,
                 f'no server of {wanted.service} can take the call now',
                 RETRY_S,
--- a/oatcrank/serving.py
+++ b/oatcrank/serving.py
@@ -4,8 +4,8 @@
 from http import HTTPStatus
 
 from oatcrank import (
-    admission,
     clock,
+    dispatch_queue,
     ids,
     members,
     metrics,
@@ -41,7 +41,7 @@
         self.meter = meter
         self.members = membership
         self.profiles = profiles
-        self.places: admission.Admission
+        self.places: dispatch_queue.DispatchQueue
         self.models: model_dispatch.ModelDispatch
         self.services: service_dispatch.ServiceDispatch
         self.unrepeatable: unrepeatable.Unrepeatable
--- a/tests/test_admission.py
+++ b/tests/test_dispatch_queue.py
@@ -5,9 +5,9 @@
 import pytest
 
 from oatcrank import (
-    admission,
     backend_server,
     clock,
+    dispatch_queue,
     ids,
     instance_list,
     job,
@@ -55,8 +55,8 @@
 def places_on(
     servers: list[backend_server.BackendServer],
     queue_limit: int = 8,
-) -> admission.Admission:
-    return admission.Admission(
+) -> dispatch_queue.DispatchQueue:
+    return dispatch_queue.DispatchQueue(
         servers=lambda model: servers,
         chooser=router.Router(failure_domain=ids.FailureDomain('x'), seed=1),
         ticker=clock.MonotonicClock(),
@@ -105,7 +105,7 @@
     whole_answer_ms: float,
     code: refusal.Code,
 ) -> None:
-    async def run() -> admission.Admission:
+    async def run() -> dispatch_queue.DispatchQueue:
         places = places_on(servers, queue_limit)
         with pytest.raises(refusal.Refused) as caught:
             await places.place(job_of('r', whole_answer_ms))
