Keep the configuration as an append-only change log

Cause: operators race each other, and the key-value service loses answers, so a change must end as its operator was told, once and for good. Deleting old records was ruled out: a late create-if-absent would succeed again.

--- /dev/null
+++ b/oatcrank/change_log.py
@@ -0,0 +1,202 @@
+"""Hold the configuration that the change log describes."""
+
+import asyncio
+import collections
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
+import msgspec
+
+from oatcrank import (
+    append_log,
+    applied,
+    change,
+    change_news,
+    clock,
+    errors,
+    ids,
+    keyvalue,
+    profile,
+    profile_state,
+    snapshot,
+)
+
+PREFIX = 'changes'
+KEPT_SEGMENTS = 2
+NEWS_CHANGES = 200
+
+Listener = Callable[[change.Change], None]
+
+
+class ChangeLog:
+    """Apply the changes strictly in order; nothing is ever taken back.
+
+    A profile's revision is the number of its last change, also after it was
+    retired, so a revision names one state for good.
+    """
+
+    def __init__(
+        self,
+        store: keyvalue.KeyValue,
+        *,
+        segment_changes: int,
+        time: clock.Clock,
+    ) -> None:
+        """Start empty; keep the last few segments of changes in memory."""
+        kept = KEPT_SEGMENTS * segment_changes
+        self.segment_changes = segment_changes
+        self.records = append_log.AppendLog(store, PREFIX)
+        self._time = time
+        self._newest = 0
+        self._state_by_name: dict[ids.ProfileName, profile_state.ProfileState]
+        self._state_by_name = {}
+        self._profile_by_name: dict[ids.ProfileName, profile.Profile] = {}
+        self._kept: collections.deque[change.Change]
+        self._kept = collections.deque(maxlen=kept)
+        self._history: collections.deque[applied.Applied]
+        self._history = collections.deque(maxlen=kept)
+        self._listeners: list[Listener] = []
+        self._moved = asyncio.Event()
+
+    @property
+    def newest(self) -> int:
+        """Return the number of the last change applied."""
+        return self._newest
+
+    @property
+    def profile_by_name(self) -> Mapping[ids.ProfileName, profile.Profile]:
+        """Return the profiles in force."""
+        return MappingProxyType(self._profile_by_name)
+
+    @property
+    def history(self) -> tuple[applied.Applied, ...]:
+        """Return when the last changes were applied here."""
+        return tuple(self._history)
+
+    def state(self, name: ids.ProfileName) -> profile_state.ProfileState | None:
+        """Return a profile's state, retired or not, or None if never seen."""
+        return self._state_by_name.get(name)
+
+    def revision(self, name: ids.ProfileName) -> ids.Revision:
+        """Return the number of a profile's last change, or 0."""
+        state = self.state(name)
+        return ids.Revision(0) if state is None else state.revision
+
+    def kept_after(self, after: int) -> tuple[change.Change, ...] | None:
+        """Return the changes after a number, or None if not all are kept."""
+        if after < self._newest - len(self._kept):
+            return None
+        return tuple(found for found in self._kept if found.number > after)
+
+    def whole(self) -> snapshot.Snapshot:
+        """Return the whole configuration as it is now."""
+        names = sorted(self._state_by_name)
+        return snapshot.Snapshot(
+            number=self._newest,
+            profiles=tuple(self._state_by_name[name] for name in names),
+        )
+
+    def news_after(self, after: int) -> change_news.ChangeNews:
+        """Return what an instance at a number lacks, or a first part of it."""
+        changes = self.kept_after(after)
+        if changes is None:
+            return change_news.ChangeNews(
+                newest=self._newest,
+                base=self.whole(),
+            )
+        return change_news.ChangeNews(
+            newest=self._newest,
+            changes=changes[:NEWS_CHANGES],
+        )
+
+    def on_change(self, listener: Listener) -> None:
+        """Call a listener with every change applied from now on."""
+        self._listeners.append(listener)
+
+    async def moved_past(self, number: int) -> None:
+        """Return once a change after the number is applied."""
+        while self._newest <= number:
+            self._moved.clear()
+            await self._moved.wait()
+
+    def apply(self, record: change.Change) -> bool:
+        """Apply the next change; say False if it is not the next."""
+        if record.number != self._newest + 1:
+            return False
+        self._put(
+            profile_state.ProfileState(
+                name=record.profile,
+                revision=ids.Revision(record.number),
+                who=record.who,
+                when=record.when,
+                content=record.after,
+            ),
+        )
+        self._kept.append(record)
+        self._advance(record.number)
+        for listener in self._listeners:
+            listener(record)
+        return True
+
+    def restore(self, base: snapshot.Snapshot) -> bool:
+        """Move forward to a snapshot; say False if it is not newer."""
+        if base.number <= self._newest:
+            return False
+        self._kept.clear()
+        for state in base.profiles:
+            self._put(state)
+        self._advance(base.number)
+        return True
+
+    def take(self, news: change_news.ChangeNews) -> None:
+        """Apply what a peer sent, as far as it is new and in order."""
+        if news.base is not None:
+            self.restore(news.base)
+        for record in news.changes:
+            self.apply(record)
+
+    async def catch_up(self) -> None:
+        """Read the log forward to its visible end; raises PlatformError."""
+        found = True
+        while found:
+            found = await self.read_next()
+
+    async def read_next(self) -> bool:
+        """Apply the next change if it is visible, and say whether it was."""
+        number = self._newest + 1
+        text = await self.records.read(number)
+        if text is not None:
+            self.apply(decoded(text))
+        return text is not None
+
+    async def wait_next(self, *, wait_s: float) -> bool:
+        """Apply the next change as soon as it exists, or say False."""
+        text = await self.records.wait(self._newest + 1, wait_s=wait_s)
+        if text is not None:
+            self.apply(decoded(text))
+        return text is not None
+
+    def _put(self, state: profile_state.ProfileState) -> None:
+        self._state_by_name[state.name] = state
+        if state.content is None:
+            self._profile_by_name.pop(state.name, None)
+        else:
+            self._profile_by_name[state.name] = state.content
+
+    def _advance(self, number: int) -> None:
+        self._newest = number
+        self._history.append(applied.Applied(number, self._time.now()))
+        self._moved.set()
+
+
+def decoded(text: str) -> change.Change:
+    """Return a record of the log; raises errors.Unavailable if unreadable."""
+    try:
+        return msgspec.json.decode(text, type=change.Change)
+    except msgspec.MsgspecError as error:
+        raise errors.Unavailable(f'unreadable change: {error}') from error
+
+
+def encoded(record: change.Change) -> str:
+    """Return a change as a record of the log."""
+    return msgspec.json.encode(record).decode()
--- /dev/null
+++ b/tests/test_change_log.py
@@ -0,0 +1,218 @@
+"""Check that every change ends as its operator was told."""
+
+import asyncio
+
+import pytest
+
+from oatcrank import change, change_errors, errors, ids
+from tests import configuration_parts as parts
+
+RETIRE = change.ChangeKind.retire
+
+
+async def outcome(
+    one: parts.Parts,
+    wanted: change.Proposal,
+) -> int | type[Exception]:
+    try:
+        return (await one.writer.accept(wanted)).number
+    except change_errors.ConfigurationError as error:
+        return type(error)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'told', 'resent'),
+    [
+        ('none', 1, 1),
+        ('lose_answers', 1, 1),
+        ('lose_requests', change_errors.ChangeUnknown, 1),
+        ('late', change_errors.ChangeUnknown, 1),
+        ('down', change_errors.ChangeNotMade, 1),
+    ],
+)
+def test_fault_then_resend_elsewhere(
+    fault: str,
+    told: object,
+    resent: int,
+) -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        one, two = parts.Parts(store), parts.Parts(store)
+        setattr(store, fault, 1)
+        assert await outcome(one, parts.proposal('a')) == told
+        store.down = False
+        await store.land()
+        for _ in range(2):
+            assert await outcome(two, parts.proposal('a')) == resent
+            assert await outcome(one, parts.proposal('a')) == resent
+        assert store.keys('changes/') == ['changes/1']
+
+    asyncio.run(run())
+
+
+def test_operators_race() -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        instances = [parts.Parts(store) for _ in range(5)]
+        ends = await asyncio.gather(
+            *(
+                outcome(one, parts.proposal(f'id{index}', first_token_ms=index))
+                for index, one in enumerate(instances)
+            ),
+        )
+        assert sorted(map(str, ends))[0] == '1'
+        assert ends.count(change_errors.ChangeConflict) == 4
+        ends = await asyncio.gather(
+            *(
+                outcome(one, parts.proposal(f'x{index}', name=f'q{index}'))
+                for index, one in enumerate(instances)
+            ),
+        )
+        assert sorted(map(int, ends)) == [2, 3, 4, 5, 6]
+
+    asyncio.run(run())
+
+
+def test_late_record_under_outage_is_not_called_refused() -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        one = parts.Parts(store, answer_within_s=60)
+        store.late = True
+        accepting = asyncio.create_task(one.writer.accept(parts.proposal('a')))
+        await parts.until(lambda: bool(store.under_way))
+        store.down = True
+        calls = store.calls_by_kind['put']
+        store.late = False
+        await parts.until(lambda: store.calls_by_kind['put'] >= calls + 3)
+        assert not accepting.done()
+        store.down = False
+        await store.land()
+        assert (await accepting).number == 1
+
+    asyncio.run(run())
+
+
+def test_stale_reads_only_delay() -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        one, two = parts.Parts(store), parts.Parts(store)
+        assert await outcome(one, parts.proposal('a')) == 1
+        store.stale_reads = True
+        ended = await outcome(two, parts.proposal('b'))
+        assert ended is change_errors.ChangeUnknown
+        store.stale_reads = False
+        ended = await outcome(two, parts.proposal('b'))
+        assert ended is change_errors.ChangeConflict
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('steps', 'end'),
+    [
+        ([parts.proposal('a'), parts.proposal('b', based_on=1)], 2),
+        (
+            [
+                parts.proposal('a'),
+                parts.proposal('b', based_on=1, kind=RETIRE),
+                parts.proposal('a'),
+            ],
+            1,
+        ),
+        (
+            [
+                parts.proposal('a'),
+                parts.proposal('b', based_on=1, kind=RETIRE),
+                parts.proposal('c'),
+            ],
+            change_errors.ChangeConflict,
+        ),
+        (
+            [parts.proposal('a'), parts.proposal('a', first_token_ms=2)],
+            change_errors.InvalidChange,
+        ),
+        (
+            [parts.proposal('a'), parts.proposal('b', based_on=9)],
+            change_errors.ChangeNotMade,
+        ),
+        (
+            [parts.proposal('a', kind=RETIRE)],
+            change_errors.InvalidChange,
+        ),
+    ],
+)
+def test_sequence(steps: list[change.Proposal], end: object) -> None:
+    async def run() -> object:
+        one = parts.Parts(parts.LateKeyValue())
+        return [await outcome(one, wanted) for wanted in steps][-1]
+
+    assert asyncio.run(run()) == end
+
+
+async def fill(one: parts.Parts, count: int) -> None:
+    for index in range(count):
+        await one.writer.accept(parts.proposal(f'c{index}', name=f'n{index}'))
+
+
+def test_start_reads_few_keys_and_audit_is_whole() -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        await fill(parts.Parts(store, segment_changes=10), 203)
+        other = parts.Parts(store, segment_changes=10)
+        before = store.calls_by_kind['get']
+        await other.snapshots.load()
+        assert store.calls_by_kind['get'] - before == 6
+        assert other.log.newest == 203
+        assert len(other.log.profile_by_name) == 203
+        audit = await other.snapshots.changes_after(0)
+        assert [found.number for found in audit] == list(range(1, 204))
+        page = await other.snapshots.changes_after(7, at_most=5)
+        assert [found.number for found in page] == [8, 9, 10, 11, 12]
+        # A resend from before the snapshot is still known.
+        wanted = parts.proposal('c3', name='n3')
+        assert await outcome(other, wanted) == 4
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('fault', ['lose_requests', 'lose_answers'])
+def test_snapshot_faults_do_not_hide_changes(fault: str) -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        one = parts.Parts(store)
+        await fill(one, 6)
+        setattr(store, fault, 1)
+        with pytest.raises(errors.UnknownOutcome):
+            await one.snapshots.save()
+        other = parts.Parts(store)
+        await other.snapshots.load()
+        assert other.log.newest == 6
+
+    asyncio.run(run())
+
+
+def test_news_bring_a_peer_forward() -> None:
+    async def run() -> None:
+        one = parts.Parts(parts.LateKeyValue())
+        await fill(one, 20)
+        for start in (0, 13, 20):
+            other = parts.Parts(parts.LateKeyValue())
+            other.log.take(one.log.news_after(0))
+            other.log.take(one.log.news_after(start))
+            assert other.log.whole() == one.log.whole()
+
+    asyncio.run(run())
+
+
+def test_two_sendings_at_once_make_one_change() -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        instances = [parts.Parts(store) for _ in range(4)]
+        wanted = parts.proposal('same')
+        ends = await asyncio.gather(
+            *(outcome(one, wanted) for one in instances),
+        )
+        assert ends == [1, 1, 1, 1]
+        assert instances[0].log.revision(ids.ProfileName('p')) == 1
+
+    asyncio.run(run())
