Assemble the entry instance: data path, control, membership, claims

Cause: the parts existed side by side; nothing served a request end to end. Ruled out: one object that knows everything; the assembly is three small modules. A first trial answered every request with 400: the relay sent no Host header, which HTTP/1.1 requires.

--- /dev/null
+++ b/oatcrank/_entry_control.py
@@ -0,0 +1,122 @@
+"""Assemble the control of pools on an entry instance."""
+
+from typing import Any
+
+from oatcrank import (
+    _entry_platform,
+    _entry_serving,
+    _plan_code,
+    control_handlers,
+    control_peers,
+    demand_board,
+    demand_sender,
+    document,
+    expected_gain_placement,
+    idle_query,
+    lease,
+    plan,
+    pool_control,
+    pool_control_parts,
+    serving,
+)
+
+PLANS = 'plan/'
+LEASE_KEY = 'leases/control'
+MS_PER_S = 1000
+
+
+class EntryControl:
+    """Hold the lease, the controllers and what they hear and tell."""
+
+    def __init__(
+        self,
+        platform: _entry_platform.EntryPlatform,
+        served: serving.Serving,
+    ) -> None:
+        """Control nothing before the tasks run."""
+        self.plans = served.plans
+        self._platform = platform
+        self._served = served
+        self.lease = _lease(platform)
+        self.board = demand_board.DemandBoard(
+            platform.clock,
+            first_token_s=platform.book.first_token_s,
+            weight=platform.book.weight,
+        )
+        self.sender = demand_sender.DemandSender(
+            places=served.places,
+            plans=self.plans,
+            peers=platform.membership,
+            client=platform.rpc,
+            own=self.board.take,
+        )
+        self.pools = pool_control.PoolControl(self._parts())
+        platform.documents.on_newer(PLANS, self._take_document)
+        self.plans.on_newer(lambda newer: served.places.wake())
+
+    def routes(self) -> list[Any]:
+        """Return the routes between controllers and entry instances."""
+        return control_handlers.routes(
+            board=self.board,
+            lease=self.lease,
+            own_idle=self.own_idle,
+            control=self.pools,
+        )
+
+    def own_idle(self, query: idle_query.IdleQuery) -> bool:
+        """Tell whether this instance is done with a replica."""
+        if self.plans.version(query.pool) < query.version:
+            return False
+        return self._served.places.is_idle(query.server, query.model)
+
+    def _parts(self) -> pool_control_parts.PoolControlParts:
+        platform = self._platform
+        chosen = platform.settings
+        return pool_control_parts.PoolControlParts(
+            settings=chosen,
+            clock=platform.clock,
+            store=platform.store,
+            weights=platform.weights,
+            lease=self.lease,
+            servers=platform.servers,
+            peers=platform.membership,
+            asking=control_peers.ControlPeers(
+                peers=platform.membership,
+                client=platform.rpc,
+                engine_of=lambda listed: _entry_serving.engine_at(
+                    platform,
+                    listed.address,
+                ),
+                own_idle=self.own_idle,
+                listed_entries=lambda: platform.servers.entries,
+            ),
+            board=self.board,
+            book=platform.book,
+            metrics=platform.meter,
+            publish=self._publish,
+            new_policy=lambda: expected_gain_placement.ExpectedGainPlacement(
+                chosen.policy,
+            ),
+        )
+
+    def _publish(self, newer: plan.Plan) -> None:
+        self._platform.documents.put(
+            f'{PLANS}{newer.pool}',
+            newer.version,
+            _plan_code.encode(newer),
+        )
+
+    def _take_document(self, newer: document.Document) -> None:
+        self.plans.take(_plan_code.decode(newer.text))
+
+
+def _lease(platform: _entry_platform.EntryPlatform) -> lease.Lease:
+    this = platform.membership.this
+    return lease.Lease(
+        platform.store,
+        LEASE_KEY,
+        holder=this.instance_id,
+        incarnation=this.incarnation,
+        term_s=platform.settings.control.lease_term_ms / MS_PER_S,
+        time=platform.clock,
+    )
--- /dev/null
+++ b/oatcrank/_entry_platform.py
@@ -0,0 +1,116 @@
+"""Connect an entry instance to the platform and to its peers."""
+
+from oatcrank import (
+    _instance_list_http,
+    _keyvalue_http,
+    _weight_store_http,
+    backend_servers,
+    change_follower,
+    change_log,
+    change_writer,
+    clock,
+    documents,
+    incarnation,
+    logs,
+    member,
+    membership,
+    metrics,
+    profile_book,
+    rpc,
+    settings,
+    snapshot_store,
+)
+
+MS_PER_S = 1000
+
+
+class EntryPlatform:
+    """Hold the platform's clients, the configuration and the membership."""
+
+    def __init__(self, chosen: settings.Settings) -> None:
+        """Call nobody yet."""
+        platform = chosen.platform
+        timeout_s = platform.timeout_ms / MS_PER_S
+        self.settings = chosen
+        self.clock = clock.MonotonicClock()
+        self.rpc = rpc.Rpc()
+        self.meter = _meter(chosen)
+        self.store = _keyvalue_http.HttpKeyValue(
+            self.rpc,
+            platform.key_value,
+            timeout_s=timeout_s,
+        )
+        self.listing = _instance_list_http.HttpInstanceList(
+            self.rpc,
+            platform.instance_list,
+            timeout_s=timeout_s,
+        )
+        self.weights = _weight_store_http.HttpWeightStore(
+            self.rpc,
+            platform.weight_store,
+            timeout_s=timeout_s,
+        )
+        self.servers = backend_servers.BackendServers(self.listing, self.clock)
+        self.documents = documents.Documents()
+        self.book = profile_book.ProfileBook()
+        self.changes = change_log.ChangeLog(
+            self.store,
+            segment_changes=chosen.configuration.segment_changes,
+            time=self.clock,
+        )
+        self.snapshots = snapshot_store.SnapshotStore(self.store, self.changes)
+        self.writer = change_writer.ChangeWriter(
+            self.changes,
+            self.snapshots,
+            time=self.clock,
+        )
+        self.follower = change_follower.ChangeFollower(
+            self.changes,
+            self.snapshots,
+            settings=chosen.configuration,
+            time=self.clock,
+            peer_rpc=self.rpc,
+        )
+        self.membership: membership.Membership
+
+    async def join(self) -> None:
+        """Count this start and get ready to exchange with peers."""
+        number = await incarnation.count_start(
+            self.store,
+            self.settings.instance_id,
+        )
+        logs.event('joining', incarnation=number)
+        this = member.Member(
+            instance_id=self.settings.instance_id,
+            address=self.settings.address,
+            failure_domain=self.settings.failure_domain,
+            incarnation=number,
+        )
+        self.membership = membership.Membership(
+            this,
+            settings=self.settings.membership,
+            listing=self.listing,
+            peer_rpc=self.rpc,
+            time=self.clock,
+            shared=self.documents,
+            follower=self.follower,
+        )
+        self.changes.on_change(lambda _: self._rebuild())
+        await self.servers.refresh()
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.rpc.close()
+
+    def _rebuild(self) -> None:
+        self.book.rebuild(self.changes.profile_by_name.values())
+
+
+def _meter(chosen: settings.Settings) -> metrics.Metrics:
+    if chosen.statsd is None:
+        return metrics.NoMetrics()
+    return metrics.StatsdMetrics(
+        chosen.statsd.host,
+        chosen.statsd.port,
+        chosen.statsd.prefix,
+    )
--- /dev/null
+++ b/oatcrank/_entry_serving.py
@@ -0,0 +1,147 @@
+"""Assemble the data path of an entry instance."""
+
+import msgspec
+
+from oatcrank import (
+    _engine_http,
+    _entry_platform,
+    adapter_loader,
+    backend_server,
+    claims,
+    crash_suspects,
+    dispatch_queue,
+    document,
+    engine,
+    ids,
+    model_dispatch,
+    plan_view,
+    retry_budget,
+    router,
+    service_dispatch,
+    serving,
+    unrepeatable,
+)
+
+SUSPECTS = 'suspects/'
+MS_PER_S = 1000
+# A document's version must rise over restarts: the incarnation leads it.
+VERSIONS_PER_START = 1_000_000
+
+
+def build(platform: _entry_platform.EntryPlatform) -> serving.Serving:
+    """Return the parts that serve callers."""
+    chosen = platform.settings
+    plans = plan_view.PlanView()
+    built = serving.Serving(
+        chosen=chosen,
+        ticker=platform.clock,
+        meter=platform.meter,
+        membership=platform.membership,
+        profiles=lambda: platform.changes.profile_by_name,
+        isolated=lambda: platform.follower.isolated,
+    )
+    chooser = router.Router(
+        failure_domain=chosen.failure_domain,
+        seed=platform.membership.this.incarnation,
+    )
+    common = {
+        'suspects': _suspects(platform),
+        'budget': retry_budget.RetryBudget(chosen.limits.retry_share),
+        'ticker': platform.clock,
+        'meter': platform.meter,
+    }
+    built.plans = plans
+    built.places = dispatch_queue.DispatchQueue(
+        servers=_Replicas(plans, platform).of_model,
+        chooser=chooser,
+        ticker=platform.clock,
+        queue_limit=chosen.limits.queued_per_model,
+    )
+    built.models = model_dispatch.ModelDispatch(
+        places=built.places,
+        engines=lambda server: engine_at(platform, server.listed.address),
+        adapters=adapter_loader.AdapterLoader(
+            plans=plans,
+            peers=platform.membership,
+            in_transit=chosen.weight_store.adapters_in_transit,
+        ),
+        **common,
+    )
+    built.services = service_dispatch.ServiceDispatch(
+        servers=platform.servers,
+        chooser=chooser,
+        **common,
+    )
+    built.claims = claims.Claims(
+        store=platform.store,
+        peers=platform.membership,
+        client=platform.rpc,
+        settings=chosen.claims,
+        time=platform.clock,
+        meter=platform.meter,
+    )
+    built.unrepeatable = unrepeatable.Unrepeatable(built.claims)
+    return built
+
+
+def engine_at(
+    platform: _entry_platform.EntryPlatform,
+    address: str,
+) -> engine.ModelEngine:
+    """Return a client of the engine at `ip:port`."""
+    return _engine_http.HttpModelEngine(
+        platform.rpc,
+        address,
+        timeout_s=platform.settings.control.order_timeout_ms / MS_PER_S,
+    )
+
+
+class _Replicas:
+    """Find the listed servers that hold a model."""
+
+    def __init__(
+        self,
+        plans: plan_view.PlanView,
+        platform: _entry_platform.EntryPlatform,
+    ) -> None:
+        self._plans = plans
+        self._servers = platform.servers
+
+    def of_model(
+        self,
+        model: ids.ModelName,
+    ) -> list[backend_server.BackendServer]:
+        by_id = self._servers.by_id
+        return [
+            by_id[replica.server]
+            for replica in self._plans.replicas_of(model)
+            if replica.server in by_id
+        ]
+
+
+def _suspects(
+    platform: _entry_platform.EntryPlatform,
+) -> crash_suspects.CrashSuspects:
+    this = platform.membership.this
+    own_name = f'{SUSPECTS}{this.instance_id}'
+    version = this.incarnation * VERSIONS_PER_START
+
+    def publish(counts: dict[str, int]) -> None:
+        nonlocal version
+        version += 1
+        text = msgspec.json.encode(counts).decode()
+        platform.documents.put(own_name, version, text)
+
+    suspects = crash_suspects.CrashSuspects(
+        limit=platform.settings.limits.crashes_per_request,
+        ticker=platform.clock,
+        publish=publish,
+    )
+
+    def take(newer: document.Document) -> None:
+        if newer.name != own_name:
+            counts = msgspec.json.decode(newer.text, type=dict[str, int])
+            suspects.take_from_peer(newer.name, counts)
+
+    platform.documents.on_newer(SUSPECTS, take)
+    return suspects
--- /dev/null
+++ b/oatcrank/adapter_loader.py
@@ -0,0 +1,142 @@
+"""Load adapters at demand, within this instance's share of the limit."""
+
+import asyncio
+import contextlib
+import uuid
+
+from oatcrank import (
+    backend_server,
+    engine,
+    errors,
+    ids,
+    members,
+    order,
+    plan_view,
+)
+
+TIMEOUT_S = 1.0
+READY_TRIES = 40
+READY_PAUSE_S = 0.005
+
+Key = tuple[str, ids.ModelName, ids.AdapterName]
+
+
+class AdapterLoader:
+    """Order adapters whose memory the plan has reserved."""
+
+    def __init__(
+        self,
+        *,
+        plans: plan_view.PlanView,
+        peers: members.Members,
+        in_transit: int,
+    ) -> None:
+        """Share in_transit loads at once with the other instances."""
+        self._plans = plans
+        self._peers = peers
+        self._in_transit = in_transit
+        self._loaded: set[Key] = set()
+        self._loading: dict[Key, asyncio.Task[None]] = {}
+        self._active = 0
+        self._changed = asyncio.Condition()
+
+    async def ensure(
+        self,
+        server: backend_server.BackendServer,
+        target: engine.ModelEngine,
+        model: ids.ModelName,
+        adapter: ids.AdapterName,
+    ) -> None:
+        """Return once the adapter is loaded; raises errors.NotLoaded."""
+        key = (server.listed.instance_id, model, adapter)
+        if key in self._loaded:
+            return
+        task = self._loading.get(key)
+        if task is None:
+            task = asyncio.create_task(self._load(key, target))
+            self._loading[key] = task
+            task.add_done_callback(lambda _: self._loading.pop(key))
+        await asyncio.shield(task)
+
+    def forget(
+        self,
+        server: backend_server.BackendServer,
+        model: ids.ModelName,
+    ) -> None:
+        """Forget what the server held of a model: it was not there."""
+        name = server.listed.instance_id
+        self._loaded = {
+            key for key in self._loaded if (key[0], key[1]) != (name, model)
+        }
+
+    async def _load(self, key: Key, target: engine.ModelEngine) -> None:
+        server, model, adapter = key
+        async with self._place():
+            await self._order(key, target)
+            for _ in range(READY_TRIES):
+                if await _holds(target, model, adapter):
+                    self._loaded.add(key)
+                    return
+                await asyncio.sleep(READY_PAUSE_S)
+        raise errors.NotLoaded(f'{server}: {adapter} did not load')
+
+    async def _order(self, key: Key, target: engine.ModelEngine) -> None:
+        server, model, adapter = key
+        fence = self._fence(server, model, adapter)
+        wanted = order.Order(
+            order_id=ids.OrderId(uuid.uuid4().hex),
+            fence=fence,
+            kind=order.OrderKind.load_adapter,
+            model=model,
+            adapter=adapter,
+        )
+        try:
+            await target.order(wanted, timeout_s=TIMEOUT_S)
+        except errors.PlatformError as error:
+            raise errors.NotLoaded(f'{server}: {adapter}: {error}') from error
+
+    def _fence(
+        self,
+        server: str,
+        model: ids.ModelName,
+        adapter: ids.AdapterName,
+    ) -> ids.Fence:
+        for replica in self._plans.replicas_of(model):
+            if replica.server == server and adapter in replica.adapters:
+                return max(
+                    known.fence
+                    for known in self._plans.plan_by_pool.values()
+                    if replica in known.replicas
+                )
+        raise errors.NotLoaded(f'{server}: no memory is reserved for {adapter}')
+
+    @contextlib.asynccontextmanager
+    async def _place(self):  # type: ignore[no-untyped-def]
+        async with self._changed:
+            await self._changed.wait_for(
+                lambda: self._active < max(1, self._share()),
+            )
+            self._active += 1
+        try:
+            yield
+        finally:
+            async with self._changed:
+                self._active -= 1
+                self._changed.notify_all()
+
+    def _share(self) -> int:
+        return self._in_transit // len(self._peers.alive())
+
+
+async def _holds(
+    target: engine.ModelEngine,
+    model: ids.ModelName,
+    adapter: ids.AdapterName,
+) -> bool:
+    try:
+        report = await target.report(timeout_s=TIMEOUT_S)
+    except errors.PlatformError:
+        return False
+    return any(
+        held.model == model and adapter in held.adapters for held in report.held
+    )
--- a/oatcrank/backend_servers.py
+++ b/oatcrank/backend_servers.py
@@ -22,7 +22,9 @@
     ) -> None:
         """Know no server until the list has been read."""
         self.by_id: dict[ids.ServerId, backend_server.BackendServer] = {}
+        self.entries: frozenset[str] = frozenset()
         self._listing = listing
+        self._known = False
         self._clock = ticker
 
     async def run(self, period_s: float) -> None:
@@ -42,6 +44,12 @@
 
     def take(self, listed: tuple[instance_list.Instance, ...]) -> None:
         """Replace what is known by a newer list, keeping counts."""
+        self._known = True
+        self.entries = frozenset(
+            one.instance_id
+            for one in listed
+            if one.kind is instance_list.Kind.entry
+        )
         found = {
             ids.ServerId(one.instance_id): one
             for one in listed
@@ -59,8 +67,10 @@
             else:
                 known.listed = one
 
-    def listed(self) -> tuple[instance_list.Instance, ...]:
-        """Return every backend server as last listed."""
+    def listed(self) -> tuple[instance_list.Instance, ...] | None:
+        """Return the backend servers as last listed, or None before that."""
+        if not self._known:
+            return None
         return tuple(server.listed for server in self.by_id.values())
 
     def of_service(
--- a/oatcrank/caller_handler.py
+++ b/oatcrank/caller_handler.py
@@ -43,6 +43,8 @@
         """Check the headers and that this instance may take new work."""
         self.checked = request_head.RequestHead(self.request.headers)
         self.set_header(request_head.REQUEST_ID_HEADER, self.checked.request_id)
+        if self.parts.members.this.leaving:
+            self.set_header('Connection', 'close')
         self.parts.check_in_service()
 
     def on_connection_close(self) -> None:
@@ -70,6 +72,7 @@
 
     async def run(self, work: Awaitable[None]) -> None:
         """Do the work and finish the answer."""
+        self.parts.begin()
         self._task = asyncio.ensure_future(work)  # type: ignore[arg-type]
         try:
             await self._task
@@ -79,6 +82,8 @@
         except refusal.Refused as refused:
             self._refuse(refused.refusal)
             return
+        finally:
+            self.parts.end()
         if not self.outlet.gone:
             await self._finish()
 
--- /dev/null
+++ b/oatcrank/control_handlers.py
@@ -0,0 +1,78 @@
+"""Answer controllers of other instances."""
+
+from typing import Any
+
+from oatcrank import (
+    control_peers,
+    demand_board,
+    demand_report,
+    demand_sender,
+    deposed,
+    deposed_reply,
+    idle_query,
+    ids,
+    json_handler,
+    leadership,
+    pool_control,
+)
+
+
+class DemandHandler(json_handler.JsonHandler):
+    """Take the demand that another instance has seen."""
+
+    def initialize(
+        self,
+        board: demand_board.DemandBoard,
+        lease: leadership.Leadership,
+    ) -> None:
+        """Take reports onto the board."""
+        self._board = board
+        self._lease = lease
+
+    async def post(self) -> None:
+        """Take one report."""
+        self._board.take(self.decode(demand_report.DemandReport))
+        controls = self._lease.held() is not None
+        self.answer(demand_report.Noted(controls))
+
+
+class IdleHandler(json_handler.JsonHandler):
+    """Say whether this instance is done with a replica."""
+
+    def initialize(self, own_idle: control_peers.OwnIdle) -> None:
+        """Ask the data path of this instance."""
+        self._own_idle = own_idle
+
+    async def post(self) -> None:
+        """Answer one query."""
+        query = self.decode(idle_query.IdleQuery)
+        self.answer(idle_query.IdleReply(self._own_idle(query)))
+
+
+class DeposedHandler(json_handler.JsonHandler):
+    """Learn that another instance controls now."""
+
+    def initialize(self, control: pool_control.PoolControl) -> None:
+        """Stop the controllers of this instance."""
+        self._control = control
+
+    async def post(self) -> None:
+        """Stop below the fence that follows the deposed one."""
+        former = self.decode(deposed.Deposed)
+        stopped = self._control.depose(ids.Fence(former.fence + 1))
+        self.answer(deposed_reply.DeposedReply(stopped))
+
+
+def routes(
+    *,
+    board: demand_board.DemandBoard,
+    lease: leadership.Leadership,
+    own_idle: control_peers.OwnIdle,
+    control: pool_control.PoolControl,
+) -> list[Any]:
+    """Return the routes between controllers and entry instances."""
+    return [
+        (demand_sender.PATH, DemandHandler, {'board': board, 'lease': lease}),
+        (control_peers.IDLE_PATH, IdleHandler, {'own_idle': own_idle}),
+        (control_peers.DEPOSED_PATH, DeposedHandler, {'control': control}),
+    ]
--- /dev/null
+++ b/oatcrank/control_peers.py
@@ -0,0 +1,121 @@
+"""Ask the other entry instances what a controller must know."""
+
+import asyncio
+from collections.abc import Callable
+
+from oatcrank import (
+    deposed,
+    deposed_reply,
+    engine,
+    errors,
+    idle_query,
+    ids,
+    instance_list,
+    member,
+    members,
+    placement,
+    plan,
+    rpc,
+)
+
+TIMEOUT_S = 1.0
+IDLE_PATH = '/internal/idle'
+DEPOSED_PATH = '/internal/deposed'
+
+Publish = Callable[[plan.Plan], None]
+NewPolicy = Callable[[], placement.Placement]
+EngineOf = Callable[[instance_list.Instance], engine.ModelEngine]
+OwnIdle = Callable[[idle_query.IdleQuery], bool]
+Listed = Callable[[], frozenset[str]]
+
+
+class ControlPeers:
+    """Ask all live instances; what can't be found out is False."""
+
+    def __init__(
+        self,
+        *,
+        peers: members.Members,
+        client: rpc.Rpc,
+        engine_of: EngineOf,
+        own_idle: OwnIdle,
+        listed_entries: Listed,
+    ) -> None:
+        """Answer for this instance by own_idle."""
+        self.engine_of = engine_of
+        self._peers = peers
+        self._rpc = client
+        self._own_idle = own_idle
+        self._listed_entries = listed_entries
+
+    async def idle(
+        self,
+        pool: ids.PoolName,
+        server: ids.ServerId,
+        model: ids.ModelName,
+        version: int,
+    ) -> bool:
+        """Tell whether every live instance is done with a replica."""
+        query = idle_query.IdleQuery(
+            pool=pool,
+            version=version,
+            server=server,
+            model=model,
+        )
+        if not self._own_idle(query):
+            return False
+        answers = await asyncio.gather(
+            *(self._peer_idle(peer, query) for peer in self._others()),
+        )
+        return all(answers)
+
+    async def has_stopped(self, former: deposed.Deposed) -> bool:
+        """Tell whether an earlier controller can send no more orders."""
+        if former.controller == self._peers.this.instance_id:
+            return former.incarnation < self._peers.this.incarnation
+        for peer in self._others():
+            if peer.instance_id == former.controller:
+                if peer.incarnation > former.incarnation:
+                    return True
+                return await self._peer_stopped(peer, former)
+        return former.controller not in self._listed_entries()
+
+    def _others(self) -> list[member.Member]:
+        this = self._peers.this.instance_id
+        return [
+            peer for peer in self._peers.alive() if peer.instance_id != this
+        ]
+
+    async def _peer_idle(
+        self,
+        peer: member.Member,
+        query: idle_query.IdleQuery,
+    ) -> bool:
+        try:
+            reply = await self._rpc.post(
+                peer.address,
+                IDLE_PATH,
+                query,
+                idle_query.IdleReply,
+                timeout_s=TIMEOUT_S,
+            )
+        except errors.OatcrankError:
+            return False
+        return reply.idle
+
+    async def _peer_stopped(
+        self,
+        peer: member.Member,
+        former: deposed.Deposed,
+    ) -> bool:
+        try:
+            reply = await self._rpc.post(
+                peer.address,
+                DEPOSED_PATH,
+                former,
+                deposed_reply.DeposedReply,
+                timeout_s=TIMEOUT_S,
+            )
+        except errors.OatcrankError:
+            return False
+        return reply.stopped
--- a/oatcrank/dispatch_queue.py
+++ b/oatcrank/dispatch_queue.py
@@ -44,6 +44,9 @@
         self.running_by_model: collections.Counter[ids.ModelName] = (
             collections.Counter()
         )
+        self._running_by_place: collections.Counter[
+            tuple[str, ids.ModelName]
+        ] = collections.Counter()
         self.service_s_by_model: dict[ids.ModelName, float] = {}
         self._servers = servers
         self._router = chooser
@@ -52,6 +55,17 @@
         self._waiting_by_model: dict[ids.ModelName, list[Waiter]] = {}
         self._absent_until: dict[tuple[str, ids.ModelName], float] = {}
 
+    def busy_models(self) -> set[ids.ModelName]:
+        """Return the models for which requests wait or run."""
+        running = {
+            model for model, count in self.running_by_model.items() if count
+        }
+        return running | set(self._waiting_by_model)
+
+    def is_idle(self, server: ids.ServerId, model: ids.ModelName) -> bool:
+        """Tell whether no request for the model runs on the server."""
+        return not self._running_by_place[server, model]
+
     def waiting(self, model: ids.ModelName) -> int:
         """Return how many requests wait for a model."""
         return len(self._waiting_by_model.get(model, ()))
@@ -78,6 +92,7 @@
         """Give back a place and let the most urgent request have it."""
         server.in_flight -= 1
         self.running_by_model[model] -= 1
+        self._running_by_place[server.listed.instance_id, model] -= 1
         self.wake()
 
     def served(self, model: ids.ModelName, seconds: float) -> None:
@@ -125,6 +140,8 @@
         if server is not None:
             server.in_flight += 1
             self.running_by_model[wanted.model] += 1
+            place = (server.listed.instance_id, wanted.model)
+            self._running_by_place[place] += 1
         return server
 
     def _present(
--- /dev/null
+++ b/oatcrank/entry.py
@@ -0,0 +1,136 @@
+"""Assemble and run one entry instance."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from tornado import httpserver, netutil, web
+
+from oatcrank import (
+    _entry_control,
+    _entry_platform,
+    _entry_serving,
+    address_handler,
+    background,
+    claim_handlers,
+    completion_handler,
+    internal_handlers,
+    logs,
+    operator_handlers,
+    service_handler,
+    settings,
+)
+
+MS_PER_S = 1000
+WAKE_PERIOD_S = 0.05
+NEWS_TRAVELS_S = 1.0
+
+
+class Entry:
+    """Hold the parts of one instance from its start to its planned stop."""
+
+    def __init__(self, chosen: settings.Settings) -> None:
+        """Do nothing before start."""
+        self.settings = chosen
+        self.platform = _entry_platform.EntryPlatform(chosen)
+        self._background = background.Background(self.platform.meter)
+        self._server: httpserver.HTTPServer
+
+    async def start(self) -> None:
+        """Join the other instances and listen."""
+        await self.platform.join()
+        self.serving = _entry_serving.build(self.platform)
+        self.control = _entry_control.EntryControl(self.platform, self.serving)
+        self._listen()
+        platform = self.platform
+        self._background.start('changes', platform.follower.run)
+        self._background.start('membership', platform.membership.run)
+        self._background.start('servers', self._read_servers)
+        self._background.start('lease', self.control.lease.run)
+        self._background.start('control', self.control.pools.run)
+        self._background.start('demand', self.control.sender.run)
+        self._background.start('queue', self._wake_queue)
+        logs.event('started', address=self.settings.address)
+
+    async def stop(self) -> None:
+        """Leave without cutting a request, then end."""
+        logs.event('leaving')
+        self.platform.membership.leave()
+        await self.control.lease.release()
+        await asyncio.sleep(
+            self.settings.limits.address_keep_s + NEWS_TRAVELS_S,
+        )
+        await self._finish_running()
+        self._server.stop()
+        await self._background.close()
+        await self.serving.unrepeatable.close()
+        self.platform.close()
+        logs.event('stopped')
+
+    async def _finish_running(self) -> None:
+        grace_s = self.settings.limits.stop_grace_s
+        try:
+            async with asyncio.timeout(grace_s):
+                await self.serving.quiet()
+                await self.serving.unrepeatable.drain()
+        except TimeoutError:
+            logs.event('stopped_in_progress', running=self.serving.running)
+
+    async def _read_servers(self) -> None:
+        period_s = self.settings.platform.list_period_ms / MS_PER_S
+        await self.platform.servers.run(period_s)
+
+    async def _wake_queue(self) -> None:
+        while True:
+            self.serving.places.wake()
+            await asyncio.sleep(WAKE_PERIOD_S)
+
+    def _listen(self) -> None:
+        self._server = httpserver.HTTPServer(
+            web.Application(self._routes()),
+            max_body_size=self.settings.limits.body_bytes,
+        )
+        listen = self.settings.listen
+        sockets = netutil.bind_sockets(listen.port, listen.host)
+        self._server.add_sockets(sockets)
+
+    def _routes(self) -> list[Any]:
+        parts = {'parts': self.serving}
+        return [
+            ('/v1/addresses', address_handler.AddressHandler, parts),
+            (
+                '/v1(?:/chat)?/completions',
+                completion_handler.CompletionHandler,
+                parts,
+            ),
+            (
+                '/v1/services/([^/]+)/(.*)',
+                service_handler.ServiceHandler,
+                parts,
+            ),
+            *operator_handlers.routes(self._configuration()),
+            *internal_handlers.routes(
+                self.platform.membership,
+                self.platform.changes,
+            ),
+            *claim_handlers.routes(self.serving.claims),
+            *self.control.routes(),
+        ]
+
+    def _configuration(self) -> operator_handlers.Configuration:
+        return operator_handlers.Configuration(
+            log=self.platform.changes,
+            snapshots=self.platform.snapshots,
+            writer=self.platform.writer,
+            follower=self.platform.follower,
+            membership=self.platform.membership,
+            sections=self._sections,
+        )
+
+    def _sections(self) -> dict[str, Any]:
+        plans = self.control.plans.plan_by_pool.values()
+        return {
+            'controls': self.control.lease.held() is not None,
+            'plans': [msgspec.to_builtins(known) for known in plans],
+            'running': self.serving.running,
+        }
--- /dev/null
+++ b/oatcrank/plan_view.py
@@ -0,0 +1,54 @@
+"""Find where each model is loaded, by the newest plan of each pool."""
+
+from collections.abc import Callable
+
+from oatcrank import ids, plan
+
+Listener = Callable[[plan.Plan], None]
+
+
+class PlanView:
+    """Keep the newest plan of each pool, indexed by model."""
+
+    def __init__(self) -> None:
+        """Know no plan."""
+        self.plan_by_pool: dict[ids.PoolName, plan.Plan] = {}
+        self._replicas_by_model: dict[
+            ids.ModelName,
+            tuple[plan.Replica, ...],
+        ] = {}
+        self._listeners: list[Listener] = []
+
+    def on_newer(self, listener: Listener) -> None:
+        """Call a listener with each newer plan."""
+        self._listeners.append(listener)
+
+    def take(self, newer: plan.Plan) -> bool:
+        """Take a plan unless a newer one of its pool is known."""
+        known = self.plan_by_pool.get(newer.pool)
+        if known is not None and known.version >= newer.version:
+            return False
+        self.plan_by_pool[newer.pool] = newer
+        self._index()
+        for listener in self._listeners:
+            listener(newer)
+        return True
+
+    def version(self, pool: ids.PoolName) -> int:
+        """Return the version of a pool's plan, or 0 if none is known."""
+        known = self.plan_by_pool.get(pool)
+        return 0 if known is None else known.version
+
+    def replicas_of(self, model: ids.ModelName) -> tuple[plan.Replica, ...]:
+        """Return the replicas that take requests for a model."""
+        return self._replicas_by_model.get(model, ())
+
+    def _index(self) -> None:
+        found: dict[ids.ModelName, list[plan.Replica]] = {}
+        for known in self.plan_by_pool.values():
+            for replica in known.replicas:
+                if replica.state is plan.ReplicaState.loaded:
+                    found.setdefault(replica.model, []).append(replica)
+        self._replicas_by_model = {
+            model: tuple(replicas) for model, replicas in found.items()
+        }
--- /dev/null
+++ b/oatcrank/pool_control.py
@@ -0,0 +1,125 @@
+"""Run the controllers of all pools of one weight store, under one lease."""
+
+import asyncio
+
+from oatcrank import (
+    control_ports,
+    deposed,
+    errors,
+    ids,
+    instance_list,
+    load_budget,
+    logs,
+    model_need,
+    pool_control_parts,
+    pool_controller,
+    weight_store,
+)
+
+CATALOGUE_PERIOD_S = 30.0
+CATALOGUE_RETRY_S = 1.0
+POOLS_PERIOD_S = 0.5
+
+NeedByModel = dict[ids.ModelName, model_need.ModelNeed]
+
+
+class PoolControl:
+    """Start a controller for each pool that the platform lists."""
+
+    def __init__(self, parts: pool_control_parts.PoolControlParts) -> None:
+        """Control nothing before run."""
+        self._parts = parts
+        self._catalogue = weight_store.Catalogue()
+        self._budget = load_budget.LoadBudget(
+            parts.settings.weight_store,
+            parts.clock,
+        )
+        self._controller_by_pool: dict[
+            ids.PoolName,
+            pool_controller.PoolController,
+        ] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Start controllers for pools as they come, until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._read_catalogue())
+                while True:
+                    self._start_new_pools(group)
+                    await asyncio.sleep(POOLS_PERIOD_S)
+        finally:
+            logs.event('control_ended')
+
+    def depose(self, fence: ids.Fence) -> bool:
+        """Stop below a fence; return whether nothing more can be sent."""
+        stopped = [
+            controller.depose(fence)
+            for controller in self._controller_by_pool.values()
+        ]
+        return all(stopped)
+
+    def _start_new_pools(self, group: asyncio.TaskGroup) -> None:
+        pools = {
+            server.pool
+            for server in self._parts.servers.listed() or ()
+            if server.kind is instance_list.Kind.engine
+        }
+        for pool in pools - self._controller_by_pool.keys():
+            controller = pool_controller.PoolController(
+                pool,
+                self._ports(pool),
+                self._parts.settings.control,
+                self._budget,
+                time_source=self._parts.clock,
+            )
+            self._controller_by_pool[pool] = controller
+            group.create_task(controller.run())
+
+    def _ports(self, pool: ids.PoolName) -> control_ports.ControlPorts:
+        async def idle(
+            server: ids.ServerId,
+            model: ids.ModelName,
+            version: int,
+        ) -> bool:
+            return await self._parts.asking.idle(pool, server, model, version)
+
+        async def has_stopped(former: deposed.Deposed) -> bool:
+            return await self._parts.asking.has_stopped(former)
+
+        return control_ports.ControlPorts(
+            this=self._parts.peers.this,
+            lease=self._parts.lease,
+            store=self._parts.store,
+            policy=self._parts.new_policy(),
+            metrics=self._parts.metrics,
+            listed=self._parts.servers.listed,
+            engine_of=self._parts.asking.engine_of,
+            needs=lambda: self._needs(pool),
+            demand=self._parts.board.read,
+            idle=idle,
+            has_stopped=has_stopped,
+            publish=self._parts.publish,
+        )
+
+    def _needs(self, pool: ids.PoolName) -> NeedByModel:
+        needs = model_need.needs_of(
+            self._catalogue,
+            pool,
+            self._parts.book.adapters_of,
+        )
+        return {
+            model: need
+            for model, need in needs.items()
+            if model in self._parts.book.models
+        }
+
+    async def _read_catalogue(self) -> None:
+        while True:
+            try:
+                self._catalogue = await self._parts.weights.catalogue()
+            except errors.PlatformError as error:
+                logs.event('catalogue_unavailable', error=error)
+                await asyncio.sleep(CATALOGUE_RETRY_S)
+            else:
+                await asyncio.sleep(CATALOGUE_PERIOD_S)
--- /dev/null
+++ b/oatcrank/pool_control_parts.py
@@ -0,0 +1,36 @@
+"""Hold what the control of pools is made of."""
+
+import dataclasses
+
+from oatcrank import (
+    backend_servers,
+    clock,
+    control_peers,
+    demand_board,
+    keyvalue,
+    leadership,
+    members,
+    metrics,
+    profile_book,
+    settings,
+    weight_store,
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PoolControlParts:
+    """Hold the neighbours of all pools' controllers of one process."""
+
+    settings: settings.Settings
+    clock: clock.Clock
+    store: keyvalue.KeyValue
+    weights: weight_store.WeightStore
+    lease: leadership.Leadership
+    servers: backend_servers.BackendServers
+    peers: members.Members
+    asking: control_peers.ControlPeers
+    board: demand_board.DemandBoard
+    book: profile_book.ProfileBook
+    metrics: metrics.Metrics
+    publish: control_peers.Publish
+    new_policy: control_peers.NewPolicy
--- /dev/null
+++ b/oatcrank/profile_book.py
@@ -0,0 +1,62 @@
+"""Tell what the profiles in force ask of each model."""
+
+from collections.abc import Iterable, Mapping
+
+from oatcrank import ids, profile
+
+MS_PER_S = 1000
+WEIGHT_BY_PRIORITY = {
+    profile.Priority.high: 4.0,
+    profile.Priority.normal: 1.0,
+    profile.Priority.low: 0.25,
+}
+NO_TARGET_S = 1.0
+
+
+class ProfileBook:
+    """Index the profiles by model; rebuilt when a change is applied."""
+
+    def __init__(self) -> None:
+        """Know no profile."""
+        self._first_token_s: dict[ids.ModelName, float] = {}
+        self._weight: dict[ids.ModelName, float] = {}
+        self._adapters: dict[ids.ModelName, set[ids.AdapterName]] = {}
+
+    def rebuild(self, profiles: Iterable[profile.Profile]) -> None:
+        """Take the profiles now in force."""
+        first_token_s: dict[ids.ModelName, float] = {}
+        weight: dict[ids.ModelName, float] = {}
+        adapters: dict[ids.ModelName, set[ids.AdapterName]] = {}
+        for known in profiles:
+            own_weight = WEIGHT_BY_PRIORITY[known.priority]
+            target_s = known.targets.first_token_ms / MS_PER_S
+            for model in known.models:
+                first_token_s[model] = min(
+                    first_token_s.get(model, target_s),
+                    target_s,
+                )
+                weight[model] = max(weight.get(model, 0), own_weight)
+                adapters.setdefault(model, set()).update(known.adapters)
+        self._first_token_s = first_token_s
+        self._weight = weight
+        self._adapters = adapters
+
+    @property
+    def models(self) -> Mapping[ids.ModelName, float]:
+        """Return the weight of each model that a profile covers."""
+        return self._weight
+
+    def first_token_s(self, model: ids.ModelName) -> float:
+        """Return the strictest target for a model's first token."""
+        return self._first_token_s.get(model, NO_TARGET_S)
+
+    def weight(self, model: ids.ModelName) -> float:
+        """Return the weight of a model, by its highest priority."""
+        return self._weight.get(model, 1)
+
+    def adapters_of(
+        self,
+        model: ids.ModelName,
+    ) -> tuple[ids.AdapterName, ...]:
+        """Return the adapters named by profiles that cover a model."""
+        return tuple(sorted(self._adapters.get(model, ())))
--- /dev/null
+++ b/oatcrank/serve_command.py
@@ -0,0 +1,57 @@
+"""Run an entry instance: `oatcrank serve`."""
+
+import argparse
+import asyncio
+import pathlib
+import signal
+import sys
+
+from oatcrank import (
+    checked_settings,
+    command,
+    entry,
+    errors,
+    logs,
+    settings,
+)
+
+
+class ServeCommand(command.Command):
+    """Be `oatcrank serve`."""
+
+    name = 'serve'
+    summary = 'run an entry instance until it is told to stop (SIGTERM)'
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Describe the arguments."""
+        parser.add_argument(
+            '--settings',
+            type=pathlib.Path,
+            required=True,
+            metavar='FILE',
+            help='settings, JSON with comments; see docs/SETTINGS.md',
+        )
+
+    def run(self, options: argparse.Namespace) -> command.ExitStatus:
+        """Serve; a first SIGTERM or SIGINT stops without cutting requests."""
+        try:
+            chosen = checked_settings.read(options.settings)
+        except errors.SettingsError as error:
+            sys.stderr.write(f'{error}\n')
+            return command.ExitStatus.usage
+        logs.start(chosen.instance_id)
+        asyncio.run(_serve(chosen))
+        return command.ExitStatus.success
+
+
+async def _serve(chosen: settings.Settings) -> None:
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    instance = entry.Entry(chosen)
+    await instance.start()
+    sys.stdout.write(f'ready entry {chosen.address}\n')
+    sys.stdout.flush()
+    await told.wait()
+    await instance.stop()
--- a/oatcrank/serving.py
+++ b/oatcrank/serving.py
@@ -1,15 +1,18 @@
 """Hold the parts that serve callers on one instance."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 from oatcrank import (
+    claims,
     clock,
     dispatch_queue,
     ids,
     members,
     metrics,
     model_dispatch,
+    plan_view,
     profile,
     refusal,
     service_dispatch,
@@ -45,9 +48,28 @@
         self.models: model_dispatch.ModelDispatch
         self.services: service_dispatch.ServiceDispatch
         self.unrepeatable: unrepeatable.Unrepeatable
+        self.plans: plan_view.PlanView
+        self.claims: claims.Claims
         self.running = 0
+        self._quiet = asyncio.Event()
+        self._quiet.set()
         self._isolated = isolated
 
+    def begin(self) -> None:
+        """Count a request that has begun."""
+        self.running += 1
+        self._quiet.clear()
+
+    def end(self) -> None:
+        """Count a request that has ended."""
+        self.running -= 1
+        if not self.running:
+            self._quiet.set()
+
+    async def quiet(self) -> None:
+        """Return once no request runs."""
+        await self._quiet.wait()
+
     def check_in_service(self) -> None:
         """Refuse new work while changes of profiles could go unseen."""
         if not self._isolated():
--- a/oatcrank/unrepeatable.py
+++ b/oatcrank/unrepeatable.py
@@ -58,6 +58,10 @@
             await asyncio.wait(self._tasks)
         await self._claims.drain()
 
+    async def close(self) -> None:
+        """Stop; ends that are not recorded are lost."""
+        await self._claims.close()
+
     async def _run_claimed(
         self,
         wanted: job.Job,
--- a/oatcrank/upstream.py
+++ b/oatcrank/upstream.py
@@ -56,6 +56,7 @@
         )
         watch = asyncio.create_task(self._watch(probe))
         try:
+            headers['Host'] = address
             connection.write_headers(start_line, headers, body)
             connection.finish()
             await connection.read_response(self)
