--- /dev/null
+++ b/oatcrank/change_refusal.py
@@ -0,0 +1,53 @@
+"""Turn the configuration's errors into refusals."""
+
+from http import HTTPStatus
+
+from oatcrank import change_errors, ids, profile_state, refusal
+
+RETRY_AFTER_S = 1.0
+
+
+class ChangeRefusal(refusal.Refusal, frozen=True, kw_only=True):
+    """Add what the operator needs for the next attempt."""
+
+    change_id: ids.ChangeId
+    current: profile_state.ProfileState | None = None
+
+
+def refusal_of(
+    error: change_errors.ConfigurationError,
+    change_id: ids.ChangeId,
+) -> ChangeRefusal:
+    """Return what to tell the operator of a change that was not accepted."""
+    if isinstance(error, change_errors.ChangeConflict):
+        return ChangeRefusal(
+            code=refusal.Code.conflict,
+            message=f'{error}; look at it, then base the change on that',
+            run_state=refusal.RunState.did_not_run,
+            status=HTTPStatus.CONFLICT,
+            change_id=change_id,
+            current=error.current,
+        )
+    if isinstance(error, change_errors.ChangeUnknown):
+        return ChangeRefusal(
+            code=refusal.Code.outcome_unknown,
+            message=f'{error}; send the same change again with this change_id',
+            run_state=refusal.RunState.may_have_run,
+            retry_after_s=RETRY_AFTER_S,
+            change_id=change_id,
+        )
+    if isinstance(error, change_errors.ChangeNotMade):
+        return ChangeRefusal(
+            code=refusal.Code.platform_unavailable,
+            message=f'this sending had no effect: {error}; send it again',
+            run_state=refusal.RunState.did_not_run,
+            retry_after_s=RETRY_AFTER_S,
+            change_id=change_id,
+        )
+    return ChangeRefusal(
+        code=refusal.Code.bad_request,
+        message=str(error),
+        run_state=refusal.RunState.did_not_run,
+        status=HTTPStatus.BAD_REQUEST,
+        change_id=change_id,
+    )
--- /dev/null
+++ b/oatcrank/incarnation.py
@@ -0,0 +1,31 @@
+"""Count the starts of an instance that keeps nothing."""
+
+from oatcrank import errors, ids, keyvalue, logs
+
+ATTEMPTS = 3
+FIRST = 1
+
+
+async def count_start(
+    store: keyvalue.KeyValue,
+    instance_id: ids.InstanceId,
+) -> int:
+    """Return a number above all earlier starts', or 1 in an outage.
+
+    After an outage, membership raises it above what peers remember.
+    """
+    key = f'incarnations/{instance_id}'
+    for _ in range(ATTEMPTS):
+        try:
+            return await _raise(store, key)
+        except errors.PlatformError as error:
+            logs.event('start_uncounted', error=error)
+    return FIRST
+
+
+async def _raise(store: keyvalue.KeyValue, key: str) -> int:
+    entry = await store.get(key)
+    count = FIRST if entry is None else int(entry.value) + 1
+    revision = keyvalue.ABSENT if entry is None else entry.revision
+    await store.put(key, str(count), expected=revision)
+    return count
--- /dev/null
+++ b/oatcrank/operator_messages.py
@@ -0,0 +1,42 @@
+"""Carry what operators ask and are told."""
+
+from typing import Any
+
+import msgspec
+
+from oatcrank import change, ids, member, profile_state
+from oatcrank import profile as profiles
+
+
+class ChangeRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask for a change; without a change_id one is chosen."""
+
+    who: str
+    based_on: ids.Revision = ids.Revision(0)
+    change_id: ids.ChangeId = ids.ChangeId('')
+    profile: profiles.Profile | None = None
+
+
+class ProfileList(msgspec.Struct, frozen=True, kw_only=True):
+    """List the profiles in force, ordered by name."""
+
+    newest: int
+    profiles: tuple[profile_state.ProfileState, ...]
+
+
+class ChangeList(msgspec.Struct, frozen=True, kw_only=True):
+    """List changes in order; newest is the log's last number here."""
+
+    newest: int
+    changes: tuple[change.Change, ...]
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one instance and what it knows of the others."""
+
+    this: member.Member
+    members: tuple[member.Member, ...]
+    newest_change: int
+    isolated: bool
+    version_by_name: dict[str, int]
+    sections: dict[str, Any] = {}
