--- /dev/null
+++ b/oatcrank/change_table.py
@@ -0,0 +1,43 @@
+"""Write changes as a text table."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from oatcrank import change, table
+from oatcrank import profile as profiles
+
+HEADS = ('number', 'when', 'who', 'kind', 'profile', 'what')
+
+
+def text(changes: Iterable[change.Change]) -> str:
+    """Return one line for each change."""
+    return table.text(
+        HEADS,
+        (
+            (
+                found.number,
+                found.when,
+                found.who,
+                found.kind.value,
+                found.profile,
+                _what(found.before, found.after),
+            )
+            for found in changes
+        ),
+    )
+
+
+def _what(
+    before: profiles.Profile | None,
+    after: profiles.Profile | None,
+) -> str:
+    if before is None or after is None:
+        return ''
+    old = msgspec.to_builtins(before)
+    new = msgspec.to_builtins(after)
+    return '; '.join(
+        f'{name}: {old[name]} -> {new[name]}'
+        for name in old
+        if old[name] != new[name]
+    )
--- a/oatcrank/check_settings_command.py
+++ b/oatcrank/check_settings_command.py
@@ -1,28 +1,31 @@
-"""Check a settings file: `oatcrank check-settings`."""
+"""Check a settings file without starting anything."""
 
 import argparse
-import pathlib
 import sys
 
-from oatcrank import checked_settings, command, errors
+from oatcrank import checked_file, command, errors, settings, settings_check
 
 
 class CheckSettingsCommand(command.Command):
-    """Be `oatcrank check-settings`."""
+    """Report every fault of a settings file at once."""
 
     name = 'check-settings'
-    summary = 'name every fault of a settings file, and start nothing'
+    summary = 'check a settings file and report all its faults'
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Describe the arguments."""
-        parser.add_argument('file', type=pathlib.Path)
+        parser.add_argument('file', help='settings in JSON with comments')
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
-        """Print the faults, or that there are none."""
+        """Check the file; faults go to standard error."""
         try:
-            checked_settings.read(options.file)
+            checked_file.read(
+                options.file,
+                settings.Settings,
+                settings_check.faults,
+            )
         except errors.SettingsError as error:
             sys.stderr.write(f'{error}\n')
-            return command.ExitStatus.usage
-        print(f'{options.file}: no faults')
+            return command.ExitStatus.failed
+        sys.stdout.write(f'{options.file}: good\n')
         return command.ExitStatus.success
--- a/oatcrank/checked_file.py
+++ b/oatcrank/checked_file.py
@@ -1,6 +1,8 @@
-"""Read a file of JSON with comments and name every fault in it at once."""
+"""Read files of JSON with comments and report all their faults at once."""
 
+import json
 import pathlib
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, TypeVar
 
 import jsonc
@@ -9,47 +11,110 @@
 
 from oatcrank import errors
 
-Checked = TypeVar('Checked')
+SHOWN_CHARACTERS = 60
 
+Content = TypeVar('Content')
+Check = Callable[[Content], Iterable[str]]
 
-def read(path: pathlib.Path, wanted: type[Checked]) -> Checked:
-    """Return the file's content; raises errors.SettingsError."""
+
+def read(
+    path: str,
+    content_type: type[Content],
+    check: Check[Content],
+) -> Content:
+    """Return a file's content; raises errors.SettingsError."""
     try:
-        text = path.read_text(encoding='utf-8')
+        text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(f'{path}: {error}') from error
+    return parse(path, text, content_type, check)
+
+
+def parse(
+    name: str,
+    text: str,
+    content_type: type[Content],
+    check: Check[Content],
+) -> Content:
+    """Return a text's content; raises errors.SettingsError."""
     try:
         found = jsonc.loads(text)
     except ValueError as error:
-        raise errors.SettingsError(
-            f'{path}: not JSON with comments: {error}',
-        ) from error
-    return checked(found, wanted, name=str(path))
-
-
-def checked(found: Any, wanted: type[Checked], *, name: str) -> Checked:
-    """Return the content as a message; raises errors.SettingsError."""
-    schema = msgspec.json.schema(wanted)
-    faults = sorted(
-        jsonschema.Draft202012Validator(schema).iter_errors(found),
-        key=lambda fault: [str(part) for part in fault.absolute_path],
-    )
+        raise errors.SettingsError(f'{name}: not JSON: {error}') from error
+    faults = list(_schema_faults(found, content_type))
+    if not faults:
+        content = _converted(name, found, content_type)
+        faults = list(check(content))
     if faults:
-        lines = [f'{name}: {_told(fault)}' for fault in faults]
-        raise errors.SettingsError('\n'.join(lines))
+        lines = '\n'.join(f'  {fault}' for fault in faults)
+        raise errors.SettingsError(f'{name}:\n{lines}')
+    return content
+
+
+def _converted(
+    name: str,
+    found: object,
+    content_type: type[Content],
+) -> Content:
     try:
-        return msgspec.convert(found, type=wanted)
+        return msgspec.convert(found, content_type)
     except msgspec.ValidationError as error:
-        raise errors.SettingsError(f'{name}: {error}') from error
-
-
-def _told(fault: jsonschema.ValidationError) -> str:
-    path = '.'.join(str(part) for part in fault.absolute_path) or '(top)'
-    allowed = ''
-    if fault.validator == 'additionalProperties':
-        known = ', '.join(sorted(fault.schema.get('properties', ())))
-        allowed = f'; known fields: {known}'
-    elif fault.validator == 'required':
-        needed = ', '.join(fault.validator_value)
-        allowed = f'; required fields: {needed}'
-    return f'{path}: {fault.message}{allowed}'
+        raise errors.SettingsError(f'{name}:\n  {error}') from error
+
+
+def _schema_faults(found: object, content_type: type[Any]) -> Iterator[str]:
+    schema = msgspec.json.schema(content_type)
+    checker = jsonschema.Draft202012Validator(schema)
+    for error in sorted(checker.iter_errors(found), key=_path):
+        yield from _described(error)
+
+
+def _described(error: Any) -> Iterator[str]:
+    if error.context:
+        # A union: the faults of its alternatives that have the right type.
+        inner = [
+            one
+            for one in error.context
+            if one.validator != 'type' or one.relative_path
+        ]
+        for one in inner or [error.context[0]]:
+            yield from _described(one)
+        return
+    path = _path(error)
+    known = error.schema.get('properties', {})
+    match error.validator:
+        case 'required':
+            # The library tells each missing name only in its message.
+            name = error.message.split("'")[1]
+            yield f'{_joined(path, name)}: missing; it must be given'
+        case 'additionalProperties':
+            for name in error.instance:
+                if name not in known:
+                    yield (
+                        f'{_joined(path, name)}: unknown; '
+                        + f'allowed here: {", ".join(known)}'
+                    )
+        case _:
+            yield (
+                f'{path or "the file"}: found {_shown(error.instance)}; '
+                + f'allowed: {_allowed(error)}'
+            )
+
+
+def _path(error: Any) -> str:
+    return '.'.join(str(part) for part in error.absolute_path)
+
+
+def _joined(path: str, name: str) -> str:
+    return f'{path}.{name}' if path else name
+
+
+def _shown(found: object) -> str:
+    return json.dumps(found, ensure_ascii=False)[:SHOWN_CHARACTERS]
+
+
+def _allowed(error: Any) -> str:
+    allowed = error.validator_value
+    if isinstance(allowed, list):
+        return ', '.join(_shown(one) for one in allowed)
+    return f'{error.validator} {allowed}'
--- a/oatcrank/operator_handlers.py
+++ b/oatcrank/operator_handlers.py
@@ -20,6 +20,7 @@
     membership,
     operator_messages,
     operator_refusals,
+    profile_check,
     refusal,
     snapshot_store,
 )
@@ -53,6 +54,10 @@
         status: int = HTTPStatus.OK,
     ) -> None:
         """Try a change and answer how it ended."""
+        if asked.profile is not None:
+            faults = '; '.join(profile_check.faults(asked.profile))
+            if faults:
+                raise refusal.Refused(operator_refusals.bad_request(faults))
         change_id = asked.change_id or ids.ChangeId(uuid.uuid4().hex)
         proposal = change.Proposal(
             change_id=change_id,
@@ -138,8 +143,18 @@
         )
 
     async def delete(self, name: str) -> None:
-        """Retire a profile."""
-        asked = self.decode(operator_messages.ChangeRequest)
+        """Retire a profile; query arguments, as DELETE has no body."""
+        based_on = self.get_query_argument('based_on', '0')
+        if not based_on.isdecimal():
+            raise refusal.Refused(
+                operator_refusals.bad_request('based_on is a revision from 0'),
+            )
+        change_id = self.get_query_argument('change_id', '')
+        asked = operator_messages.ChangeRequest(
+            who=self.get_query_argument('who', ''),
+            based_on=ids.Revision(int(based_on)),
+            change_id=ids.ChangeId(change_id),
+        )
         await self.accept(
             change.ChangeKind.retire,
             ids.ProfileName(name),
