Make the search over control's faults denser

Cause: the state machine passed with the mechanism switched off.

Change: one server, two models that exclude each other, and rules that run a whole load or swap with one fault and one event in the middle.

No test fails yet with the report lag left out, the block on reloading left out, the check before the send left out, or the restart of the times at a takeover left out.

Conclusion: those four are argued in docs/CONTROL.md and not shown by a test.

--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -238,105 +238,158 @@
     assert world.state('s0', 'a') == ''
 
 
-SERVERS = st.sampled_from(['s0', 's1'])
-MODELS = st.sampled_from(sorted(control_world.SIZES))
-NUMBERS = st.sampled_from([0, 1])
+SERVER = 's0'
+FAULT = st.sampled_from([None, *FAULTS, Fault.double, Fault.freeze])
+EVENTS = ('', 'work', 'depose', 'freeze', 'restart_process', 'restart_engine')
+NOISE = (
+    *EVENTS,
+    'lag',
+    'no_lag',
+    'lose_answer',
+    'lose_request',
+    'other',
+    'wake',
+    'deliver',
+    'end_work',
+    'wait',
+)
+EVENT = st.sampled_from(EVENTS)
+OTHER = {'a': 'b', 'b': 'a'}
 
 
 class ControlMachine(stateful.RuleBasedStateMachine):
-    """Mix moves, work, takeovers, freezes, restarts and lost orders."""
+    """Mix moves, work, takeovers, freezes, restarts and lost orders.
+
+    Models a and b do not fit beside each other on the one server.
+    """
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = control_world.World()
+        self.world = control_world.World((False,))
+        self.leader = 0
         self.world.lead(0)
         self.world.rounds(0, 1)
 
+    @stateful.rule(fault=FAULT, event=EVENT)
+    def load(self, fault: memory_engine.Fault | None, event: str) -> None:
+        """Load a or b, whichever fits."""
+        self.order(fault)
+        for _ in range(3):
+            self.world.move('load', SERVER, 'a')
+            self.world.move('load', SERVER, 'b')
+            self.lead_on()
+        self.happen(event)
+
     @stateful.rule(
-        kind=st.sampled_from(['load', 'unload']),
-        server=SERVERS,
-        model=MODELS,
-        number=NUMBERS,
-        times=st.integers(1, 3),
+        fault=FAULT,
+        reload=st.booleans(),
+        event=EVENT,
+        times=st.integers(4, 30),
+        ending=st.sampled_from(['', 'deliver', 'wake']),
     )
-    def move(
+    def swap(
         self,
-        kind: str,
-        server: str,
-        model: str,
-        number: int,
+        fault: memory_engine.Fault | None,
+        reload: bool,
+        event: str,
         times: int,
+        ending: str,
     ) -> None:
-        self.world.move(kind, server, model)
-        self.work_on(number, times)
-
-    @stateful.rule(number=NUMBERS, times=st.integers(1, 4))
-    def work_on(self, number: int, times: int) -> None:
+        """Unload a model; then ask for the other one, or for it again."""
+        found = self.world.engines[SERVER].models()
+        self.order(fault)
+        for model in found:
+            self.world.move('unload', SERVER, model)
+        self.lead_on()
+        self.happen(event)
         for _ in range(times):
-            self.world.clock.advance(0.3)
-            if not self.world.processes[number].frozen:
-                self.world.processes[number].round()
-
-    @stateful.rule(seconds=st.sampled_from([1.0, 2.1, 3.1, 5.1, 7.1]))
-    def wait(self, seconds: float) -> None:
-        self.world.clock.advance(seconds)
+            for model in found:
+                wanted = model if reload else OTHER[model]
+                self.world.move('load', SERVER, wanted)
+            self.lead_on()
+            self.world.see()
+        if reload:
+            self.start_work()
+        self.happen(ending)
+
+    @stateful.rule(event=st.sampled_from(NOISE))
+    def happen(self, event: str) -> None:
+        """Let one event happen by its name."""
+        if event:
+            getattr(self, event)()
+
+    def order(self, fault: memory_engine.Fault | None) -> None:
+        """Let the next order meet a fault."""
+        self.world.engines[SERVER].faults.clear()
+        if fault is not None:
+            self.world.engines[SERVER].faults.append(fault)
+
+    def lead_on(self) -> None:
+        self.world.clock.advance(0.3)
+        if not self.world.processes[self.leader].frozen:
+            self.world.processes[self.leader].round()
+
+    def other(self) -> None:
+        other = self.world.processes[1 - self.leader]
+        if not other.frozen:
+            other.round()
+
+    def wait(self) -> None:
+        self.world.clock.advance(2.1)
+
+    def work(self) -> None:
+        self.start_work()
+
+    def start_work(self) -> None:
+        for model in self.world.engines[SERVER].models():
+            self.world.start_work(SERVER, model)
 
-    @stateful.rule()
-    def see(self) -> None:
-        self.world.see()
-
-    @stateful.rule(server=SERVERS, model=MODELS)
-    def start_work(self, server: str, model: str) -> None:
-        self.world.start_work(server, model)
-
-    @stateful.rule()
     def end_work(self) -> None:
+        self.world.see()
         if self.world.work:
             self.world.end_work()
 
-    @stateful.rule(server=SERVERS, fault=st.sampled_from(FAULTS))
-    def fault(self, server: str, fault: memory_engine.Fault) -> None:
-        self.world.engines[server].faults.append(fault)
-
-    @stateful.rule(server=SERVERS, index=st.integers(0, 3))
-    def deliver(self, server: str, index: int) -> None:
-        backend = self.world.engines[server]
-        if index < len(backend.late):
-            backend.deliver(index)
-
-    @stateful.rule(server=SERVERS, lag_s=st.sampled_from([0, 1.0, 2.0]))
-    def lag(self, server: str, lag_s: float) -> None:
-        self.world.engines[server].lag_s = lag_s
-
-    @stateful.rule(server=SERVERS)
-    def restart_engine(self, server: str) -> None:
-        self.world.engines[server].restart()
-        self.world.work = [
-            pair for pair in self.world.work if pair[0] != server
-        ]
-
-    @stateful.rule(number=NUMBERS)
-    def take_over(self, number: int) -> None:
-        self.world.lead(number)
-
-    @stateful.rule(number=NUMBERS)
-    def freeze(self, number: int) -> None:
-        self.world.processes[number].frozen = True
-
-    @stateful.rule(number=NUMBERS)
-    def wake(self, number: int) -> None:
-        self.world.processes[number].frozen = False
+    def deliver(self) -> None:
+        backend = self.world.engines[SERVER]
+        while backend.late:
+            backend.deliver(0)
+
+    def lag(self) -> None:
+        self.world.engines[SERVER].lag_s = control_world.LAG_S
+
+    def no_lag(self) -> None:
+        self.world.engines[SERVER].lag_s = 0
+
+    def restart_engine(self) -> None:
+        self.world.engines[SERVER].restart()
+        self.world.work.clear()
+
+    def depose(self) -> None:
+        """Pass the lease on, the former holder unaware."""
+        self.leader = 1 - self.leader
+        self.world.processes[self.leader].frozen = False
+        self.world.lead(self.leader)
+        self.lead_on()
+
+    def freeze(self) -> None:
+        """Pass the lease on, the former holder frozen."""
+        self.world.processes[self.leader].frozen = True
+        self.depose()
+
+    def wake(self) -> None:
+        for process in self.world.processes:
+            process.frozen = False
         self.world.wake()
 
-    @stateful.rule(number=NUMBERS)
-    def restart_process(self, number: int) -> None:
-        self.world.restart(number)
+    def restart_process(self) -> None:
+        self.world.restart(self.leader)
+        self.world.lead(self.leader)
 
-    @stateful.rule(
-        kind=st.sampled_from(['lose_answers', 'lose_requests']),
-    )
-    def lose(self, kind: str) -> None:
-        setattr(self.world.store, kind, 1)
+    def lose_answer(self) -> None:
+        self.world.store.lose_answers = 1
+
+    def lose_request(self) -> None:
+        self.world.store.lose_requests = 1
 
     @stateful.invariant()
     def nothing_is_lost(self) -> None:
@@ -354,8 +407,8 @@
 TestControl.settings = settings(
     derandomize=True,
     deadline=None,
-    max_examples=150,
-    stateful_step_count=40,
+    max_examples=300,
+    stateful_step_count=20,
     suppress_health_check=list(HealthCheck),
 )
 
