Plan the emptying of a server as steps that are checked each round

Direct tests of decide with drawn rounds also showed a load on a server where the model was draining, and a static placement that failed when a server had left.

Change: steps (unload, drain, load elsewhere, wait) are planned anew each round and given up when they lose more than the accelerator's price; the share of an accelerator's price is halved, as the weights reach past the optimum.

--- a/oatcrank/_prices.py
+++ b/oatcrank/_prices.py
@@ -2,7 +2,7 @@
 
 from oatcrank import demand, ids, placement, policy_settings
 
-ACCELERATOR_SHARE = 0.7
+ACCELERATOR_SHARE = 0.35
 MOVE_PRICE = 0.5
 ROUND_DELAY_S = 0.5
 NEARLY_IN_TIME = 0.2
--- a/oatcrank/_room.py
+++ b/oatcrank/_room.py
@@ -40,19 +40,23 @@
 
     def fits(self, server: ids.ServerId, model: ids.ModelName) -> bool:
         """Say whether a model can be loaded on a server now."""
-        view = self.server_by_id[server]
-        held = (
-            *view.loaded,
-            *view.loading,
-            *view.unloading,
-            *view.draining,
-        )
+        if self.load_slots < 1 or server not in self.server_by_id:
+            return False
         wanted_mb = self.model_by_name[model].memory_mb
-        return (
-            self.load_slots > 0
-            and model not in held
-            and self.free_by_server[server] >= wanted_mb
-            and server not in self.homes_by_model[model]
+        enough = self.free_by_server[server] >= wanted_mb
+        return enough and not self.holds(server, model)
+
+    def holds(self, server: ids.ServerId, model: ids.ModelName) -> bool:
+        """Say whether a model has memory on a server, in whatever state."""
+        view = self.server_by_id[server]
+        return server in self.homes_by_model[model] or any(
+            model in held
+            for held in (
+                view.loaded,
+                view.loading,
+                view.unloading,
+                view.draining,
+            )
         )
 
     def free_soon_mb(self, server: ids.ServerId) -> int:
--- a/oatcrank/_swap.py
+++ b/oatcrank/_swap.py
@@ -47,7 +47,7 @@
 
     def site(self, server: ids.ServerId, model: ids.ModelName) -> Site | None:
         """Return the cheapest swap on a server, if there is one."""
-        if server in self._room.homes_by_model[model]:
+        if self._room.holds(server, model):
             return None
         lacking_mb = self._room.model_by_name[model].memory_mb
         lacking_mb -= self._room.free_by_server[server]
--- a/oatcrank/expected_gain_placement.py
+++ b/oatcrank/expected_gain_placement.py
@@ -8,6 +8,7 @@
     _room,
     _spare,
     _swap,
+    _vacating,
     demand,
     placement,
     policy_settings,
@@ -44,10 +45,11 @@
         if loading.opened:
             self._consolidation.stop(seen.now_s)
         if not wanted:
-            self._consolidation.choose(room, prices, spare, swap)
+            vacating = _vacating.Vacating(room, spare, swap)
+            self._consolidation.choose(room, prices, vacating)
             if self._consolidation.closing:
                 spare.closed.add(self._consolidation.closing)
-            self._consolidation.go_on(room, spare)
+            self._consolidation.go_on(room, prices, vacating)
             loading.load_floor()
         return tuple(room.moves)
 
--- a/oatcrank/placement.py
+++ b/oatcrank/placement.py
@@ -57,7 +57,10 @@
 
 
 class Observation(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what one pool's placement is decided from."""
+    """Hold what one pool's placement is decided from.
+
+    Among the models is every one that a server holds.
+    """
 
     now_s: float
     since_s: float
--- a/oatcrank/static_placement.py
+++ b/oatcrank/static_placement.py
@@ -26,7 +26,7 @@
             self._wanted = _pack(seen, self._rate_by_model)
         room = _room.Room(seen)
         for server, model in self._wanted:
-            if room.fits(server, model):
+            if model in room.model_by_name and room.fits(server, model):
                 room.load(server, model)
         return tuple(room.moves)
 
