Make room for an absent model by drains and by moves

Change: for an absent model with no other place, a busy model's second replica is drained, and failing that a busy model that fits elsewhere is moved there. A further replica of a loaded model is wanted only with a full batch waiting and no replica's server with slots to spare.

--- a/oatcrank/_loading.py
+++ b/oatcrank/_loading.py
@@ -17,7 +17,7 @@
 HORIZON_S = 30.0
 OPEN_S = 30.0
 RESERVED_SLOTS = 1
-CROWDED_SHARE = 0.5
+CROWDED_SHARE = 1.0
 TRIED_PER_SLOT = 2
 FLOOR_S = 20.0
 
@@ -95,6 +95,8 @@
             return None
         if model.waiting < CROWDED_SHARE * max(view.slots for view in views):
             return None
+        if any(self._swap.pressure.admits(server, 0) for server in homes):
+            return None
         return Want(
             model=model.model,
             gain=model.waiting * model.weight,
@@ -108,22 +110,30 @@
             return
         if self._room.load_slots < 1 or self._frees_soon(want.model):
             return
-        sites = [*self._empty_sites(want.model), *self._swaps(want.model)]
-        best = min(sites, key=lambda site: site.cost, default=None)
+        best = self._best_site(want)
         if best is None or (not want.absent and best.cost > want.gain):
             return
         if best.victims:
             self._spare.closed.add(best.server)
-            for victim in best.victims:
-                self._room.unload(best.server, victim)
+            self._swap.carry_out(best)
             return
-        self.opened = not self._room.is_used(best.server)
-        self._spare.load(best.server, want.model)
+        if self._room.fits(best.server, want.model):
+            self.opened = not self._room.is_used(best.server)
+            self._spare.load(best.server, want.model)
+
+    def _best_site(self, want: Want) -> _swap.Site | None:
+        sites = self._empty_sites(want.model)
+        for reach in _swap.Reach:
+            sites.extend(self._swaps(want.model, reach))
+            if sites or not want.absent:
+                break
+        return min(sites, key=lambda site: site.cost, default=None)
 
     def _frees_soon(self, model: ids.ModelName) -> bool:
         needed_mb = self._room.model_by_name[model].memory_mb
         return any(
-            view.unloading and self._room.free_soon_mb(server) >= needed_mb
+            (view.unloading or view.draining)
+            and self._room.free_soon_mb(server) >= needed_mb
             for server, view in self._room.server_by_id.items()
         )
 
@@ -135,10 +145,14 @@
             if not self._room.is_used(server) and self._room.fits(server, model)
         ][:1]
 
-    def _swaps(self, model: ids.ModelName) -> list[_swap.Site]:
+    def _swaps(
+        self,
+        model: ids.ModelName,
+        reach: _swap.Reach,
+    ) -> list[_swap.Site]:
         return [
             site
             for server in self._room.server_by_id
             if server not in self._spare.closed
-            and (site := self._swap.site(server, model))
+            and (site := self._swap.site(server, model, reach=reach))
         ]
--- a/oatcrank/_room.py
+++ b/oatcrank/_room.py
@@ -60,9 +60,12 @@
         )
 
     def free_soon_mb(self, server: ids.ServerId) -> int:
-        """Return the free memory once the unloads under way have ended."""
+        """Return the free memory once what leaves has gone."""
         view = self.server_by_id[server]
-        leaving = [self.model_by_name.get(model) for model in view.unloading]
+        leaving = [
+            self.model_by_name.get(model)
+            for model in (*view.unloading, *view.draining)
+        ]
         leaving_mb = sum(gone.memory_mb for gone in leaving if gone)
         return self.free_by_server[server] + leaving_mb
 
--- a/oatcrank/_swap.py
+++ b/oatcrank/_swap.py
@@ -1,18 +1,50 @@
 """Choose the idle models that make room for a wanted one."""
 
+import enum
+
 import msgspec
 
-from oatcrank import _pressure, _prices, _room, demand, ids
+from oatcrank import _pressure, _prices, _room, _spare, demand, ids
 
 HORIZON_S = 30.0
 
 
+class Way(enum.Enum):
+    """Say how a victim leaves its server."""
+
+    unload = 'unload'
+    drain = 'drain'
+    wait = 'wait'
+    load_elsewhere = 'load_elsewhere'
+
+
+class Reach(enum.Enum):
+    """Say which models may make room.
+
+    doubled: also busy ones with another replica.
+    movable: also busy ones that fit on another server.
+    """
+
+    idle = 'idle'
+    doubled = 'doubled'
+    movable = 'movable'
+
+
+class Victim(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a model that makes room, and what that costs in requests."""
+
+    model: ids.ModelName
+    way: Way
+    cost: float
+    target: ids.ServerId | None = None
+
+
 class Site(msgspec.Struct, frozen=True, kw_only=True):
     """Hold a place for a replica and what it costs, in requests."""
 
     cost: float
     server: ids.ServerId
-    victims: tuple[ids.ModelName, ...] = ()
+    victims: tuple[Victim, ...] = ()
 
 
 class Swap:
@@ -23,12 +55,14 @@
         room: _room.Room,
         prices: _prices.Prices,
         pressure: _pressure.Pressure,
+        spare: _spare.Spare,
         book: demand.DemandBook,
     ) -> None:
         """Price within one round's room."""
         self._room = room
         self._prices = prices
-        self._pressure = pressure
+        self.pressure = pressure
+        self._spare = spare
         self._book = book
 
     def drop_price(self, server: ids.ServerId, model: ids.ModelName) -> float:
@@ -45,36 +79,102 @@
         others = set(self._room.homes_by_model[model]) - {server}
         return self._prices.move if others else 2 * self._prices.move
 
-    def site(self, server: ids.ServerId, model: ids.ModelName) -> Site | None:
-        """Return the cheapest swap on a server, if there is one."""
+    def site(
+        self,
+        server: ids.ServerId,
+        model: ids.ModelName,
+        *,
+        reach: Reach = Reach.idle,
+    ) -> Site | None:
+        """Return the cheapest swap on a server, if there is one.
+
+        The reach says which models may make room, beside the idle ones.
+        """
         if self._room.holds(server, model):
             return None
         lacking_mb = self._room.model_by_name[model].memory_mb
-        lacking_mb -= self._room.free_by_server[server]
+        lacking_mb -= self._room.free_soon_mb(server)
         cost = self._overload(server, model)
-        victims: list[ids.ModelName] = []
-        for price, victim in self._victims(server):
+        victims: list[Victim] = []
+        for victim in self._victims(server, reach=reach):
             if lacking_mb <= 0:
                 break
             victims.append(victim)
-            cost += price
-            lacking_mb -= self._room.model_by_name[victim].memory_mb
+            cost += victim.cost
+            lacking_mb -= self._room.model_by_name[victim.model].memory_mb
         if lacking_mb > 0:
             return None
         return Site(cost=cost, server=server, victims=tuple(victims))
 
+    def carry_out(self, site: Site) -> None:
+        """Choose the moves that make room."""
+        for victim in site.victims:
+            if victim.way is Way.unload:
+                self._room.unload(site.server, victim.model)
+            elif victim.way is Way.drain:
+                self._room.drain(site.server, victim.model)
+            elif victim.target and self._room.fits(
+                victim.target,
+                victim.model,
+            ):
+                self._spare.load(victim.target, victim.model)
+
     def _victims(
         self,
         server: ids.ServerId,
-    ) -> list[tuple[float, ids.ModelName]]:
+        *,
+        reach: Reach,
+    ) -> list[Victim]:
         view = self._room.server_by_id[server]
-        return sorted(
-            (self.drop_price(server, held), held)
+        victims = [
+            victim
             for held in view.loaded
-            if self._room.can_unload(server, held)
+            if (victim := self._victim(server, held, reach=reach))
+        ]
+        return sorted(victims, key=_cost)
+
+    def _victim(
+        self,
+        server: ids.ServerId,
+        model: ids.ModelName,
+        *,
+        reach: Reach,
+    ) -> Victim | None:
+        if self._room.can_unload(server, model):
+            return Victim(
+                model=model,
+                way=Way.unload,
+                cost=self.drop_price(server, model),
+            )
+        homes = self._room.homes_by_model[model]
+        others = set(homes) - {server}
+        if server not in homes or reach is Reach.idle:
+            return None
+        if others:
+            ready = any(
+                model in self._room.server_by_id[other].loaded
+                for other in others
+            )
+            return Victim(
+                model=model,
+                way=Way.drain if ready else Way.wait,
+                cost=2 * self._prices.move,
+            )
+        target = self._spare.find(model) if reach is Reach.movable else None
+        if target is None or target == server:
+            return None
+        return Victim(
+            model=model,
+            way=Way.load_elsewhere,
+            cost=3 * self._prices.move,
+            target=target,
         )
 
     def _overload(self, server: ids.ServerId, model: ids.ModelName) -> float:
-        if self._pressure.admits(server, self._prices.need(model)):
+        if self.pressure.admits(server, self._prices.need(model)):
             return 0
         return self._book.of(model).rate * HORIZON_S
+
+
+def _cost(victim: Victim) -> float:
+    return victim.cost
--- a/oatcrank/expected_gain_placement.py
+++ b/oatcrank/expected_gain_placement.py
@@ -36,7 +36,7 @@
         )
         pressure = _pressure.Pressure(room, prices)
         spare = _spare.Spare(room, prices, pressure)
-        swap = _swap.Swap(room, prices, pressure, self._book)
+        swap = _swap.Swap(room, prices, pressure, spare, self._book)
         loading = _loading.Loading(room, prices, spare, swap, self._book)
         _unload_drained(room)
         if self._consolidation.closing:
