--- /dev/null
+++ b/tests/test_plan_view.py
@@ -0,0 +1,51 @@
+"""Check that plans are kept small and read forward only."""
+
+import pytest
+
+from oatcrank import _plan_code, ids, plan, plan_store, plan_view
+from tests import control_world
+
+
+def plan_of(version: int, count: int, state: str = 'loaded') -> plan.Plan:
+    return plan.Plan(
+        pool=control_world.POOL,
+        fence=ids.Fence(version),
+        version=version,
+        controller=ids.InstanceId('x'),
+        replicas=tuple(
+            plan.Replica(
+                server=ids.ServerId(f'server-{number % 1000:04}'),
+                model=ids.ModelName(f'model-{number % 1200:04}'),
+                state=plan.ReplicaState(state),
+                memory_mb=40_000,
+                adapters=(ids.AdapterName('one'), ids.AdapterName('two')),
+                since=100_000 + number,
+                load_fence=ids.Fence(1234),
+            )
+            for number in range(count)
+        ),
+    )
+
+
+@pytest.mark.parametrize('count', [0, 1, 10_000])
+def test_code(count: int) -> None:
+    found = plan_of(3, count)
+    text = _plan_code.encode(found)
+    assert _plan_code.decode(text) == found
+    assert len(text) < plan_store.MAX_BYTES
+
+
+@pytest.mark.parametrize(
+    ('versions', 'last'),
+    [((1, 2), 2), ((2, 1), 2), ((2, 2), 2)],
+)
+def test_view(versions: tuple[int, ...], last: int) -> None:
+    view = plan_view.PlanView()
+    for version in versions:
+        view.take(plan_of(version, 1200))
+    assert view.version(control_world.POOL) == last
+    model = ids.ModelName('model-0001')
+    assert [one.server for one in view.replicas_of(model)] == ['server-0001']
+    assert view.fence_of(ids.ServerId('server-0001')) == last
+    view.take(plan_of(9, 1200, 'draining'))
+    assert not view.replicas_of(model)
