--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -7,7 +7,15 @@
 from hypothesis import strategies as st
 
 from emulator import memory_engine
-from oatcrank import order
+from oatcrank import (
+    clock,
+    engine,
+    ids,
+    load_budget,
+    model_need,
+    order,
+    weight_store_settings,
+)
 from tests import control_world
 
 FAULTS = tuple(memory_engine.Fault)
@@ -120,6 +128,54 @@
     world.engines['s0'].deliver(0)
 
 
+def stale_reload(world: control_world.World) -> None:
+    """Report the former life of a model while it loads again."""
+    load(world, 'a')
+    world.engines['s0'].lag_s = control_world.LAG_S
+    world.move('unload', 's0', 'a')
+    while world.engines['s0'].models():
+        world.rounds(0, 1)
+    world.engines['s0'].load_s = 100
+    for _ in range(40):
+        world.move('load', 's0', 'a')
+        world.rounds(0, 1)
+        assert world.state('s0', 'a') != 'loaded'
+    world.engines['s0'].load_s = 0
+
+
+def doubled_unload_at_takeover(world: control_world.World) -> None:
+    """Let the former controller's doubled unload meet a reload."""
+    load(world, 'a')
+    world.engines['s0'].faults.append(Fault.double)
+    world.move('unload', 's0', 'a')
+    world.rounds(0, 2)
+    world.lead(1)
+    world.restart(0)
+    for _ in range(15):
+        world.rounds(1, 1)
+        world.move('load', 's0', 'a')
+    world.start_work('s0', 'a')
+    world.engines['s0'].deliver(0)
+
+
+def paused_before_send(world: control_world.World) -> None:
+    """Stop a controller after its plan is written; the lease lapses."""
+    backend = world.engines['s0']
+    lease = world.processes[0].lease
+    asked = backend.report
+
+    async def lapse(*, timeout_s: float) -> engine.EngineReport:
+        if world.state('s0', 'a') == 'loading':
+            lease.fence = None
+        return await asked(timeout_s=timeout_s)
+
+    backend.report = lapse  # type: ignore[method-assign]
+    world.move('load', 's0', 'a')
+    world.rounds(0, 5)
+    assert not backend.taken
+    backend.report = asked  # type: ignore[method-assign]
+
+
 def lagging(world: control_world.World) -> None:
     """Report memory as it was before the load."""
     world.engines['s0'].lag_s = control_world.LAG_S
@@ -162,6 +218,9 @@
         doubled_at_takeover,
         restarted,
         lagging,
+        stale_reload,
+        doubled_unload_at_takeover,
+        paused_before_send,
         two_at_once,
         lost_plan_answer,
         lost_plan_write,
@@ -238,6 +297,49 @@
     assert world.state('s0', 'a') == ''
 
 
+@pytest.mark.parametrize(('size_mb', 'grown'), [(40, 100), (41, 60)])
+def test_adapters_are_reserved_first(
+    world: control_world.World,
+    size_mb: int,
+    grown: int,
+) -> None:
+    load(world, 'a')
+    model = ids.ModelName('a')
+    world.needs = {
+        model: model_need.ModelNeed(
+            model=model,
+            memory_mb=60 + size_mb,
+            adapters=(ids.AdapterName('one'),),
+            adapter_memory_mb=(size_mb,),
+        ),
+    }
+    world.rounds(0)
+    assert world.published is not None
+    replica = world.published.replicas[0]
+    assert replica.memory_mb == grown
+    assert bool(replica.adapters) == (grown > 60)
+
+
+def test_loads_keep_to_the_store() -> None:
+    time_source = clock.ManualClock()
+    limits = weight_store_settings.WeightStoreSettings(
+        loads_per_s=2,
+        concurrent_loads=2,
+        adapters_in_transit=1,
+    )
+    budget = load_budget.LoadBudget(limits, time_source)
+    started = []
+    for number in range(12):
+        key = (ids.ServerId(str(number)), ids.ModelName('a'))
+        if budget.start(key):
+            started.append(number)
+        if number == 8:
+            budget.finish((ids.ServerId('2'), ids.ModelName('a')))
+        time_source.advance(0.25)
+    assert started == [2, 4, 9]
+    assert budget.slots() == 0
+
+
 SERVER = 's0'
 FAULT = st.sampled_from([None, *FAULTS, Fault.double, Fault.freeze])
 EVENTS = ('', 'work', 'depose', 'freeze', 'restart_process', 'restart_engine')
