--- a/oatcrank/load_budget.py
+++ b/oatcrank/load_budget.py
@@ -46,6 +46,10 @@
         """Count a load that an earlier controller may have started."""
         self._started.setdefault(load, None)
 
+    def pause(self) -> None:
+        """Wait one interval, as another process may have started a load."""
+        self._next_start = self._clock.now() + self._interval_s
+
     def is_started(self, load: LoadKey) -> bool:
         """Return whether a load is counted as in flight."""
         return load in self._started
--- a/oatcrank/pool_controller.py
+++ b/oatcrank/pool_controller.py
@@ -138,6 +138,7 @@
         await self._plans.write(taken)
         # What others sent before this write counts as sent at this moment.
         self._times.restart()
+        self._budget.pause()
         for replica in taken.replicas:
             if replica.state is LOADING:
                 self._budget.inherit((replica.server, replica.model))
--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -111,6 +111,7 @@
 
 def doubled_at_takeover(world: control_world.World) -> None:
     """Let a confirmed load's double arrive under the next controller."""
+    world.clock.advance(4 * control_world.SETTLED_S)
     world.engines['s0'].faults.append(Fault.double)
     load(world, 'a')
     world.lead(1)
