Let a silent former controller hold back only what it was amid

Cause: an unconfirmed deposed controller kept all memory of the pool reserved, so no swap could end while it stayed paused and listed.

Ruled out: raising the fences of every replica (the case woken overcommits), and of every replica not loading (twice_deposed overcommits: the first of two former controllers may still send what the second one confirmed).

Change: at a takeover the load fence of a replica that is not loading rises to the new fence unless an even earlier controller is outstanding; likewise the unload fence.

Conclusion: a paused controller costs only its own unconfirmed orders.

--- a/oatcrank/_takeover.py
+++ b/oatcrank/_takeover.py
@@ -38,6 +38,37 @@
         controller=this.instance_id,
         incarnation=this.incarnation,
         former=_without(this, (*previous.former, last)),
+        replicas=tuple(
+            _inherited(replica, previous.former, fence)
+            for replica in previous.replicas
+        ),
+    )
+
+
+def _inherited(
+    replica: plan.Replica,
+    earlier: tuple[deposed.Deposed, ...],
+    fence: ids.Fence,
+) -> plan.Replica:
+    """Raise the fences of the orders that no former controller can send.
+
+    The last controller sends only what its last plan calls for; what those
+    before it may send stays as it was.
+    """
+    load_fence = replica.load_fence
+    unload_fence = replica.unload_fence
+    latest = max((one.fence for one in earlier), default=ids.Fence(-1))
+    if replica.state is not plan.ReplicaState.loading and latest < load_fence:
+        load_fence = fence
+    if (
+        replica.state is not plan.ReplicaState.unloading
+        and latest < unload_fence
+    ):
+        unload_fence = fence
+    return msgspec.structs.replace(
+        replica,
+        load_fence=load_fence,
+        unload_fence=unload_fence,
     )
 
 
--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -109,6 +109,30 @@
     world.rounds(1, 2)
 
 
+def settled_before(world: control_world.World) -> None:
+    """Swap what a frozen controller had loaded: it can't load it again."""
+    load(world, 'a')
+    world.processes[0].frozen = True
+    world.lead(1)
+    swap(world, 1, rounds=50)
+    assert world.engines['s0'].models() == ('b',)
+
+
+def twice_deposed(world: control_world.World) -> None:
+    """Wake the first of two deposed controllers in the middle of a load."""
+    backend = world.engines['s0']
+    backend.faults.append(Fault.freeze)
+    world.move('load', 's0', 'a')
+    world.rounds(0)
+    world.processes[0].frozen = True
+    world.lead(1)
+    world.rounds(1, 10)
+    world.restart(1)
+    world.lead(1)
+    swap(world, 1, rounds=60)
+    world.wake()
+
+
 def doubled_at_takeover(world: control_world.World) -> None:
     """Let a confirmed load's double arrive under the next controller."""
     world.clock.advance(4 * control_world.SETTLED_S)
@@ -216,6 +240,8 @@
         late_load,
         late_unload,
         woken,
+        settled_before,
+        twice_deposed,
         doubled_at_takeover,
         restarted,
         lagging,
