Read on before a change is refused as overtaken

Cause: an instance behind read on to the very revision that the operator had seen, and still refused the change as a conflict; sent again it was accepted. The state machine found it, in one order of the test modules. Ruled out: a hang; the run was the shrinking of that failure, which is now left out so that a failure shows at once. Change: such a change is tried; a table test holds the case. The machine also read the log with a fault still set; it now reads without.

--- a/oatcrank/change_writer.py
+++ b/oatcrank/change_writer.py
@@ -134,8 +134,11 @@
                 f'profile {proposal.profile} does not exist; create it',
             )
 
-    async def _settled(self, proposal: change.Proposal) -> change.Change:
-        """Return the accepted change, or raise why it was not accepted."""
+    async def _settled(
+        self,
+        proposal: change.Proposal,
+    ) -> change.Change | None:
+        """Return the accepted change, or None if it can now be tried."""
         for found in await self._changes_after(proposal.based_on):
             if found.change_id != proposal.change_id:
                 continue
@@ -145,6 +148,9 @@
                 f'change id {proposal.change_id} is already in use',
             )
         current = self._log.state(proposal.profile)
+        if self._log.revision(proposal.profile) == proposal.based_on:
+            # Reading on has brought the revision that the operator saw.
+            return None
         if current is None or current.revision < proposal.based_on:
             raise errors.Unavailable(
                 f'revision {proposal.based_on} of {proposal.profile} is not '
--- a/tests/test_change_log.py
+++ b/tests/test_change_log.py
@@ -191,6 +191,17 @@
     asyncio.run(run())
 
 
+def test_an_instance_behind_reads_on_before_it_refuses() -> None:
+    async def run() -> None:
+        store = parts.LateKeyValue()
+        one, two = parts.Parts(store), parts.Parts(store)
+        assert await outcome(one, parts.proposal('a')) == 1
+        wanted = parts.proposal('b', based_on=1)
+        assert await outcome(two, wanted) == 2
+
+    asyncio.run(run())
+
+
 def test_stale_pointer_ends_a_snapshot() -> None:
     async def run() -> None:
         store = parts.LateKeyValue()
--- a/tests/test_change_log_machine.py
+++ b/tests/test_change_log_machine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hypothesis import settings, stateful, strategies
+from hypothesis import Phase, settings, stateful, strategies
 
 from oatcrank import change, change_errors, errors
 from tests import configuration_parts as parts
@@ -127,13 +127,13 @@
         self.store.under_way = []
         self.mend()
         self.loop.run_until_complete(reader.log.catch_up())
+        found = self.loop.run_until_complete(
+            reader.snapshots.changes_after(0),
+        )
         for fault, was in faults.items():
             setattr(self.store, fault, was)
         self.store.under_way = late
         assert reader.log.newest == count
-        found = self.loop.run_until_complete(
-            reader.snapshots.changes_after(0),
-        )
         return list(found)
 
     def send(self, at: int, wanted: change.Proposal) -> None:
@@ -157,6 +157,7 @@
 
 ChangeLogMachine.TestCase.settings = settings(
     derandomize=True,
+    phases=(Phase.explicit, Phase.generate),
     deadline=None,
     max_examples=150,
     stateful_step_count=40,
