--- a/oatcrank/_fake_fleet.py
+++ b/oatcrank/_fake_fleet.py
@@ -55,6 +55,20 @@
         """Return the servers that hold a model, in whatever state."""
         return self._holders_by_model[model]
 
+    def slots_for(self, model: ids.ModelName) -> float:
+        """Return the slots that a model can count on.
+
+        One that is nowhere counts on half a server to come.
+        """
+        slots = sum(
+            server.slots / len(server.replica_by_model)
+            for server in self.holders(model)
+        )
+        if slots:
+            return slots
+        pool = self.model_by_name[model].pool
+        return self.servers_by_pool[pool][0].slots / 2
+
     def is_loaded(self, model: ids.ModelName) -> bool:
         """Say whether a replica of the model can take work."""
         return any(
--- a/oatcrank/policies.py
+++ b/oatcrank/policies.py
@@ -21,7 +21,7 @@
         move_weight=0.5,
     ),
     'trilha': policy_settings.PolicySettings(
-        accelerator_weight=0.5,
+        accelerator_weight=0.25,
         move_weight=2,
     ),
 }
