Price accelerators by the long run, and free a pool's last one

Cause, seen while testing a new controller: a pool whose demand had ended kept its last accelerator for minutes, as the slots check compared its fading mean rate with nothing left over; and with no demand the price of an accelerator fell to 0, just when it earned nothing. A new controller moreover took every model it found loaded for an idle one.

Change: the price is the long-run ratio of requests to accelerator seconds; the slots check uses the rate of the last seconds and leaves the last server to the loss rule; models found loaded count as just used; margin and pause of the consolidation are gone or shorter, the floor loads half as eagerly.

Trilha's accelerator weight becomes 0.5, as the unit of the price has changed.

--- a/oatcrank/_consolidation.py
+++ b/oatcrank/_consolidation.py
@@ -2,10 +2,9 @@
 
 from oatcrank import _prices, _room, _vacating, ids
 
-MARGIN = 1.2
-PAUSE_S = 2.0
+PAUSE_S = 1.0
 LONGEST_CLOSING_S = 20.0
-MOST_SHARE = 0.75
+MOST_SHARE = 0.6
 
 
 class Consolidation:
@@ -33,7 +32,7 @@
             return
         if not _enough_slots(room, prices):
             return
-        most = prices.accelerator / MARGIN
+        most = prices.accelerator
         for view in room.seen.servers:
             if view.loading or not room.is_used(view.server):
                 continue
@@ -67,10 +66,9 @@
 
 
 def _enough_slots(room: _room.Room, prices: _prices.Prices) -> bool:
-    need = sum(prices.need(model) for model in room.homes_by_model)
+    need = sum(prices.need_now(model) for model in room.homes_by_model)
     slots = [
         view.slots for view in room.seen.servers if room.is_used(view.server)
     ]
-    if not slots:
-        return False
-    return need <= MOST_SHARE * (sum(slots) - max(slots))
+    left = sum(slots) - max(slots, default=0)
+    return not left or need <= MOST_SHARE * left
--- a/oatcrank/_prices.py
+++ b/oatcrank/_prices.py
@@ -2,7 +2,7 @@
 
 from oatcrank import demand, ids, placement, policy_settings
 
-ACCELERATOR_SHARE = 0.35
+ACCELERATOR_SHARE = 0.2
 MOVE_PRICE = 0.5
 ROUND_DELAY_S = 0.5
 NEARLY_IN_TIME = 0.2
@@ -16,16 +16,13 @@
         seen: placement.Observation,
         book: demand.DemandBook,
         weights: policy_settings.PolicySettings,
-        *,
-        used: int,
     ) -> None:
-        """Price an accelerator by what one earns on average."""
+        """Price an accelerator by what one earns in the long run."""
         self._seen = seen
         self._book = book
         self._model_by_name = {model.model: model for model in seen.models}
-        earned = book.total() / max(1, used)
         self.accelerator = (
-            weights.accelerator_weight * ACCELERATOR_SHARE * earned
+            weights.accelerator_weight * ACCELERATOR_SHARE * book.earned()
         )
         self._keep_by_model: dict[ids.ModelName, float] = {}
         self.move = weights.move_weight * MOVE_PRICE
@@ -52,3 +49,8 @@
         """Return the slots that a model's demand fills."""
         view = self._model_by_name[model]
         return self._book.of(model).rate * view.service_s
+
+    def need_now(self, model: ids.ModelName) -> float:
+        """Return the slots that a model's demand of seconds ago fills."""
+        view = self._model_by_name[model]
+        return self._book.of(model).fast * view.service_s
--- a/oatcrank/_vacating.py
+++ b/oatcrank/_vacating.py
@@ -8,7 +8,7 @@
 
 from oatcrank import _room, _spare, _swap, ids
 
-PAYBACK_S = 30.0
+PAYBACK_S = 15.0
 
 
 class Action(enum.Enum):
--- a/oatcrank/demand.py
+++ b/oatcrank/demand.py
@@ -7,6 +7,8 @@
 FAST_S = 8.0
 SLOW_S = 90.0
 SESSION_END_S = 60.0
+LONG_RUN_S = 600.0
+LEAST_SERVER_S = 60.0
 LONGEST_GAP_S = 30.0
 GAP_SHARE = 0.15
 FIRST_GAP_S = 4.0
@@ -21,12 +23,12 @@
     how long none has come.
     """
 
-    def __init__(self, now: float) -> None:
-        """Start as a model that is seldom asked for."""
+    def __init__(self, now: float, *, held: bool) -> None:
+        """Start as just used if it is held, else as seldom asked for."""
         self.fast: float = 0
         self.slow: float = 0
         self._first_s = now
-        self._last_s = -math.inf
+        self._last_s = now if held else -math.inf
         self._gap_s = FIRST_GAP_S
         self._starts = 1
 
@@ -67,33 +69,58 @@
         self._gap_s += share * (gap_s / arrivals - self._gap_s)
 
 
+class _Earned:
+    """Keep the long-run ratio of requests to seconds of servers used."""
+
+    def __init__(self) -> None:
+        self._requests: float = 0
+        self._server_s = LEAST_SERVER_S
+
+    @property
+    def ratio(self) -> float:
+        return self._requests / self._server_s
+
+    def add(self, seen: placement.Observation) -> None:
+        elapsed_s = seen.now_s - seen.since_s
+        used = sum(view.free_mb < view.memory_mb for view in seen.servers)
+        kept = math.exp(-elapsed_s / LONG_RUN_S)
+        arrivals = sum(model.arrivals for model in seen.models)
+        self._requests = self._requests * kept + arrivals
+        self._server_s = self._server_s * kept + used * elapsed_s
+
+
 class DemandBook:
     """Keep the demand of every model of a pool."""
 
     def __init__(self) -> None:
         """Start with no model seen."""
         self._demand_by_model: dict[ids.ModelName, Demand] = {}
+        self._earned = _Earned()
 
     def update(self, seen: placement.Observation) -> None:
         """Take in a round, and forget models that are gone."""
         elapsed_s = seen.now_s - seen.since_s
+        # A controller that has just begun knows nothing of the models that it
+        # finds loaded, and must not take them for idle ones.
+        held = {model for server in seen.servers for model in server.loaded}
         demand_by_model = {}
         for model in seen.models:
             known = self._demand_by_model.get(model.model)
             if known is None:
-                known = Demand(seen.now_s)
+                known = Demand(seen.now_s, held=model.model in held)
             if elapsed_s > 0:
                 known.add(model.arrivals, seen.now_s, elapsed_s)
             demand_by_model[model.model] = known
         self._demand_by_model = demand_by_model
+        self._earned.add(seen)
 
     def of(self, model: ids.ModelName) -> Demand:
         """Return a model's demand."""
         return self._demand_by_model[model]
 
-    def total(self) -> float:
-        """Return the slow estimate over all models, in requests a second."""
-        return sum(known.slow for known in self._demand_by_model.values())
+    def earned(self) -> float:
+        """Return the requests a second per server used, in the long run."""
+        return self._earned.ratio
 
 
 def _blend(before: float, seen: float, periods: float) -> float:
--- a/oatcrank/expected_gain_placement.py
+++ b/oatcrank/expected_gain_placement.py
@@ -32,7 +32,6 @@
             seen,
             self._book,
             self._weights,
-            used=room.used,
         )
         pressure = _pressure.Pressure(room, prices)
         spare = _spare.Spare(room, prices, pressure)
--- a/oatcrank/policies.py
+++ b/oatcrank/policies.py
@@ -15,7 +15,7 @@
     trace,
 )
 
-TRILHA_ACCELERATOR_WEIGHT = 0.25
+TRILHA_ACCELERATOR_WEIGHT = 0.5
 WEIGHTS_BY_SITE = {
     'yard': policy_settings.PolicySettings(
         accelerator_weight=2,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 
+import msgspec
 import pytest
 from hypothesis import given, settings, strategies
 
@@ -158,3 +159,40 @@
         ledger = _Ledger(seen)
         for move in chooser.decide(seen):
             ledger.check(move)
+
+
+def test_new_controller_keeps_what_it_finds() -> None:
+    server = placement.ServerView(
+        server=ids.ServerId('s0'),
+        failure_domain=ids.FailureDomain('a'),
+        memory_mb=MEMORY_MB,
+        free_mb=0,
+        slots=8,
+        loaded=MODELS[:2],
+    )
+    models = tuple(
+        placement.ModelView(
+            model=model,
+            memory_mb=MEMORY_MB // 2,
+            arrivals=int(model == MODELS[2]),
+            waiting=0,
+            running=0,
+            service_s=2,
+            first_token_s=1,
+        )
+        for model in MODELS[:3]
+    )
+    weights = policy_settings.PolicySettings(accelerator_weight=50)
+    chooser = _placement('expected_gain', weights)
+    first = placement.Observation(
+        now_s=1000,
+        since_s=999,
+        load_slots=2,
+        load_s=4,
+        servers=(server,),
+        models=models,
+    )
+    assert not chooser.decide(first)
+    long_idle = msgspec.structs.replace(first, since_s=1200, now_s=1201)
+    kinds = {move.kind for move in chooser.decide(long_idle)}
+    assert kinds == {placement.MoveKind.unload}
