--- a/oatcrank/entry.py
+++ b/oatcrank/entry.py
@@ -24,6 +24,8 @@
 MS_PER_S = 1000
 WAKE_PERIOD_S = 0.05
 NEWS_TRAVELS_S = 1.0
+# Callers come back all at once when another instance is lost.
+BACKLOG = 4096
 
 
 class Entry:
@@ -91,7 +93,11 @@
             max_body_size=self.settings.limits.body_bytes,
         )
         listen = self.settings.listen
-        sockets = netutil.bind_sockets(listen.port, listen.host)
+        sockets = netutil.bind_sockets(
+            listen.port,
+            listen.host,
+            backlog=BACKLOG,
+        )
         self._server.add_sockets(sockets)
 
     def _routes(self) -> list[Any]:
