Test how an absent model gets room, and admission

Cause: the drain of a doubled model and the move of a busy one were found by a trace (a wait of 49.8 s) and had no test of their own.

--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,28 @@
+"""Check which requests are refused, and when they may come back."""
+
+import pytest
+
+from oatcrank import admission
+
+
+@pytest.mark.parametrize(
+    ('start_s', 'service_s', 'useful_s', 'retry_after_s'),
+    [
+        (0, 2, 15, None),
+        (13, 2, 15, None),
+        (13.5, 2, 15, 1.0),
+        (40, 2, 15, 27.0),
+    ],
+)
+def test_retry_after(
+    start_s: float,
+    service_s: float,
+    useful_s: float,
+    retry_after_s: float | None,
+) -> None:
+    expected = admission.Expectation(
+        start_s=start_s,
+        service_s=service_s,
+        useful_s=useful_s,
+    )
+    assert admission.retry_after_s(expected) == retry_after_s
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -196,3 +196,69 @@
     long_idle = msgspec.structs.replace(first, since_s=1200, now_s=1201)
     kinds = {move.kind for move in chooser.decide(long_idle)}
     assert kinds == {placement.MoveKind.unload}
+
+
+def _server(
+    number: int,
+    loaded: tuple[ids.ModelName, ...],
+    *,
+    free_mb: int,
+) -> placement.ServerView:
+    return placement.ServerView(
+        server=ids.ServerId(f's{number}'),
+        failure_domain=ids.FailureDomain('a'),
+        memory_mb=MEMORY_MB,
+        free_mb=free_mb,
+        slots=8,
+        loaded=loaded,
+        busy=loaded,
+    )
+
+
+@pytest.mark.parametrize(
+    ('views', 'wanted'),
+    [
+        (
+            (
+                _server(0, (MODELS[0],), free_mb=40),
+                _server(1, (MODELS[0],), free_mb=40),
+            ),
+            placement.MoveKind.drain,
+        ),
+        (
+            (
+                _server(0, (MODELS[0],), free_mb=40),
+                _server(1, (MODELS[2],), free_mb=60),
+            ),
+            placement.MoveKind.load,
+        ),
+    ],
+)
+def test_absent_model_gets_room_among_busy_ones(
+    views: tuple[placement.ServerView, ...],
+    wanted: placement.MoveKind,
+) -> None:
+    size_by_model = {MODELS[0]: 60, MODELS[1]: 90, MODELS[2]: 40}
+    seen = placement.Observation(
+        now_s=1,
+        since_s=0,
+        load_slots=2,
+        load_s=4,
+        servers=views,
+        models=tuple(
+            placement.ModelView(
+                model=model,
+                memory_mb=size,
+                arrivals=1,
+                waiting=int(model == MODELS[1]),
+                running=1,
+                service_s=2,
+                first_token_s=1,
+            )
+            for model, size in size_by_model.items()
+        ),
+    )
+    chooser = _placement('expected_gain', policy_settings.PolicySettings())
+    moves = chooser.decide(seen)
+    assert [move.kind for move in moves] == [wanted]
+    assert moves[0].model != MODELS[1]
