--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 SITE ?= yard
+PROVE_OPTIONS ?=
 
 .PHONY: setup format lint test build demo prove policy slopes clean
 
@@ -31,7 +32,7 @@
 	$(BIN)/python -m emulator demo --site $(SITE)
 
 prove: setup
-	$(BIN)/python -m emulator prove
+	$(BIN)/python -m emulator prove $(PROVE_OPTIONS)
 
 policy: setup
 	$(BIN)/python -m oatcrank policy
