Make the help texts tell what a newcomer needs

Cause: replay, policy, trace and the profile actions showed names without a word on them; the top level gave status 2 for what check-settings ends with 1.

Ruled out: changing the status of check-settings, which a test states.

Change: every command has a description, every argument a help, defaults are shown, and serve, check-settings, replay and policy tell their exit statuses.

Conclusion: the texts stand by themselves and name the pages that go deeper.

--- a/oatcrank/__main__.py
+++ b/oatcrank/__main__.py
@@ -9,10 +9,13 @@
 Serve many bursty models from fewer accelerators.
 
 Start an entry instance with `oatcrank serve`; tell it what to promise with
-`oatcrank profile create`; see what it does with `oatcrank status`."""
+`oatcrank profile create`; see what it does with `oatcrank status`.
+
+Each command tells more with --help, such as `oatcrank serve --help`."""
 EXIT_STATUSES = """\
-exit status: 0 success, 1 failed, 2 wrong usage or settings, 3 conflict with
-another operator's change, 4 nothing could be reached, 5 not found"""
+exit status: 0 success, 1 failed (also: check-settings found faults), 2 wrong
+usage or a wrong file, 3 another operator's change came first, 4 nobody could be
+reached or do it now, 5 no such profile.  docs/OPERATING.md tells more."""
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/oatcrank/audit_command.py
+++ b/oatcrank/audit_command.py
@@ -27,6 +27,7 @@
             '--after',
             type=int,
             default=0,
+            metavar='NUMBER',
             help='only changes after this number (default: all)',
         )
 
--- a/oatcrank/check_settings_command.py
+++ b/oatcrank/check_settings_command.py
@@ -10,11 +10,14 @@
     """Report every fault of a settings file at once."""
 
     name = 'check-settings'
-    summary = 'check a settings file and report all its faults'
+    summary = 'check a settings file, without starting, and tell its faults'
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Describe the arguments."""
-        parser.add_argument('file', help='settings in JSON with comments')
+        parser.epilog = 'exit status: 0 good, 1 faults or no such file'
+        parser.add_argument(
+            'file', help='settings, JSON with comments: see docs/SETTINGS.md'
+        )
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
         """Check the file; faults go to standard error."""
--- a/oatcrank/policy_command.py
+++ b/oatcrank/policy_command.py
@@ -22,6 +22,20 @@
 PERCENT = 100
 
 
+HELP = """\
+Replay traces under placement policies, without a running system, and print
+what share of the requests met their targets, the accelerators used and the
+moves made.
+
+  static         places models once, by their average demand
+  on_demand      loads a model when requests wait for it
+  expected_gain  weighs what a move gains against its price: what `serve` runs
+  informed       knows the whole trace beforehand: a reference to compare with
+
+exit status: 0 success, 1 a trace could not be read or a figure not drawn
+"""
+
+
 class PolicyReport(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what `--output json` prints."""
 
@@ -37,6 +51,7 @@
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Describe the arguments."""
+        parser.description = HELP
         parser.add_argument(
             'traces',
             nargs='*',
@@ -54,8 +69,18 @@
             action='store_true',
             help='replay the seeds that are kept apart from tuning',
         )
-        parser.add_argument('--output', choices=['table', 'json'])
-        parser.add_argument('--plot', type=pathlib.Path, metavar='FILE')
+        parser.add_argument(
+            '--output',
+            choices=['table', 'json'],
+            default='table',
+            help='a table to read, or JSON for programs (default %(default)s)',
+        )
+        parser.add_argument(
+            '--plot',
+            type=pathlib.Path,
+            metavar='FILE',
+            help='draw each replay over time (needs matplotlib)',
+        )
         parser.add_argument(
             '--front',
             type=pathlib.Path,
--- a/oatcrank/profile_command.py
+++ b/oatcrank/profile_command.py
@@ -48,6 +48,16 @@
 """
 
 
+HELP_BY_ACTION = {
+    'create': 'create a profile, or create it again after it was retired',
+    'change': 'replace the content of a profile',
+    'retire': 'end a profile; its name can be created again',
+    'show': 'show a profile with its revision',
+    'history': 'list the accepted changes of a profile',
+    'list': 'list the profiles in force',
+}
+
+
 class ProfileCommand(command.Command):
     """Be the operators' way to the profiles."""
 
@@ -59,12 +69,20 @@
         parser.formatter_class = argparse.RawDescriptionHelpFormatter
         parser.description = HELP
         parser.epilog = f'A profile file is JSON with comments:\n\n{EXAMPLE}'
-        actions = parser.add_subparsers(dest='action', required=True)
-        for action in ('create', 'change', 'retire', 'show', 'history', 'list'):
-            part = actions.add_parser(action)
+        actions = parser.add_subparsers(
+            dest='action',
+            metavar='ACTION',
+            required=True,
+        )
+        for action, told in HELP_BY_ACTION.items():
+            part = actions.add_parser(action, help=told, description=told)
             operator_client.add_arguments(part)
             if action in {'create', 'change'}:
-                part.add_argument('--file', required=True, help='profile file')
+                part.add_argument(
+                    '--file',
+                    required=True,
+                    help='profile, JSON with comments: see `profile --help`',
+                )
             elif action != 'list':
                 part.add_argument('name', help='the profile')
             if action in {'create', 'change', 'retire'}:
@@ -93,6 +111,7 @@
         '--based-on',
         type=int,
         default=0,
+        metavar='REVISION',
         help='the revision that `show` told; 0 if there never was one',
     )
     parser.add_argument(
--- a/oatcrank/replay_command.py
+++ b/oatcrank/replay_command.py
@@ -27,6 +27,16 @@
 Name = TypeVar('Name', bound=str)
 
 
+HELP = """\
+Replay a trace against the running system and say whether the outcomes that it
+states held.  The requests go to the instance of the settings and to those that
+it names.  Traces are in traces/; `oatcrank trace` writes others.
+
+exit status: 0 the stated outcomes held, 1 one did not, 2 a file is wrong or the
+system could not be reached
+"""
+
+
 class ReplayCommand(command.Command):
     """Replay a trace and say whether its stated outcomes held."""
 
@@ -35,26 +45,38 @@
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Describe the arguments."""
-        parser.add_argument('trace', type=pathlib.Path)
+        parser.description = HELP
+        parser.add_argument('trace', type=pathlib.Path, help='a trace file')
         parser.add_argument(
             '--settings',
             type=pathlib.Path,
             required=True,
-            help='settings of one entry instance',
+            metavar='FILE',
+            help='settings of one running entry instance',
         )
         parser.add_argument(
             '--speed',
             type=_speed,
             default=1.0,
-            help='how many of the trace seconds pass in one',
+            help='trace seconds that pass in a second (default %(default)s)',
         )
         parser.add_argument(
             '--without-events',
             action='store_true',
             help="bring about none of the trace's faults and changes",
         )
-        parser.add_argument('--output', choices=['table', 'json'])
-        parser.add_argument('--plot', type=pathlib.Path, metavar='FILE')
+        parser.add_argument(
+            '--output',
+            choices=['table', 'json'],
+            default='table',
+            help='a table to read, or JSON for programs (default %(default)s)',
+        )
+        parser.add_argument(
+            '--plot',
+            type=pathlib.Path,
+            metavar='FILE',
+            help='draw what was measured over time (needs matplotlib)',
+        )
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
         """Replay, print and draw; failed if an outcome did not hold."""
--- a/oatcrank/serve_command.py
+++ b/oatcrank/serve_command.py
@@ -15,6 +15,18 @@
     settings_check,
 )
 
+HELP = """\
+Run an entry instance until it is told to stop.
+
+It prints `ready entry <address>` once it listens, and logs to standard error.
+SIGTERM or SIGINT stops it without cutting requests: its address is given to no
+caller any more, it goes on serving for limits.address_keep_s and one second,
+then waits at most limits.stop_grace_s for requests in progress.
+
+exit status: 0 stopped as planned, 2 the settings are wrong (all faults are
+told; see also `oatcrank check-settings`)
+"""
+
 
 class ServeCommand(command.Command):
     """Be `oatcrank serve`."""
@@ -24,11 +36,12 @@
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Describe the arguments."""
+        parser.description = HELP
         parser.add_argument(
             '--settings',
             required=True,
             metavar='FILE',
-            help='settings, JSON with comments; see docs/SETTINGS.md',
+            help='settings, JSON with comments: see docs/SETTINGS.md',
         )
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
--- a/oatcrank/trace_command.py
+++ b/oatcrank/trace_command.py
@@ -6,6 +6,12 @@
 
 from oatcrank import command, trace, trace_generator
 
+HELP = """\
+Write a made-up trace: requests over ten minutes, with the outcomes that a
+replay must reach.  The same seed gives the same file.  Spells and the format
+are described in docs/TRACES.md; `oatcrank replay` and `oatcrank policy` use it.
+"""
+
 
 class TraceCommand(command.Command):
     """Write the trace that a seed gives."""
@@ -15,13 +21,23 @@
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Describe the arguments."""
-        parser.add_argument('site', choices=trace_generator.SITES)
-        parser.add_argument('spell', choices=trace_generator.SPELLS)
-        parser.add_argument('file', type=pathlib.Path)
+        parser.description = HELP
+        parser.add_argument(
+            'site',
+            choices=trace_generator.SITES,
+            help='whose models, pools and limits: see docs/SITES.md',
+        )
+        parser.add_argument(
+            'spell',
+            choices=trace_generator.SPELLS,
+            help='how demand goes',
+        )
+        parser.add_argument('file', type=pathlib.Path, help='file to write')
         parser.add_argument(
             '--seed',
             type=int,
             default=trace_generator.COMMITTED_SEED,
+            help='another seed gives other requests (default %(default)s)',
         )
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
