Measure the slopes of control on one machine

Real entry processes count the bytes of their connections and their calls; costs of one role alone are timed in process at sizes up to the design's.

--- /dev/null
+++ b/emulator/slope_changes.py
@@ -0,0 +1,143 @@
+"""Measure what following the change log costs."""
+
+import functools
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from emulator import memory_key_value, slope, slope_fit, slope_timing
+from oatcrank import change, change_log, clock, ids, profile, profile_book
+from oatcrank import target as targets
+
+COMMAND = 'python -m emulator slopes --only changes'
+CHANGES = (10, 100, 1000)
+PROFILES = (10, 100, 300, 1200)
+SEGMENT = 200
+FIRST_TOKEN_MS = 520
+BETWEEN_TOKENS_MS = 43
+WHOLE_ANSWER_MS = 30_000
+TARGETS = targets.Targets(
+    first_token_ms=FIRST_TOKEN_MS,
+    between_tokens_ms=BETWEEN_TOKENS_MS,
+    whole_answer_ms=WHOLE_ANSWER_MS,
+)
+
+Work = Callable[[], object]
+
+
+def measure(*, quick: bool) -> Iterator[slope.Slope]:
+    """Return the slopes of applying changes, and of snapshots."""
+    repeats = slope_timing.QUICK_REPEATS if quick else slope_timing.REPEATS
+    yield slope_fit.fit(
+        'change_apply',
+        slope_timing.each_size(CHANGES, _applying, repeats=repeats),
+        unit='us',
+        per='change',
+        command=COMMAND,
+        condition='decoded and applied in a row',
+    )
+    yield slope_fit.fit(
+        'snapshot_bytes',
+        [slope.point(size, [_snapshot_bytes(size)]) for size in PROFILES],
+        unit='B',
+        per='profile',
+        command=COMMAND,
+        condition='3 models and 2 adapters a profile',
+    )
+    yield slope_fit.fit(
+        'snapshot_encode',
+        slope_timing.each_size(PROFILES, _encoding, repeats=repeats),
+        unit='us',
+        per='profile',
+        command=COMMAND,
+    )
+    yield slope_fit.fit(
+        'book_rebuild',
+        slope_timing.each_size(PROFILES, _rebuilding, repeats=repeats),
+        unit='us',
+        per='profile',
+        command=COMMAND,
+        condition='made anew at each change applied',
+    )
+    text = change_log.encoded(_change(PROFILES[-1] + 1))
+    yield slope_fit.fit(
+        'change_bytes',
+        [slope.point(1, [len(text)])],
+        unit='B',
+        per='change',
+        command=COMMAND,
+    )
+
+
+def _applying(changes: int) -> Work:
+    texts = [
+        change_log.encoded(_change(number + 1)) for number in range(changes)
+    ]
+    return functools.partial(_apply, texts)
+
+
+def _encoding(profiles: int) -> Work:
+    log = _log_of(profiles)
+    return lambda: msgspec.json.encode(log.whole())
+
+
+def _rebuilding(profiles: int) -> Work:
+    known = _log_of(profiles).profile_by_name.values()
+    return lambda: profile_book.ProfileBook().rebuild(known)
+
+
+def _snapshot_bytes(profiles: int) -> int:
+    return len(msgspec.json.encode(_log_of(profiles).whole()))
+
+
+def _log() -> change_log.ChangeLog:
+    return change_log.ChangeLog(
+        memory_key_value.MemoryKeyValue(),
+        segment_changes=SEGMENT,
+        time=clock.MonotonicClock(),
+    )
+
+
+def _apply(texts: list[str]) -> None:
+    log = _log()
+    for text in texts:
+        log.apply(change_log.decoded(text))
+
+
+def _log_of(profiles: int) -> change_log.ChangeLog:
+    log = _log()
+    for number in range(profiles):
+        log.apply(_change(number + 1))
+    return log
+
+
+def _change(number: int) -> change.Change:
+    place = (number - 1) % PROFILES[-1]
+    wanted = _profile(place)
+    is_new = number <= PROFILES[-1]
+    kind = change.ChangeKind.create if is_new else change.ChangeKind.change
+    return change.Change(
+        number=number,
+        change_id=ids.ChangeId(f'{number:032}'),
+        who='operator-1',
+        when='2026-01-01T00:00:00Z',
+        kind=kind,
+        profile=wanted.name,
+        before=None if is_new else wanted,
+        after=wanted,
+        based_on=ids.Revision(0 if is_new else place + 1),
+    )
+
+
+def _profile(place: int) -> profile.Profile:
+    return profile.Profile(
+        name=ids.ProfileName(f'profile-{place:04}'),
+        models=tuple(
+            ids.ModelName(f'model-{place + offset:04}') for offset in range(3)
+        ),
+        adapters=(
+            ids.AdapterName(f'adapter-{place:04}'),
+            ids.AdapterName(f'adapter-{place + 1:04}'),
+        ),
+        targets=TARGETS,
+    )
--- /dev/null
+++ b/emulator/slope_messages.py
@@ -0,0 +1,108 @@
+"""Measure how long control messages grow, and reading what they say."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from emulator import slope, slope_fit, slope_samples, slope_timing
+from oatcrank import (
+    backend_servers,
+    clock,
+    documents,
+    failure_detector,
+    ids,
+    instance_list,
+    roster,
+)
+
+COMMAND = 'python -m emulator slopes --only messages'
+INSTANCES = (9, 27, 81, 260, 780)
+LISTED = (100, 1000, 7100)
+MODELS = (10, 100, 300, 1200)
+HELD = (1, 2, 4, 8)
+CELL_SIZE = 32
+
+Work = Callable[[], object]
+
+
+class FixedList(instance_list.InstanceList):
+    """Answer with the same list each time."""
+
+    def __init__(self, listed: tuple[instance_list.Instance, ...]) -> None:
+        """Keep the list."""
+        self._listed = listed
+
+    async def read(self) -> tuple[instance_list.Instance, ...]:
+        """Return the list."""
+        return self._listed
+
+
+def measure(*, quick: bool) -> Iterator[slope.Slope]:
+    """Return the slopes of membership, the list, demand and reports."""
+    repeats = slope_timing.QUICK_REPEATS if quick else slope_timing.REPEATS
+    samples = slope_samples
+    for name, per, build, sizes in (
+        ('exchange_bytes', 'member of the cell', samples.counted, INSTANCES),
+        ('versions_bytes', 'document', samples.versions, INSTANCES),
+        ('member_bytes', 'member', samples.members, INSTANCES),
+        ('demand_bytes', 'model in demand', samples.demand, MODELS),
+        ('report_bytes', 'model that an engine holds', samples.report, HELD),
+        ('list_bytes', 'listed instance', samples.listing, LISTED),
+    ):
+        yield slope_fit.fit(
+            name,
+            [_length(size, build) for size in sizes],
+            unit='B',
+            per=per,
+            command=COMMAND,
+            condition='body alone, without HTTP headers',
+        )
+    yield slope_fit.fit(
+        'list_take',
+        slope_timing.each_size(LISTED, _taking, repeats=repeats),
+        unit='us',
+        per='listed instance',
+        command=COMMAND,
+        condition='decoded and taken in, without the HTTP call',
+    )
+    yield slope_fit.fit(
+        'roster_read',
+        slope_timing.each_size(INSTANCES, _reading, repeats=repeats),
+        unit='us',
+        per='member',
+        command=COMMAND,
+        condition=f'who is alive, cells of {CELL_SIZE}, asked again by every '
+        'exchange, demand report and address request',
+    )
+
+
+def _length(size: int, build: Callable[[int], object]) -> slope.Point:
+    return slope.point(size, [len(msgspec.json.encode(build(size)))])
+
+
+def _taking(size: int) -> Work:
+    text = msgspec.json.encode(slope_samples.listing(size))
+    servers = backend_servers.BackendServers(
+        FixedList(()), clock.MonotonicClock()
+    )
+    kind = tuple[instance_list.Instance, ...]
+    return lambda: servers.take(msgspec.json.decode(text, type=kind))
+
+
+def _reading(size: int) -> Work:
+    shared = documents.Documents()
+    for one in slope_samples.members(size):
+        text = msgspec.json.encode(one).decode()
+        shared.put(f'{roster.MEMBER_PREFIX}{one.instance_id}', 1, text)
+    ticker = clock.MonotonicClock()
+    known = roster.Roster(
+        ids.InstanceId('entry-00001'),
+        listing=FixedList(slope_samples.entries(size)),
+        shared=shared,
+        detector=failure_detector.FailureDetector(dead_after_s=1, time=ticker),
+        cell_size=CELL_SIZE,
+        time=ticker,
+    )
+    asyncio.run(known.read_list())
+    return known.alive
--- /dev/null
+++ b/emulator/slope_placing.py
@@ -0,0 +1,146 @@
+"""Measure what placing, plans and routing cost."""
+
+import functools
+from collections.abc import Callable, Iterator
+
+from emulator import policy_cost, slope, slope_fit, slope_timing
+from oatcrank import (
+    _plan_code,
+    backend_server,
+    clock,
+    ids,
+    instance_list,
+    plan,
+    plan_view,
+    router,
+)
+
+COMMAND = 'python -m emulator slopes --only placing'
+MODELS = (10, 100, 300, 1200)
+QUICK_MODELS = (10, 300)
+SERVERS = (8, 30, 100, 300)
+QUICK_SERVERS = (8, 100)
+REPLICAS = (10, 100, 300, 1000)
+ROUTED = (10, 30, 100, 300)
+MODELS_PER_SERVER = 2
+MODEL_MB = 27_000
+ROUTE_CALLS = 400
+PLAN_CALLS = 5
+MICROSECONDS_PER_MS = 1000
+
+Work = Callable[[], object]
+
+
+def measure(*, quick: bool) -> Iterator[slope.Slope]:
+    """Return the slopes of the controller of a pool and of the data path."""
+    repeats = slope_timing.QUICK_REPEATS if quick else slope_timing.REPEATS
+    for servers in QUICK_SERVERS if quick else SERVERS:
+        yield _rounds(servers, QUICK_MODELS if quick else MODELS)
+    yield slope_fit.fit(
+        'plan_bytes',
+        [slope.point(size, [len(_text(size))]) for size in REPLICAS],
+        unit='B',
+        per='replica in the plan',
+        command=COMMAND,
+    )
+    yield slope_fit.fit(
+        'plan_encode',
+        slope_timing.each_size(
+            REPLICAS, _encoding, repeats=repeats, calls=PLAN_CALLS
+        ),
+        unit='us',
+        per='replica in the plan',
+        command=COMMAND,
+    )
+    yield slope_fit.fit(
+        'plan_take',
+        slope_timing.each_size(
+            REPLICAS, _taking, repeats=repeats, calls=PLAN_CALLS
+        ),
+        unit='us',
+        per='replica in the plan',
+        command=COMMAND,
+        condition='decoded and indexed, as every instance does with a plan',
+    )
+    yield slope_fit.fit(
+        'route_decision',
+        slope_timing.each_size(
+            ROUTED, _routing, repeats=repeats, calls=ROUTE_CALLS
+        ),
+        unit='us',
+        per='replica of the model',
+        command=COMMAND,
+        condition='no prefix; every replica has room',
+    )
+
+
+def _rounds(servers: int, models: tuple[int, ...]) -> slope.Slope:
+    costs = [policy_cost.measure(size, servers) for size in models]
+    return slope_fit.fit(
+        f'placement_round_{servers}_servers',
+        [
+            slope.Point(
+                at=cost.models,
+                median=round(cost.median_ms * MICROSECONDS_PER_MS, 1),
+                low=round(cost.median_ms * MICROSECONDS_PER_MS, 1),
+                high=round(cost.longest_ms * MICROSECONDS_PER_MS, 1),
+            )
+            for cost in costs
+        ],
+        unit='us',
+        per='model in the pool',
+        command=COMMAND,
+        condition=f'{servers} servers; wall time; high is the longest of '
+        f'{policy_cost.ROUNDS} rounds',
+    )
+
+
+def _text(replicas: int) -> str:
+    return _plan_code.encode(_plan_of(replicas))
+
+
+def _encoding(replicas: int) -> Work:
+    return functools.partial(_plan_code.encode, _plan_of(replicas))
+
+
+def _taking(replicas: int) -> Work:
+    text = _text(replicas)
+    return lambda: plan_view.PlanView().take(_plan_code.decode(text))
+
+
+def _plan_of(replicas: int) -> plan.Plan:
+    return plan.Plan(
+        pool=ids.PoolName('pool-1'),
+        fence=ids.Fence(3),
+        version=1,
+        controller=ids.InstanceId('entry-1'),
+        replicas=tuple(
+            plan.Replica(
+                server=ids.ServerId(f'server-{number // MODELS_PER_SERVER}'),
+                model=ids.ModelName(f'model-{number}'),
+                state=plan.ReplicaState.loaded,
+                memory_mb=MODEL_MB,
+                since=number,
+                load_fence=ids.Fence(1),
+            )
+            for number in range(replicas)
+        ),
+    )
+
+
+def _routing(replicas: int) -> Work:
+    ticker = clock.MonotonicClock()
+    chooser = router.Router(failure_domain=ids.FailureDomain('a'), seed=1)
+    servers = [
+        backend_server.BackendServer(
+            instance_list.Instance(
+                instance_id=f'server-{number}',
+                kind=instance_list.Kind.engine,
+                address='127.0.0.1:1',
+                failure_domain=ids.FailureDomain('b'),
+            ),
+            ticker,
+        )
+        for number in range(replicas)
+    ]
+    return functools.partial(chooser.choose, servers)
--- /dev/null
+++ b/emulator/slope_plots.py
@@ -0,0 +1,53 @@
+"""Draw the slopes that docs/CAPACITY.md shows."""
+
+import pathlib
+
+from emulator import slope
+from oatcrank import plots
+
+NAMES_BY_FILE = {
+    'fleet': (
+        ('daemon_core', 'controller_core'),
+        ('daemon_memory',),
+        ('daemon_bytes_in', 'daemon_bytes_out'),
+    ),
+    'key_value': (
+        ('key_value_get', 'key_value_put', 'key_value_watch'),
+        ('change_in_force',),
+    ),
+    'sizes': (
+        (
+            'placement_round_8_servers',
+            'placement_round_100_servers',
+            'placement_round_300_servers',
+        ),
+        ('demand_bytes', 'plan_bytes'),
+        ('roster_read', 'list_take'),
+    ),
+}
+
+
+def draw(book: slope.SlopeBook, directory: pathlib.Path) -> None:
+    """Write a figure for each group of slopes; raises plots.PlotError."""
+    for file, panels in NAMES_BY_FILE.items():
+        plots.draw(
+            directory / f'{file}.png',
+            [_panel(book, names) for names in panels],
+        )
+
+
+def _panel(book: slope.SlopeBook, names: tuple[str, ...]) -> plots.Panel:
+    found = [book.of(name) for name in names]
+    return plots.Panel(
+        across=found[0].per,
+        up=found[0].unit,
+        lines=tuple(
+            plots.Line(
+                name=one.name,
+                across=tuple(seen.at for seen in one.points),
+                up=tuple(seen.median for seen in one.points),
+            )
+            for one in found
+        ),
+        marked=True,
+    )
--- /dev/null
+++ b/emulator/slope_process.py
@@ -0,0 +1,52 @@
+"""Read what one measured process has spent."""
+
+import asyncio
+import os
+import pathlib
+import signal
+
+import msgspec
+
+from emulator import launched, poll, slope_counts
+
+PROC = pathlib.Path('/proc')
+WRITTEN_S = 10
+KB_PER_MB = 1024
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+USER_TICKS_FIELD = 11
+
+
+class Spent(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a process's totals since its start."""
+
+    core_s: float
+    memory_mb: float
+    counts: slope_counts.SlopeCounts
+
+
+async def read(process: launched.Launched, path: pathlib.Path) -> Spent:
+    """Have the process write its counts, and read what it has spent."""
+    path.unlink(missing_ok=True)
+    os.kill(process.pid, signal.SIGUSR1)
+    async with asyncio.timeout(WRITTEN_S):
+        await poll.until(path.exists)
+    return Spent(
+        core_s=_core_s(process.pid),
+        memory_mb=_memory_mb(process.pid),
+        counts=msgspec.json.decode(
+            path.read_bytes(), type=slope_counts.SlopeCounts
+        ),
+    )
+
+
+def _core_s(pid: int) -> float:
+    text = (PROC / str(pid) / 'stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    ticks = fields[USER_TICKS_FIELD : USER_TICKS_FIELD + 2]
+    return sum(map(int, ticks)) / TICKS_PER_S
+
+
+def _memory_mb(pid: int) -> float:
+    lines = (PROC / str(pid) / 'status').read_text().splitlines()
+    line = next(one for one in lines if one.startswith('VmRSS:'))
+    return int(line.split()[1]) / KB_PER_MB
--- /dev/null
+++ b/emulator/slope_samples.py
@@ -0,0 +1,111 @@
+"""Make control messages of usual content at any size."""
+
+from oatcrank import (
+    demand_report,
+    engine,
+    exchange,
+    ids,
+    instance_list,
+    member,
+)
+
+DOMAINS = 25
+HOSTS = 200
+CHANGES = 21_000
+BEATS = 100_000
+SERVICE_S = 2.5
+RUNNING = 10
+MEMORY_MB = 68_000
+MODEL_MB = 27_000
+FENCE = 10
+
+
+def instance(kind: instance_list.Kind, number: int) -> instance_list.Instance:
+    """Return a listed instance with names of usual length."""
+    return instance_list.Instance(
+        instance_id=f'{kind.value}-{number:05}',
+        kind=kind,
+        address=f'10.{number % HOSTS}.{number // HOSTS}.17:8080',
+        failure_domain=ids.FailureDomain(f'domain-{number % DOMAINS:02}'),
+        pool=ids.PoolName(f'pool-{number % DOMAINS:02}'),
+    )
+
+
+def listing(size: int) -> list[instance_list.Instance]:
+    """Return a list of engines."""
+    return [instance(instance_list.Kind.engine, one) for one in range(size)]
+
+
+def entries(size: int) -> tuple[instance_list.Instance, ...]:
+    """Return a list of entry instances."""
+    return tuple(instance(instance_list.Kind.entry, one) for one in range(size))
+
+
+def members(size: int) -> list[member.Member]:
+    """Return what peers know of entry instances."""
+    return [
+        member.Member(
+            instance_id=ids.InstanceId(one.instance_id),
+            address=one.address,
+            failure_domain=one.failure_domain,
+            incarnation=3,
+        )
+        for one in entries(size)
+    ]
+
+
+def counted(size: int) -> exchange.Exchange:
+    """Return an exchange between members that count the same beats."""
+    return exchange.Exchange(
+        protocol=exchange.PROTOCOL_VERSION,
+        sender=members(1)[0],
+        roll='12345678',
+        newest_change=CHANGES,
+        digest='1234567812345678',
+        counts=tuple(range(BEATS, BEATS + size)),
+    )
+
+
+def versions(size: int) -> dict[str, int]:
+    """Return what is told while digests differ."""
+    return {f'member/{one.instance_id}': 3 for one in entries(size)}
+
+
+def demand(size: int) -> demand_report.DemandReport:
+    """Return a report of the demand for many models."""
+    return demand_report.DemandReport(
+        instance_id=ids.InstanceId('entry-00001'),
+        models=tuple(
+            demand_report.ModelDemand(
+                model=ids.ModelName(f'model-{number:04}'),
+                arrivals=3,
+                waiting=1,
+                running=RUNNING,
+                service_s=SERVICE_S,
+            )
+            for number in range(size)
+        ),
+    )
+
+
+def report(size: int) -> engine.EngineReport:
+    """Return an engine's report."""
+    return engine.EngineReport(
+        server_id=ids.ServerId('engine-00001'),
+        boot_id='123456781234567812345678',
+        memory_mb=MEMORY_MB,
+        used_mb=MEMORY_MB,
+        fence=ids.Fence(FENCE),
+        slots=RUNNING,
+        running=8,
+        queued=0,
+        held=tuple(
+            engine.Held(
+                model=ids.ModelName(f'model-{number:04}'),
+                memory_mb=MODEL_MB,
+                ready=True,
+                running=4,
+            )
+            for number in range(size)
+        ),
+    )
--- /dev/null
+++ b/emulator/slope_timing.py
@@ -0,0 +1,42 @@
+"""Time a piece of work in this process."""
+
+import time
+from collections.abc import Callable, Iterable
+
+from emulator import slope
+
+MICROSECONDS = 1_000_000
+REPEATS = 7
+QUICK_REPEATS = 3
+
+
+def timed(
+    at: float,
+    work: Callable[[], object],
+    *,
+    repeats: int,
+    calls: int = 1,
+) -> slope.Point:
+    """Return the processor microseconds of a call, over some repeats."""
+    seen = []
+    for _ in range(repeats):
+        start_s = time.process_time()
+        for _ in range(calls):
+            work()
+        spent_s = time.process_time() - start_s
+        seen.append(spent_s * MICROSECONDS / calls)
+    return slope.point(at, seen)
+
+
+def each_size(
+    sizes: Iterable[int],
+    work_of: Callable[[int], Callable[[], object]],
+    *,
+    repeats: int,
+    calls: int = 1,
+) -> list[slope.Point]:
+    """Return what a call of each size's work costs."""
+    return [
+        timed(size, work_of(size), repeats=repeats, calls=calls)
+        for size in sizes
+    ]
