--- a/emulator/slope_changes.py
+++ b/emulator/slope_changes.py
@@ -5,8 +5,22 @@
 
 import msgspec
 
-from emulator import memory_key_value, slope, slope_fit, slope_timing
-from oatcrank import change, change_log, clock, ids, profile, profile_book
+from emulator import (
+    memory_key_value,
+    slope,
+    slope_fit,
+    slope_memory,
+    slope_timing,
+)
+from oatcrank import (
+    change,
+    change_log,
+    clock,
+    ids,
+    profile,
+    profile_book,
+    snapshot,
+)
 from oatcrank import target as targets
 
 COMMAND = 'python -m emulator slopes --only changes'
@@ -38,7 +52,7 @@
     )
     yield slope_fit.fit(
         'snapshot_bytes',
-        [slope.point(size, [_snapshot_bytes(size)]) for size in PROFILES],
+        [slope.point(size, [len(_encoding(size)())]) for size in PROFILES],
         unit='B',
         per='profile',
         command=COMMAND,
@@ -59,6 +73,14 @@
         command=COMMAND,
         condition='made anew at each change applied',
     )
+    yield slope_fit.fit(
+        'profile_memory',
+        slope_memory.each_size(PROFILES, _restoring),
+        unit='B',
+        per='profile',
+        command=COMMAND,
+        condition='3 models and 2 adapters a profile',
+    )
     text = change_log.encoded(_change(PROFILES[-1] + 1))
     yield slope_fit.fit(
         'change_bytes',
@@ -76,7 +98,7 @@
     return functools.partial(_apply, texts)
 
 
-def _encoding(profiles: int) -> Work:
+def _encoding(profiles: int) -> Callable[[], bytes]:
     log = _log_of(profiles)
     return lambda: msgspec.json.encode(log.whole())
 
@@ -86,8 +108,15 @@
     return lambda: profile_book.ProfileBook().rebuild(known)
 
 
-def _snapshot_bytes(profiles: int) -> int:
-    return len(msgspec.json.encode(_log_of(profiles).whole()))
+def _restoring(profiles: int) -> Work:
+    text = msgspec.json.encode(_log_of(profiles).whole())
+
+    def _build() -> change_log.ChangeLog:
+        log = _log()
+        log.restore(msgspec.json.decode(text, type=snapshot.Snapshot))
+        return log
+
+    return _build
 
 
 def _log() -> change_log.ChangeLog:
--- a/emulator/slope_messages.py
+++ b/emulator/slope_messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from emulator import slope, slope_fit, slope_samples, slope_timing
+from emulator import slope, slope_fit, slope_memory, slope_samples, slope_timing
 from oatcrank import (
     backend_servers,
     clock,
@@ -66,6 +66,14 @@
         command=COMMAND,
         condition='decoded and taken in, without the HTTP call',
     )
+    yield slope_fit.fit(
+        'list_memory',
+        slope_memory.each_size(LISTED, _taking),
+        unit='B',
+        per='listed instance',
+        command=COMMAND,
+        condition='kept by the data path',
+    )
     yield slope_fit.fit(
         'roster_read',
         slope_timing.each_size(INSTANCES, _reading, repeats=repeats),
--- a/emulator/slope_placing.py
+++ b/emulator/slope_placing.py
@@ -3,7 +3,7 @@
 import functools
 from collections.abc import Callable, Iterator
 
-from emulator import policy_cost, slope, slope_fit, slope_timing
+from emulator import policy_cost, slope, slope_fit, slope_memory, slope_timing
 from oatcrank import (
     _plan_code,
     backend_server,
@@ -62,6 +62,14 @@
         command=COMMAND,
         condition='decoded and indexed, as every instance does with a plan',
     )
+    yield slope_fit.fit(
+        'plan_memory',
+        slope_memory.each_size(REPLICAS, _kept),
+        unit='B',
+        per='replica in the plan',
+        command=COMMAND,
+        condition='decoded and indexed',
+    )
     yield slope_fit.fit(
         'route_decision',
         slope_timing.each_size(
@@ -108,6 +116,17 @@
     return lambda: plan_view.PlanView().take(_plan_code.decode(text))
 
 
+def _kept(replicas: int) -> Work:
+    text = _text(replicas)
+
+    def _build() -> plan_view.PlanView:
+        view = plan_view.PlanView()
+        view.take(_plan_code.decode(text))
+        return view
+
+    return _build
+
+
 def _plan_of(replicas: int) -> plan.Plan:
     return plan.Plan(
         pool=ids.PoolName('pool-1'),
--- /dev/null
+++ b/emulator/slope_projections.py
@@ -0,0 +1,298 @@
+"""List what is projected for each role."""
+
+from emulator import slope_projection, slope_sizes
+
+KB = 1000
+MB = 1_000_000
+MICROSECONDS_OF_PER_CENT = 10_000
+CORE_MS_OF_PER_CENT = 10
+KB_S = 'KB/s'
+CORE = '% of a core'
+
+Projection = slope_projection.Projection
+Sizes = slope_sizes.Sizes
+Rates = slope_sizes.Rates
+
+FOOTING = (
+    Projection(
+        role='all',
+        what='core of an idle daemon, small lists',
+        slope_name='daemon_core',
+        size=Sizes.cell,
+        unit=CORE,
+    ),
+    Projection(
+        role='all',
+        what='memory of an idle daemon, small lists',
+        slope_name='daemon_memory',
+        size=Sizes.cell,
+        unit='MB',
+    ),
+)
+DIRECTORY = (
+    Projection(
+        role='directory',
+        what='memory of the list of instances',
+        slope_name='list_memory',
+        size=Sizes.listed,
+        per_unit=MB,
+        unit='MB',
+    ),
+    Projection(
+        role='directory',
+        what='list read by each daemon',
+        slope_name='list_bytes',
+        size=Sizes.listed,
+        rate=Rates.list_reads,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='directory',
+        what='core to take in the list',
+        slope_name='list_take',
+        size=Sizes.listed,
+        rate=Rates.list_reads,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+    Projection(
+        role='directory',
+        what='core of one address request',
+        slope_name='roster_read',
+        size=Sizes.daemons,
+        per_unit=KB,
+        unit='ms',
+    ),
+)
+MEMBERSHIP = (
+    Projection(
+        role='membership',
+        what='member documents kept',
+        slope_name='member_bytes',
+        size=Sizes.daemons,
+        per_unit=MB,
+        unit='MB',
+    ),
+    Projection(
+        role='membership',
+        what='beats sent, digests equal',
+        slope_name='exchange_bytes',
+        size=Sizes.cell,
+        rate=Rates.exchange_bodies,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='membership',
+        what='versions told while digests differ',
+        slope_name='versions_bytes',
+        size=Sizes.documents,
+        rate=Rates.exchange_bodies,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='membership',
+        what='core to tell who is alive',
+        slope_name='roster_read',
+        size=Sizes.daemons,
+        rate=Rates.roster_reads,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+)
+CONFIGURATION = (
+    Projection(
+        role='configuration',
+        what='profiles in memory',
+        slope_name='profile_memory',
+        size=Sizes.profiles,
+        per_unit=MB,
+        unit='MB',
+    ),
+    Projection(
+        role='configuration',
+        what='changes received',
+        slope_name='change_bytes',
+        size=Sizes.one,
+        rate=Rates.changes,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='configuration',
+        what='core to rebuild the book of profiles',
+        slope_name='book_rebuild',
+        size=Sizes.profiles,
+        rate=Rates.changes,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+    Projection(
+        role='configuration',
+        what='time until a change is in force everywhere',
+        slope_name='change_in_force',
+        size=Sizes.daemons,
+        unit='s',
+    ),
+    Projection(
+        role='configuration',
+        what='watches of the whole fleet',
+        slope_name='key_value_watch',
+        size=Sizes.daemons,
+        unit='calls/s',
+    ),
+    Projection(
+        role='configuration',
+        what='reads of the whole fleet, mostly of the one lease',
+        slope_name='key_value_get',
+        size=Sizes.daemons,
+        unit='calls/s',
+    ),
+    Projection(
+        role='configuration',
+        what='writes of the whole idle fleet, mostly of the one lease',
+        slope_name='key_value_put',
+        size=Sizes.daemons,
+        unit='calls/s',
+    ),
+    Projection(
+        role='audit',
+        what='records of a day, never deleted',
+        slope_name='change_bytes',
+        size=Sizes.one,
+        rate=Rates.day_changes,
+        per_unit=MB,
+        unit='MB a day',
+    ),
+)
+ROUTING = (
+    Projection(
+        role='routing state',
+        what='plans in memory',
+        slope_name='plan_memory',
+        size=Sizes.replicas,
+        per_unit=MB,
+        unit='MB',
+    ),
+    Projection(
+        role='routing state',
+        what='plans received, whole at each version',
+        slope_name='plan_bytes',
+        size=Sizes.pool_replicas,
+        rate=Rates.plan_versions,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='routing state',
+        what='core to index all plans at each version',
+        slope_name='plan_take',
+        size=Sizes.replicas,
+        rate=Rates.plan_versions,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+    Projection(
+        role='data path',
+        what='core of routing, usual model',
+        slope_name='route_decision',
+        size=Sizes.model_replicas,
+        rate=Rates.requests,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+    Projection(
+        role='data path',
+        what='core of routing, all to a hot model',
+        slope_name='route_decision',
+        size=Sizes.hot_replicas,
+        rate=Rates.requests,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+)
+LOAD = (
+    Projection(
+        role='load digests',
+        what='demand told by a daemon to the one controller',
+        slope_name='demand_bytes',
+        size=Sizes.models,
+        rate=Rates.demand_reports,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='load digests',
+        what='demand heard by the one controller',
+        slope_name='demand_bytes',
+        size=Sizes.models,
+        rate=Rates.all_demand,
+        per_unit=MB,
+        unit='MB/s',
+    ),
+    Projection(
+        role='controller of a pool',
+        what='reports of all workers at the one controller',
+        slope_name='report_bytes',
+        size=Sizes.worker_models,
+        rate=Rates.reports,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='controller of a pool',
+        what='reports of one pool of 25',
+        slope_name='report_bytes',
+        size=Sizes.worker_models,
+        rate=Rates.pool_reports,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='controller of a pool',
+        what='core to place all 25 pools in one process',
+        slope_name='placement_round_300_servers',
+        size=Sizes.pool_models,
+        rate=Rates.rounds,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+    Projection(
+        role='controller of a pool',
+        what='core to place one pool of 25',
+        slope_name='placement_round_300_servers',
+        size=Sizes.pool_models,
+        rate=Rates.own_rounds,
+        per_unit=MICROSECONDS_OF_PER_CENT,
+        unit=CORE,
+    ),
+)
+CLAIMS = (
+    Projection(
+        role='unrepeatable claims',
+        what='claims kept by the owner of a shard',
+        slope_name='claim_bytes',
+        size=Sizes.shard_claims,
+        per_unit=MB,
+        unit='MB',
+    ),
+    Projection(
+        role='unrepeatable claims',
+        what='core of the whole fleet, service and load included',
+        slope_name='claim_core',
+        size=Sizes.claims,
+        per_unit=CORE_MS_OF_PER_CENT,
+        unit=CORE,
+    ),
+)
+ALL = (
+    *FOOTING,
+    *DIRECTORY,
+    *MEMBERSHIP,
+    *CONFIGURATION,
+    *ROUTING,
+    *LOAD,
+    *CLAIMS,
+)
--- /dev/null
+++ b/emulator/slope_requirement.py
@@ -0,0 +1,27 @@
+"""Compare what is projected with what is required."""
+
+import msgspec
+
+from emulator import slope, slope_projection
+
+
+class Requirement(msgspec.Struct, frozen=True, kw_only=True):
+    """Bound the sum of projections and of a stated rest."""
+
+    title: str
+    limit: float
+    unit: str
+    parts: tuple[slope_projection.Projection, ...]
+    rest: float = 0
+    rest_title: str = ''
+
+    def figure(self, book: slope.SlopeBook) -> float:
+        """Return the projected figure in the requirement's unit."""
+        return self.rest + sum(part.figure(book) for part in self.parts)
+
+    def made_of(self, book: slope.SlopeBook) -> str:
+        """Return the parts as text."""
+        parts = [f'{part.figure(book):.3g} {part.what}' for part in self.parts]
+        if self.rest_title:
+            parts.append(f'{self.rest:g} {self.rest_title}')
+        return ' + '.join(parts)
--- /dev/null
+++ b/emulator/slope_requirements.py
@@ -0,0 +1,112 @@
+"""List the requirements that slopes can judge."""
+
+from emulator import slope_projection, slope_projections, slope_requirement
+
+Requirement = slope_requirement.Requirement
+CORE = slope_projections.CORE
+KB_S = slope_projections.KB_S
+CORE_LIMIT = 4.4
+MEMORY_MB = 128
+KB_LIMIT = 3
+IN_FORCE_S = 11
+READS_PER_S = 2000
+WRITES_PER_S = 400
+CLAIM_AND_PLAN_WRITES = 349
+CONTROL_ROUNDS_PER_CENT = 80
+
+
+def _parts(*names: str) -> tuple[slope_projection.Projection, ...]:
+    by_name = {part.what: part for part in slope_projections.ALL}
+    return tuple(by_name[name] for name in names)
+
+
+BOOK_CORE = 'core to rebuild the book of profiles'
+ALIVE_CORE = 'core to tell who is alive'
+IDLE_CORE = 'core of an idle daemon, small lists'
+DAEMON_CORE = (
+    IDLE_CORE,
+    'core to take in the list',
+    ALIVE_CORE,
+    BOOK_CORE,
+    'core to index all plans at each version',
+)
+DAEMON_MEMORY = (
+    'memory of an idle daemon, small lists',
+    'memory of the list of instances',
+    'member documents kept',
+    'profiles in memory',
+    'plans in memory',
+)
+ALL = (
+    Requirement(
+        title='control: core of a daemon',
+        limit=CORE_LIMIT,
+        unit=CORE,
+        parts=_parts(*DAEMON_CORE),
+    ),
+    Requirement(
+        title='control: core of the one controller',
+        limit=CORE_LIMIT,
+        unit=CORE,
+        parts=_parts(*DAEMON_CORE, 'core to place all 25 pools in one process'),
+        rest=CONTROL_ROUNDS_PER_CENT,
+        rest_title='rounds of 7,100 workers, from the trial in CONTROL.md',
+    ),
+    Requirement(
+        title='control: memory of a daemon',
+        limit=MEMORY_MB,
+        unit='MB',
+        parts=_parts(*DAEMON_MEMORY),
+    ),
+    Requirement(
+        title='control: memory of the owner of one claim shard of 100',
+        limit=MEMORY_MB,
+        unit='MB',
+        parts=_parts(*DAEMON_MEMORY, 'claims kept by the owner of a shard'),
+    ),
+    Requirement(
+        title='control: sent by a daemon',
+        limit=KB_LIMIT,
+        unit=KB_S,
+        parts=_parts(
+            'beats sent, digests equal',
+            'versions told while digests differ',
+            'demand told by a daemon to the one controller',
+        ),
+    ),
+    Requirement(
+        title='control: received by a daemon',
+        limit=KB_LIMIT,
+        unit=KB_S,
+        parts=_parts(
+            'list read by each daemon',
+            'beats sent, digests equal',
+            'versions told while digests differ',
+            'plans received, whole at each version',
+            'changes received',
+        ),
+    ),
+    Requirement(
+        title='configuration: a change in force everywhere',
+        limit=IN_FORCE_S,
+        unit='s',
+        parts=_parts('time until a change is in force everywhere'),
+    ),
+    Requirement(
+        title='key-value service: reads and watches',
+        limit=READS_PER_S,
+        unit='calls/s',
+        parts=_parts(
+            'reads of the whole fleet, mostly of the one lease',
+            'watches of the whole fleet',
+        ),
+    ),
+    Requirement(
+        title='key-value service: writes',
+        limit=WRITES_PER_S,
+        unit='calls/s',
+        parts=_parts('writes of the whole idle fleet, mostly of the one lease'),
+        rest=CLAIM_AND_PLAN_WRITES,
+        rest_title='for claims (100 shards / 300 ms) and plans (15.8)',
+    ),
+)
--- /dev/null
+++ b/emulator/slope_sizes.py
@@ -0,0 +1,109 @@
+"""Hold the size to design for, and what is assumed beside it."""
+
+import enum
+
+import msgspec
+
+DAY_S = 86_400
+HOUR_S = 3600
+DAEMONS = 780
+WORKERS = 7100
+MODELS = 1200
+POOLS = 25
+CELL = 32
+CHANGES_A_DAY = 21_000
+REQUESTS_PER_S = 68_000
+MODELS_A_WORKER = 2
+HOT_REPLICAS = 300
+STATES_A_MOVE = 4
+CLAIM_SHARE = 0.01
+CLAIM_SHARDS = 100
+ROUNDS_PER_S = 4
+REPORTS_PER_S = 0.2
+BODIES_PER_S = 4
+LIST_READS_PER_S = 2
+ALIVE_PER_S = 10
+DEMAND_PER_S = 2
+
+REPLICAS = WORKERS * MODELS_A_WORKER
+CLAIMS_PER_S = REQUESTS_PER_S * CLAIM_SHARE
+VERSIONS_PER_S = REPLICAS * STATES_A_MOVE / HOUR_S
+
+
+class Size(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a number that slopes are multiplied by."""
+
+    title: str
+    count: float
+
+
+class Sizes(enum.Enum):
+    """List the sizes; titles say which are assumed."""
+
+    one = Size(title='one', count=1)
+    daemons = Size(title='daemons', count=DAEMONS)
+    cell = Size(title='members of a full cell', count=CELL)
+    documents = Size(title='daemons and plans', count=DAEMONS + POOLS)
+    listed = Size(title='daemons and workers', count=DAEMONS + WORKERS)
+    models = Size(title='models, all in demand', count=MODELS)
+    pool_models = Size(title='models of one of 25 pools', count=MODELS / POOLS)
+    worker_models = Size(
+        title='models a worker holds (assumed)', count=MODELS_A_WORKER
+    )
+    replicas = Size(title='replicas', count=REPLICAS)
+    pool_replicas = Size(
+        title='replicas of one of 25 pools', count=REPLICAS / POOLS
+    )
+    model_replicas = Size(
+        title='replicas of a usual model', count=REPLICAS // MODELS
+    )
+    hot_replicas = Size(
+        title='replicas of a hot model (assumed)', count=HOT_REPLICAS
+    )
+    profiles = Size(title='profiles, one a model (assumed)', count=MODELS)
+    claims = Size(
+        title='claims/s, 1% of requests (assumed)', count=CLAIMS_PER_S
+    )
+    shard_claims = Size(
+        title='claims of a day in one of 100 shards',
+        count=CLAIMS_PER_S * DAY_S / CLAIM_SHARDS,
+    )
+
+
+class Rates(enum.Enum):
+    """List how often a cost is met."""
+
+    once = Size(title='once', count=1)
+    exchange_bodies = Size(
+        title='exchange bodies/s: one called, one answered, twice a second',
+        count=BODIES_PER_S,
+    )
+    list_reads = Size(
+        title='reads/s of the list: membership and data path',
+        count=LIST_READS_PER_S,
+    )
+    roster_reads = Size(
+        title='times/s that who is alive is asked (assumed)', count=ALIVE_PER_S
+    )
+    demand_reports = Size(title='demand reports/s', count=DEMAND_PER_S)
+    all_demand = Size(
+        title='demand reports/s of all daemons', count=DEMAND_PER_S * DAEMONS
+    )
+    changes = Size(title='changes/s', count=CHANGES_A_DAY / DAY_S)
+    day_changes = Size(title='changes a day', count=CHANGES_A_DAY)
+    requests = Size(
+        title='requests/s of a daemon', count=REQUESTS_PER_S / DAEMONS
+    )
+    plan_versions = Size(
+        title='plan versions/s, each replica moved once an hour (assumed)',
+        count=VERSIONS_PER_S,
+    )
+    rounds = Size(title='rounds/s of 25 pools', count=ROUNDS_PER_S * POOLS)
+    own_rounds = Size(title='rounds/s of a pool', count=ROUNDS_PER_S)
+    reports = Size(
+        title='reports/s of all workers', count=REPORTS_PER_S * WORKERS
+    )
+    pool_reports = Size(
+        title='reports/s of the workers of a pool',
+        count=REPORTS_PER_S * WORKERS / POOLS,
+    )
