--- a/oatcrank/dispatch_queue.py
+++ b/oatcrank/dispatch_queue.py
@@ -5,12 +5,27 @@
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
-from oatcrank import backend_server, clock, ids, job, refusal, router
+from oatcrank import (
+    admission,
+    backend_server,
+    clock,
+    ids,
+    job,
+    profile,
+    refusal,
+    router,
+    slack_queue,
+)
 
 SERVICE_S_GUESS = 1.0
 SERVICE_SHARE = 0.1
 SHORTEST_RETRY_S = 0.5
 NOT_LOADED_PAUSE_S = 0.5
+RANK_BY_PRIORITY = {
+    profile.Priority.high: 0,
+    profile.Priority.normal: 1,
+    profile.Priority.low: 2,
+}
 
 Servers = Callable[[ids.ModelName], Sequence[backend_server.BackendServer]]
 
@@ -18,14 +33,19 @@
 class Waiter:
     """Hold one request in the queue of its model."""
 
-    def __init__(self, held: job.ModelJob) -> None:
-        """Wait for a server."""
+    def __init__(self, held: job.ModelJob, *, alone: bool) -> None:
+        """Wait for a server, with no other suspect on it if alone."""
         self.job = held
+        self.alone = alone
         self.placed: asyncio.Future[backend_server.BackendServer] = (
             asyncio.get_running_loop().create_future()
         )
 
 
+Queue = slack_queue.SlackQueue[Waiter]
+Line = tuple[ids.ModelName, bool]
+
+
 class DispatchQueue:
     """Place requests, queue them by slack, or refuse them at once."""
 
@@ -52,7 +72,8 @@
         self._router = chooser
         self._clock = ticker
         self._queue_limit = queue_limit
-        self._waiting_by_model: dict[ids.ModelName, list[Waiter]] = {}
+        # A suspect that waits for a server of its own holds up no other.
+        self._queue_by_line: dict[Line, Queue] = {}
         self._absent_until: dict[tuple[str, ids.ModelName], float] = {}
 
     def busy_models(self) -> set[ids.ModelName]:
@@ -60,7 +81,7 @@
         running = {
             model for model, count in self.running_by_model.items() if count
         }
-        return running | set(self._waiting_by_model)
+        return running | {model for model, _ in self._queue_by_line}
 
     def is_idle(self, server: ids.ServerId, model: ids.ModelName) -> bool:
         """Tell whether no request for the model runs on the server."""
@@ -68,7 +89,10 @@
 
     def waiting(self, model: ids.ModelName) -> int:
         """Return how many requests wait for a model."""
-        return len(self._waiting_by_model.get(model, ()))
+        return sum(
+            len(self._queue_by_line.get((model, alone), ()))
+            for alone in (False, True)
+        )
 
     async def place(
         self,
@@ -82,7 +106,7 @@
             if server is not None:
                 return server
         self._check_in_time(wanted)
-        return await self._wait(wanted)
+        return await self._wait(wanted, alone=alone)
 
     def release(
         self,
@@ -113,17 +137,18 @@
 
     def wake(self) -> None:
         """Place whatever can be placed now, by slack within each model."""
-        for waiters in tuple(self._waiting_by_model.values()):
+        for waiters in tuple(self._queue_by_line.values()):
             self._place_waiters(waiters)
 
-    def _place_waiters(self, waiters: list[Waiter]) -> None:
-        waiters.sort(key=lambda waiter: waiter.job.deadline)
-        for waiter in tuple(waiters):
-            server = self._try(waiter.job, alone=False)
+    def _place_waiters(self, waiters: Queue) -> None:
+        waiter = waiters.peek()
+        while waiter is not None:
+            server = self._try(waiter.job, alone=waiter.alone)
             if server is None:
                 return
-            waiters.remove(waiter)
+            waiters.get()
             waiter.placed.set_result(server)
+            waiter = waiters.peek()
 
     def _try(
         self,
@@ -166,6 +191,13 @@
     def _check_in_time(self, wanted: job.ModelJob) -> None:
         ahead = self.waiting(wanted.model)
         expected_s = self._expected_wait_s(wanted.model, ahead)
+        retry_after_s = admission.retry_after_s(
+            admission.Expectation(
+                start_s=expected_s,
+                service_s=self.service_s_by_model.get(wanted.model, 0),
+                useful_s=wanted.deadline - self._clock.now(),
+            ),
+        )
         if ahead >= self._queue_limit:
             raise refused_in_queue(
                 refusal.Code.overloaded,
@@ -173,11 +205,11 @@
                 expected_s,
                 ran=wanted.may_have_run,
             )
-        if self._clock.now() + expected_s > wanted.deadline:
+        if retry_after_s is not None:
             raise refused_in_queue(
                 refusal.Code.not_in_time,
                 'the answer could not come within its target',
-                expected_s,
+                retry_after_s,
                 ran=wanted.may_have_run,
             )
 
@@ -190,10 +222,23 @@
         service_s = self.service_s_by_model.get(model, SERVICE_S_GUESS)
         return service_s * ahead / slots
 
-    async def _wait(self, wanted: job.ModelJob) -> backend_server.BackendServer:
-        waiter = Waiter(wanted)
-        waiters = self._waiting_by_model.setdefault(wanted.model, [])
-        waiters.append(waiter)
+    async def _wait(
+        self,
+        wanted: job.ModelJob,
+        *,
+        alone: bool,
+    ) -> backend_server.BackendServer:
+        waiter = Waiter(wanted, alone=alone)
+        line = (wanted.model, alone)
+        waiters = self._queue_by_line.get(line)
+        if waiters is None:
+            waiters = slack_queue.SlackQueue(bound=self._queue_limit)
+            self._queue_by_line[line] = waiters
+        waiters.put(
+            waiter,
+            deadline=wanted.deadline,
+            priority=RANK_BY_PRIORITY[wanted.work_class.priority],
+        )
         try:
             async with asyncio.timeout(wanted.deadline - self._clock.now()):
                 return await asyncio.shield(waiter.placed)
@@ -214,10 +259,11 @@
         if waiter.placed.done():
             self.release(waiter.placed.result(), model)
             return
-        waiters = self._waiting_by_model[model]
-        waiters.remove(waiter)
-        if not waiters:
-            self._waiting_by_model.pop(model)
+        line = (model, waiter.alone)
+        waiters = self._queue_by_line[line]
+        waiters.discard(waiter)
+        if not len(waiters):
+            self._queue_by_line.pop(line)
 
 
 def refused_in_queue(
--- a/oatcrank/slack_queue.py
+++ b/oatcrank/slack_queue.py
@@ -53,6 +53,11 @@
             heapq.heappop(ranks)
         return ranks[0] if ranks else None
 
+    def peek(self) -> Item | None:
+        """Return the item that get would return, or None."""
+        rank = self.first()
+        return None if rank is None else self._item_by_number[rank.number]
+
     def get(self) -> Item | None:
         """Remove and return the item with the earliest slack, or None."""
         rank = self.first()
