--- a/oatcrank/dispatch.py
+++ b/oatcrank/dispatch.py
@@ -124,6 +124,8 @@
         self._note(server, wanted, error)
         if not isinstance(error, errors.NotLoaded):
             self._spend(wanted, refusal.RunState.did_not_run, error)
+        elif self._clock.now() >= wanted.deadline:
+            raise refusal.Refused(_late(wanted, error)) from error
 
     def _note(
         self,
@@ -132,7 +134,7 @@
         error: errors.BackendError,
     ) -> None:
         if not isinstance(error, (errors.NotLoaded, errors.Busy)):
-            server.failed()
+            server.failed(took_nothing=isinstance(error, errors.NotStarted))
         wanted.avoid.add(server.listed.failure_domain)
         self._metrics.count('attempt_failed')
         logs.event(
@@ -198,6 +200,21 @@
     )
 
 
+def _late(
+    wanted: job.Job,
+    error: errors.BackendError,
+) -> refusal.Refusal:
+    return refusal.Refusal(
+        code=refusal.Code.not_in_time,
+        message=f'what the request needs was not loaded in time: {error}',
+        run_state=refusal.RunState.may_have_run
+        if wanted.may_have_run
+        else refusal.RunState.did_not_run,
+        request_id=wanted.request_id,
+        retry_after_s=RETRY_S,
+    )
+
+
 def _unknown(
     wanted: job.Job,
     error: errors.BackendError,
--- a/oatcrank/model_dispatch.py
+++ b/oatcrank/model_dispatch.py
@@ -23,6 +23,7 @@
 )
 
 PROBE_TIMEOUT_S = 1.0
+NOT_LOADED_PAUSE_S = 0.1
 EVENT_STREAM = 'text/event-stream'
 LOAD_FIELDS = 3
 ERROR_BY_STATUS = {
@@ -88,12 +89,7 @@
     ) -> None:
         assert isinstance(wanted, job.ModelJob)
         if wanted.adapter:
-            await self._adapters.ensure(
-                server,
-                self._engines(server),
-                wanted.model,
-                wanted.adapter,
-            )
+            await self._ensure_adapter(server, wanted)
         attempt_id = wanted.next_attempt_id()
         started = self._clock.now()
         relay = _Relay(server, wanted, answer)
@@ -110,6 +106,23 @@
             self._places.mark_absent(server, wanted.model)
         raise relay.failure
 
+    async def _ensure_adapter(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.ModelJob,
+    ) -> None:
+        try:
+            await self._adapters.ensure(
+                server,
+                self._engines(server),
+                wanted.model,
+                wanted.adapter,
+            )
+        except errors.NotLoaded:
+            # Without a pause the next attempt would meet the same plan.
+            await asyncio.sleep(NOT_LOADED_PAUSE_S)
+            raise
+
     def _cancel(
         self,
         server: backend_server.BackendServer,
