--- /dev/null
+++ b/emulator/known_red.py
@@ -0,0 +1,24 @@
+"""List the tests that are known to fail for a fault not yet mended."""
+
+import pathlib
+
+FILE = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
+
+
+def entries_of(text: str) -> dict[str, str]:
+    """Return each line of a list by the node id that it starts with."""
+    lines = (line.strip() for line in text.splitlines())
+    return {
+        line.split(maxsplit=1)[0]: line
+        for line in lines
+        if line and not line.startswith('#')
+    }
+
+
+def _read() -> dict[str, str]:
+    if not FILE.exists():
+        return {}
+    return entries_of(FILE.read_text(encoding='utf-8'))
+
+
+ENTRY_BY_TEST = _read()
--- /dev/null
+++ b/tests/small_site.py
@@ -0,0 +1,288 @@
+"""Run a small site whose parts can be made to fail."""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import msgspec
+
+from emulator import (
+    call_outcome,
+    caller,
+    completion,
+    engine_config,
+    launched,
+    launcher,
+    ledger,
+    listing,
+    memory_handler,
+    running_site,
+    site,
+    site_configs,
+    site_pool,
+    sites,
+)
+from oatcrank import (
+    control_settings,
+    errors,
+    ids,
+    instance_list,
+    operator_messages,
+    platform_settings,
+    profile,
+    rpc,
+    settings,
+    target,
+)
+
+HANG_S = 90
+CALL_S = 10
+POLL_S = 0.1
+MODELS = tuple(ids.ModelName(f'draft-{number}') for number in range(1, 6))
+SERVICE = ids.ServiceName('bookings')
+CONTROL = control_settings.ControlSettings(
+    lease_term_ms=1500, delivery_delay_ms=4000, report_lag_ms=1000
+)
+POOL = site_pool.SitePool(
+    name=ids.PoolName('wordbay'), engines=2, models=MODELS, service=SERVICE
+)
+
+
+def promise(
+    name: str = 'drafts', *, adapters: int = 0, first_token_ms: int = 30_000
+) -> profile.Profile:
+    return profile.Profile(
+        name=ids.ProfileName(name),
+        models=MODELS,
+        adapters=adapter_names()[:adapters],
+        services=(SERVICE,),
+        targets=target.Targets(
+            first_token_ms=first_token_ms,
+            between_tokens_ms=1000,
+            whole_answer_ms=60_000,
+        ),
+    )
+
+
+def adapter_names() -> tuple[ids.AdapterName, ...]:
+    return tuple(ids.AdapterName(f'member-{one}') for one in range(10))
+
+
+SITE = msgspec.structs.replace(
+    sites.SITE_BY_NAME['yard'],
+    pools=(POOL,),
+    adapter_names=adapter_names(),
+    profiles=(promise(),),
+    store=site.SiteStore(
+        loads_per_s=4,
+        concurrent=2,
+        adapters_in_transit=10,
+        adapter_min_ms=5,
+        adapter_max_ms=10,
+    ),
+)
+
+
+class SmallSite(running_site.RunningSite):
+    """Be a site of one pool, and three entry instances."""
+
+    def __init__(
+        self,
+        started_by: launcher.Launcher,
+        directory: pathlib.Path,
+        *,
+        checks_fencing: bool = True,
+    ) -> None:
+        super().__init__(started_by, SITE, directory)
+        self.client = rpc.Rpc()
+        self.checks_fencing = checks_fencing
+        self.key_value_of: dict[int, str] = {}
+        self.ports = [launcher.free_port() for _ in range(3)]
+        self.profile = promise()
+        self._config_by_id: dict[str, engine_config.EngineConfig] = {}
+
+    async def start(self) -> None:
+        await self.start_outside(self.ports)
+        await self.start_entries(self.ports)
+        await self.ask(
+            self.entries[0].address,
+            'POST',
+            '/v1/profiles',
+            operator_messages.ChangeRequest(who='test', profile=self.profile),
+        )
+
+    async def ask(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        message: msgspec.Struct | dict[str, Any] | None = None,
+        answer_type: Any = Any,
+    ) -> Any:
+        body = None if message is None else msgspec.json.encode(message)
+        text = await self.client.fetch(
+            address, method, path, body, timeout_s=CALL_S
+        )
+        return msgspec.json.decode(text, type=answer_type)
+
+    async def fault(self, process: launched.Launched, **faults: Any) -> None:
+        await self.ask(process.address, 'POST', '/control/faults', faults)
+
+    async def status(self, number: int) -> operator_messages.Status:
+        return await self.ask(
+            self.entries[number].address,
+            'GET',
+            '/v1/status',
+            answer_type=operator_messages.Status,
+        )
+
+    async def runs(self, process: launched.Launched) -> list[Any]:
+        page = await self.ask(
+            process.address,
+            'GET',
+            '/control/ledger',
+            answer_type=ledger.LedgerPage,
+        )
+        return page.entries
+
+    async def excess(self) -> list[Any]:
+        found = []
+        for engine in self.engine_by_id.values():
+            page = await self.ask(
+                engine.address,
+                'GET',
+                '/control/memory',
+                answer_type=memory_handler.MemoryPage,
+            )
+            found.extend(page.excess)
+        return found
+
+    async def controller(self) -> int:
+        """Return the number of the entry instance that controls."""
+        while True:
+            for number, entry in enumerate(self.entries):
+                if entry.is_running and await self._controls(number):
+                    return number
+            await asyncio.sleep(POLL_S)
+
+    async def _controls(self, number: int) -> bool:
+        try:
+            return bool((await self.status(number)).sections['controls'])
+        except errors.PlatformError:
+            return False
+
+    async def complete(
+        self, model: str, *, tokens: int = 4, adapter: str = ''
+    ) -> call_outcome.CallOutcome:
+        """Ask until there is an answer, as a patient caller does."""
+        known = tuple(
+            entry.address for entry in self.entries if entry.is_running
+        )
+        sender = caller.Caller(self.client, known, self.profile.name)
+        asked = completion.Completion(
+            model=model,
+            adapter=adapter,
+            prompt='when does the van come?',
+            max_tokens=tokens,
+            stream=True,
+        )
+        async with asyncio.timeout(HANG_S):
+            while True:
+                ended = await sender.complete(asked)
+                if ended.outcome is call_outcome.Outcome.answered:
+                    return ended
+                assert ended.outcome is not call_outcome.Outcome.wrong, ended
+                pause_s = ended.refused and ended.refused.retry_after_s
+                await asyncio.sleep(pause_s or POLL_S)
+
+    async def relist(self, server_id: str, state: instance_list.State) -> None:
+        self._listed = [
+            msgspec.structs.replace(one, state=state)
+            if one.instance_id == server_id
+            else one
+            for one in self._listed
+        ]
+        await self.tell_list()
+
+    async def tell_list(self) -> None:
+        await self.ask(
+            self.instance_list.address,
+            'POST',
+            '/control/instances',
+            listing.Listing(instances=tuple(self._listed)),
+        )
+
+    async def restart_engine(self, server_id: str) -> None:
+        """Lose everything that an engine holds."""
+        engine = self.engine_by_id[server_id]
+        await engine.kill()
+        self.engine_by_id[server_id] = await self._launcher.stand_in(
+            'engine',
+            self._config_by_id[server_id],
+            port=int(engine.address.split(':')[1]),
+            name=server_id,
+        )
+
+    async def restart_entry(self, number: int) -> None:
+        """Replace an entry instance by one that knows nothing."""
+        await self.entries[number].kill()
+        path = self._write_settings(number + 1, self.ports[number])
+        self.entries[number] = await self._launcher.entry(path)
+
+    async def _start_pool(self, pool: site_pool.SitePool) -> None:
+        for plain in site_configs.engines_of(pool, self.weight_store.address):
+            config = msgspec.structs.replace(
+                plain, checks_fencing=self.checks_fencing
+            )
+            engine = await self._launcher.stand_in(
+                'engine', config, name=config.server_id
+            )
+            self._config_by_id[engine.name] = config
+            self.engine_by_id[engine.name] = engine
+            self._list(engine, instance_list.Kind.engine, pool.name)
+            self._listed[-1] = msgspec.structs.replace(
+                self._listed[-1], checks_fencing=self.checks_fencing
+            )
+        service = site_configs.service_of(pool)
+        process = await self._launcher.stand_in(
+            'plain-service', service, name=service.server_id
+        )
+        self.service_by_name[pool.service] = process
+        self._list(process, instance_list.Kind.service, pool.service)
+
+    def _entry_settings(
+        self, number: int, port: int, list_address: str
+    ) -> settings.Settings:
+        plain = super()._entry_settings(number, port, list_address)
+        platform = platform_settings.PlatformSettings(
+            key_value=self.key_value_of.get(number, self.key_value.address),
+            instance_list=list_address,
+            weight_store=self.weight_store.address,
+        )
+        return msgspec.structs.replace(
+            plain, control=CONTROL, platform=platform
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(**options: Any) -> AsyncIterator[SmallSite]:
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        async with launcher.Launcher(directory) as started:
+            small = SmallSite(started, directory, **options)
+            await small.start()
+            yield small
+            small.client.close()
+
+
+async def eventually(holds: Callable[[], Any]) -> float:
+    """Await a condition of other processes; return the seconds it took."""
+    started = time.monotonic()
+    async with asyncio.timeout(HANG_S):
+        while not await holds():
+            await asyncio.sleep(POLL_S)
+    return time.monotonic() - started
