Answer every bad input by its typed refusal

Cause: an unknown path was answered by tornado's page, a body over the limit by a bare 400 without a body, and refusals from the checks of headers and bodies did not name the request; Retry-After was one second more than rounding up. Ruled out: the other sixteen kinds of bad input in the table, which were refused as written.

Change: a handler for unknown paths (not_found); a delegate between server and application drops a body over the limit as it comes and answers 413 too_large; callers' handlers fill in the request id. A body above 16 times the limit is still cut without a refusal.

--- /dev/null
+++ b/oatcrank/body_limit.py
@@ -0,0 +1,104 @@
+"""Refuse bodies that are too large without keeping them."""
+
+from collections.abc import Awaitable
+from http import HTTPStatus
+
+import msgspec
+from tornado import httputil
+
+from oatcrank import refusal, rpc
+
+# A body beyond this share of the limit is cut instead of read to its end.
+READ_SHARE = 16
+
+
+class BodyLimit(httputil.HTTPServerConnectionDelegate):
+    """Stand between a server and its application."""
+
+    def __init__(
+        self,
+        application: httputil.HTTPServerConnectionDelegate,
+        *,
+        limit_bytes: int,
+    ) -> None:
+        """Let bodies of at most limit_bytes through."""
+        self._application = application
+        self._limit_bytes = limit_bytes
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: httputil.HTTPConnection,
+    ) -> httputil.HTTPMessageDelegate:
+        """Watch one request."""
+        return _Watched(
+            self._application.start_request(server_conn, request_conn),
+            request_conn,
+            self._limit_bytes,
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Tell the application that a connection is closed."""
+        self._application.on_close(server_conn)
+
+
+class _Watched(httputil.HTTPMessageDelegate):
+    def __init__(
+        self,
+        inner: httputil.HTTPMessageDelegate,
+        connection: httputil.HTTPConnection,
+        limit_bytes: int,
+    ) -> None:
+        self._inner = inner
+        self._connection = connection
+        self._left = limit_bytes
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Hand on the head."""
+        return self._inner.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Hand on what is within the limit and drop the rest."""
+        was_within = self._left >= 0
+        self._left -= len(chunk)
+        if self._left >= 0:
+            return self._inner.data_received(chunk)
+        if was_within:
+            # The application drops what it has kept of the body.
+            self._inner.on_connection_close()
+        return None
+
+    def finish(self) -> None:
+        """Let the application answer, or refuse."""
+        if self._left >= 0:
+            self._inner.finish()
+            return
+        body = msgspec.json.encode(_too_large())
+        headers = httputil.HTTPHeaders(
+            {'Content-Type': rpc.JSON_TYPE, 'Content-Length': str(len(body))}
+        )
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        self._connection.write_headers(
+            httputil.ResponseStartLine('HTTP/1.1', status, status.phrase),
+            headers,
+            body,
+        )
+        self._connection.finish()
+
+    def on_connection_close(self) -> None:
+        """Tell the application that the caller is gone."""
+        if self._left >= 0:
+            self._inner.on_connection_close()
+
+
+def _too_large() -> refusal.Refusal:
+    return refusal.Refusal(
+        code=refusal.Code.too_large,
+        message='the body is larger than this instance takes',
+        run_state=refusal.RunState.did_not_run,
+        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    )
--- a/oatcrank/caller_handler.py
+++ b/oatcrank/caller_handler.py
@@ -87,6 +87,15 @@
         if not self.outlet.gone:
             await self._finish()
 
+    def refuse(self, refused: refusal.Refusal) -> None:
+        """Finish with a refusal that names the request."""
+        checked = getattr(self, 'checked', None)
+        if checked is not None and not refused.request_id:
+            refused = msgspec.structs.replace(
+                refused, request_id=checked.request_id
+            )
+        super().refuse(refused)
+
     async def _finish(self) -> None:
         with contextlib.suppress(IOError):
             await self.finish()
--- a/oatcrank/entry.py
+++ b/oatcrank/entry.py
@@ -12,6 +12,7 @@
     _entry_serving,
     address_handler,
     background,
+    body_limit,
     claim_handlers,
     completion_handler,
     internal_handlers,
@@ -19,6 +20,7 @@
     operator_handlers,
     service_handler,
     settings,
+    unknown_handler,
 )
 
 MS_PER_S = 1000
@@ -87,8 +89,15 @@
 
     def _listen(self) -> None:
         self._server = httpserver.HTTPServer(
-            web.Application(self._routes()),
-            max_body_size=self.settings.limits.body_bytes,
+            body_limit.BodyLimit(
+                web.Application(
+                    self._routes(),
+                    default_handler_class=unknown_handler.UnknownHandler,
+                ),
+                limit_bytes=self.settings.limits.body_bytes,
+            ),
+            max_body_size=self.settings.limits.body_bytes
+            * body_limit.READ_SHARE,
         )
         listen = self.settings.listen
         sockets = netutil.bind_sockets(listen.port, listen.host)
--- a/oatcrank/json_handler.py
+++ b/oatcrank/json_handler.py
@@ -1,5 +1,6 @@
 """Read and answer HTTP requests with typed JSON bodies."""
 
+import math
 from http import HTTPStatus
 from typing import Any, TypeVar
 
@@ -41,7 +42,7 @@
     def refuse(self, refused: refusal.Refusal) -> None:
         """Finish with a refusal and when to come back, in whole seconds."""
         if refused.retry_after_s is not None:
-            whole = max(1, round(refused.retry_after_s + 0.5))
+            whole = max(1, math.ceil(refused.retry_after_s))
             self.set_header('Retry-After', str(whole))
         self.answer(refused, refused.status)
 
