--- a/tests/proof_site.py
+++ b/tests/proof_site.py
@@ -239,6 +239,11 @@
         )
         return [entry for page in pages for entry in page.entries]
 
+    async def first_run(self, *processes: launched.Launched) -> None:
+        """Return once one of the processes has begun to run something."""
+        while not await self.ledger(*processes):
+            await asyncio.sleep(poll.STEP_S)
+
     async def unlist(self, gone: Iterable[launched.Launched]) -> None:
         """Take processes off the instance list, as the platform does."""
         names = {process.name for process in gone}
@@ -337,6 +342,8 @@
             started = ProofSite(own, directory, **options)
             await started.start()
             await scenario(started)
+            # A planned stop would only take time here.
+            await asyncio.gather(*(one.kill() for one in started.entries))
 
     asyncio.run(whole())
 
