Describe capacity at the design's size, from measured slopes

Cause: nothing said which role breaks first as the fleet grows. Change: docs/CAPACITY.md, with tables made from docs/slopes.json, and a check that each figure on the page is slope x size.

--- a/emulator/slope_projections.py
+++ b/emulator/slope_projections.py
@@ -18,16 +18,32 @@
         role='all',
         what='core of an idle daemon, small lists',
         slope_name='daemon_core',
-        size=Sizes.cell,
+        size=Sizes.measured,
         unit=CORE,
     ),
     Projection(
         role='all',
         what='memory of an idle daemon, small lists',
         slope_name='daemon_memory',
-        size=Sizes.cell,
+        size=Sizes.measured,
         unit='MB',
     ),
+    Projection(
+        role='all',
+        what='all received by an idle daemon, small fleet',
+        slope_name='daemon_bytes_in',
+        size=Sizes.few,
+        per_unit=KB,
+        unit=KB_S,
+    ),
+    Projection(
+        role='all',
+        what='all sent by an idle daemon, small fleet',
+        slope_name='daemon_bytes_out',
+        size=Sizes.few,
+        per_unit=KB,
+        unit=KB_S,
+    ),
 )
 DIRECTORY = (
     Projection(
--- a/emulator/slope_requirements.py
+++ b/emulator/slope_requirements.py
@@ -64,6 +64,18 @@
         unit='MB',
         parts=_parts(*DAEMON_MEMORY, 'claims kept by the owner of a shard'),
     ),
+    Requirement(
+        title='control: all sent by a daemon of 3, idle',
+        limit=KB_LIMIT,
+        unit=KB_S,
+        parts=_parts('all sent by an idle daemon, small fleet'),
+    ),
+    Requirement(
+        title='control: all received by a daemon of 3, idle',
+        limit=KB_LIMIT,
+        unit=KB_S,
+        parts=_parts('all received by an idle daemon, small fleet'),
+    ),
     Requirement(
         title='control: sent by a daemon',
         limit=KB_LIMIT,
--- a/emulator/slope_sizes.py
+++ b/emulator/slope_sizes.py
@@ -10,7 +10,9 @@
 WORKERS = 7100
 MODELS = 1200
 POOLS = 25
-CELL = 32
+DOMAIN_CELLS = 2
+FEW_DAEMONS = 3
+MOST_MEASURED = 81
 CHANGES_A_DAY = 21_000
 REQUESTS_PER_S = 68_000
 MODELS_A_WORKER = 2
@@ -20,7 +22,7 @@
 CLAIM_SHARDS = 100
 ROUNDS_PER_S = 4
 REPORTS_PER_S = 0.2
-BODIES_PER_S = 4
+BODIES_PER_S = 9
 LIST_READS_PER_S = 2
 ALIVE_PER_S = 10
 DEMAND_PER_S = 2
@@ -42,7 +44,14 @@
 
     one = Size(title='one', count=1)
     daemons = Size(title='daemons', count=DAEMONS)
-    cell = Size(title='members of a full cell', count=CELL)
+    few = Size(title='daemons of a small fleet', count=FEW_DAEMONS)
+    measured = Size(
+        title='daemons of the largest fleet measured', count=MOST_MEASURED
+    )
+    cell = Size(
+        title='members of a cell, half of a failure domain',
+        count=DAEMONS / POOLS / DOMAIN_CELLS,
+    )
     documents = Size(title='daemons and plans', count=DAEMONS + POOLS)
     listed = Size(title='daemons and workers', count=DAEMONS + WORKERS)
     models = Size(title='models, all in demand', count=MODELS)
@@ -75,7 +84,7 @@
 
     once = Size(title='once', count=1)
     exchange_bodies = Size(
-        title='exchange bodies/s: one called, one answered, twice a second',
+        title='exchange bodies/s: 4.5 calls, 4.5 answers, as below 16 members',
         count=BODIES_PER_S,
     )
     list_reads = Size(
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,81 @@
+"""Check that the page of capacity says what the measured slopes give."""
+
+import re
+
+import pytest
+
+from emulator import (
+    slope,
+    slope_fit,
+    slope_page,
+    slope_plots,
+    slope_projections,
+    slope_requirements,
+    slopes,
+)
+
+NUMBER = r'([\d.e+]+)'
+RECKONING = re.compile(
+    rf'\({NUMBER} \+ {NUMBER} x {NUMBER}\)(?: x {NUMBER})?(?: / {NUMBER})?'
+)
+ROUNDING = 1e-2
+
+
+def test_page_is_generated_from_the_figures() -> None:
+    page = slopes.PAGE.read_text()
+    assert slope_page.renewed(page, slopes.read_book()) == page
+    for name in ('requirements', 'projections', 'sizes', 'slopes', 'relay'):
+        assert f'<!-- begin {name} -->' in page
+    for file in slope_plots.NAMES_BY_FILE:
+        assert f'(plots/{file}.png)' in page
+        assert (slopes.PLOTS / f'{file}.png').exists()
+
+
+def test_page_multiplies_rightly() -> None:
+    book = slopes.read_book()
+    page = slopes.PAGE.read_text()
+    rows = [
+        [cell.strip() for cell in line.split('|')[1:-1]]
+        for line in page.splitlines()
+        if RECKONING.search(line)
+    ]
+    assert len(rows) == len(slope_projections.ALL)
+    for row in rows:
+        what, name, reckoning = row[1:4]
+        shown = row[4]
+        found = RECKONING.fullmatch(reckoning)
+        assert found, what
+        terms = [float(one or 1) for one in found.groups()]
+        line = book.of(name)
+        assert terms[:2] == [line.base, line.each], what
+        figure = (terms[0] + terms[1] * terms[2]) * terms[3] / terms[4]
+        assert float(shown.split()[0]) == pytest.approx(figure, rel=ROUNDING)
+
+
+def test_requirements_add_up_and_are_judged() -> None:
+    book = slopes.read_book()
+    for one in slope_requirements.ALL:
+        row = next(
+            line.split(' | ')
+            for line in slopes.PAGE.read_text().splitlines()
+            if line.startswith(f'| {one.title} | {one.limit:g} ')
+        )
+        shown = float(row[2].split()[0])
+        parts = [float(part.split()[0]) for part in row[5].split(' + ')]
+        assert sum(parts) == pytest.approx(shown, rel=ROUNDING)
+        assert (row[4] == 'yes') is (one.figure(book) <= one.limit)
+
+
+@pytest.mark.parametrize(
+    ('medians', 'line'),
+    [
+        ({1: 12, 3: 16}, (10, 2)),
+        ({1: 1, 10: 30}, (0, 3)),
+        ({1: 9, 10: 8}, (9, 0)),
+        ({4: 8}, (0, 2)),
+    ],
+)
+def test_fit(medians: dict[int, float], line: tuple[float, float]) -> None:
+    points = [slope.point(at, [median]) for at, median in medians.items()]
+    found = slope_fit.fit('s', points, unit='B', per='one', command='c')
+    assert (found.base, found.each) == pytest.approx(line)
