--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import pytest
-from hypothesis import HealthCheck, settings, stateful
+from hypothesis import HealthCheck, Phase, settings, stateful
 from hypothesis import strategies as st
 
 from emulator import memory_engine
@@ -534,6 +534,7 @@
 
 TestControl = ControlMachine.TestCase
 TestControl.settings = settings(
+    phases=(Phase.explicit, Phase.generate),
     derandomize=True,
     deadline=None,
     max_examples=300,
