Replay a trace against a whole site that is started for it

`python -m emulator replay TRACE` starts stand-ins and three entry instances from a trace's head, creates its profiles through the operators' interface and runs the replay; `policy.placement` chooses the placement.

Cause: replays had run against a small fake only. Profiles of traces named no adapters, which an entry instance refuses as unknown; the heads now name them (arrivals are unchanged). Accelerators were counted until the last answer in replays but until the trace's end in the harness; now both to its end. Ruled out: the static policy as a setting, as it fixes its plan on the models that it sees first, which on a starting system are none or few.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -16,6 +16,7 @@
     'demo': 'demo',
     'load': 'load',
     'prove': 'prove',
+    'replay': 'replay_site',
     'slopes': 'slopes',
 }
 
--- a/emulator/running_site.py
+++ b/emulator/running_site.py
@@ -94,6 +94,10 @@
         for engine in engines:
             self.engine_by_id[engine.name] = engine
             self._list(engine, instance_list.Kind.engine, pool.name)
+        if pool.service:
+            await self._start_service(pool)
+
+    async def _start_service(self, pool: site_pool.SitePool) -> None:
         config = site_configs.service_of(pool)
         service = await self._launcher.stand_in(
             'plain-service', config, name=config.server_id
--- a/emulator/site.py
+++ b/emulator/site.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from emulator import site_pool
-from oatcrank import ids, profile, weight_store
+from oatcrank import ids, placement_kind, profile, weight_store
 
 MODEL_SIZES_MB = (27_000, 36_000, 41_000, 33_000, 22_000)
 ADAPTER_MB = 100
@@ -39,6 +39,9 @@
     profiles: tuple[profile.Profile, ...]
     accelerator_weight: float
     move_weight: float
+    placement: placement_kind.PlacementKind = (
+        placement_kind.PlacementKind.expected_gain
+    )
 
     def catalogue(self) -> weight_store.Catalogue:
         """Return the models of every pool and the adapters dealt to them."""
--- a/emulator/site_configs.py
+++ b/emulator/site_configs.py
@@ -16,10 +16,6 @@
     weight_store_settings,
 )
 
-ENGINE_MEMORY_MB = 68_000
-ENGINE_SLOTS = 8
-TOKENS_PER_S = 40
-FIRST_TOKEN_MS = 100
 REPORT_LAG_MS = 200
 SERVICE_DELAY_S = 0.02
 
@@ -50,10 +46,10 @@
             server_id=f'{pool.name}-{number}',
             pool=pool.name,
             weight_store=store_address,
-            memory_mb=ENGINE_MEMORY_MB,
-            slots=ENGINE_SLOTS,
-            tokens_per_s=TOKENS_PER_S,
-            first_token_ms=FIRST_TOKEN_MS,
+            memory_mb=pool.memory_mb,
+            slots=pool.slots,
+            tokens_per_s=pool.tokens_per_s,
+            first_token_ms=pool.first_token_ms,
             report_lag_ms=REPORT_LAG_MS,
         )
         for number in range(1, pool.engines + 1)
@@ -90,6 +86,7 @@
             adapters_in_transit=chosen.store.adapters_in_transit,
         ),
         policy=policy_settings.PolicySettings(
+            placement=chosen.placement,
             accelerator_weight=chosen.accelerator_weight,
             move_weight=chosen.move_weight,
         ),
--- /dev/null
+++ b/emulator/trace_site.py
@@ -0,0 +1,106 @@
+"""Describe the site that a trace's head tells of."""
+
+import collections
+
+from emulator import site, site_pool
+from oatcrank import placement_kind, policies, trace, trace_head, weight_store
+
+MS_PER_S = 1000
+
+
+class TraceSite(site.Site, frozen=True, kw_only=True):
+    """Hold the figures of a trace's head as a site."""
+
+    head: trace_head.TraceHead
+
+    def catalogue(self) -> weight_store.Catalogue:
+        """Return the head's models; memory is theirs with their adapters."""
+        return weight_store.Catalogue(
+            models=tuple(
+                weight_store.ModelWeights(
+                    name=model.name,
+                    pool=model.pool,
+                    memory_mb=model.memory_mb
+                    - site.ADAPTER_MB * len(model.adapters),
+                )
+                for model in self.head.models
+            ),
+            adapters=tuple(
+                weight_store.AdapterWeights(
+                    name=adapter,
+                    model=model.name,
+                    memory_mb=site.ADAPTER_MB,
+                )
+                for model in self.head.models
+                for adapter in model.adapters
+            ),
+        )
+
+
+def of_trace(
+    replayed: trace.Trace,
+    placement: placement_kind.PlacementKind,
+) -> TraceSite:
+    """Return the site of a trace, with the weights that fit it."""
+    head = replayed.head
+    store = head.store
+    weights = policies.weights_of(head.site)
+    return TraceSite(
+        name=head.site,
+        title=f'{head.site} of a trace',
+        region=head.region,
+        failure_domains=head.failure_domains,
+        pools=tuple(_pool(replayed, pool) for pool in head.pools),
+        adapter_names=tuple(
+            adapter for model in head.models for adapter in model.adapters
+        ),
+        store=site.SiteStore(
+            loads_per_s=store.loads_per_s,
+            concurrent=store.concurrent_loads,
+            adapters_in_transit=store.adapters_in_transit,
+            adapter_min_ms=store.adapter_low_ms,
+            adapter_max_ms=store.adapter_high_ms,
+        ),
+        profiles=head.profiles,
+        accelerator_weight=weights.accelerator_weight,
+        move_weight=weights.move_weight,
+        placement=placement,
+        head=head,
+    )
+
+
+def _pool(
+    replayed: trace.Trace,
+    pool: trace_head.TracePool,
+) -> site_pool.SitePool:
+    models = [
+        model for model in replayed.head.models if model.pool == pool.name
+    ]
+    return site_pool.SitePool(
+        name=pool.name,
+        engines=pool.servers,
+        models=tuple(model.name for model in models),
+        memory_mb=pool.memory_mb,
+        slots=pool.slots,
+        tokens_per_s=min(model.answer_tokens_per_s for model in models),
+        first_token_ms=_first_token_ms(replayed, models),
+    )
+
+
+def _first_token_ms(
+    replayed: trace.Trace,
+    models: list[trace_head.TraceModel],
+) -> float:
+    # The stand-in's prompts all take as long as the pool's mean one.
+    asked = collections.Counter(
+        {arrival.model: 0 for arrival in replayed.arrivals}
+    )
+    tokens = collections.Counter(asked)
+    for arrival in replayed.arrivals:
+        asked[arrival.model] += 1
+        tokens[arrival.model] += arrival.prompt
+    spent_s = sum(
+        tokens[model.name] / model.prompt_tokens_per_s for model in models
+    )
+    count = sum(asked[model.name] for model in models)
+    return max(1, MS_PER_S * spent_s / max(1, count))
--- a/oatcrank/_entry_control.py
+++ b/oatcrank/_entry_control.py
@@ -11,9 +11,9 @@
     demand_board,
     demand_sender,
     document,
-    expected_gain_placement,
     idle_query,
     lease,
+    placement_choice,
     plan,
     pool_control,
     pool_control_parts,
@@ -94,9 +94,7 @@
             book=platform.book,
             metrics=platform.meter,
             publish=self._publish,
-            new_policy=lambda: expected_gain_placement.ExpectedGainPlacement(
-                chosen.policy,
-            ),
+            new_policy=lambda: placement_choice.new(chosen.policy),
         )
 
     def _publish(self, newer: plan.Plan) -> None:
--- a/oatcrank/_replay_watch.py
+++ b/oatcrank/_replay_watch.py
@@ -39,6 +39,7 @@
         self.held_server_s: float = 0
         self.seconds: float = 0
         self.unread = 0
+        self.counted_until_s = float('inf')
 
     @property
     def used(self) -> int:
@@ -61,7 +62,8 @@
             self.unread += 1
             return
         await asyncio.gather(*map(self._read_one, engines))
-        now = self._clock.now()
+        # What is held after the trace's end serves no arrival of it.
+        now = min(self._clock.now(), self.counted_until_s)
         if self._last_s is not None:
             self.seconds += now - self._last_s
             self.held_server_s += (now - self._last_s) * self.used
--- a/oatcrank/_trace_site.py
+++ b/oatcrank/_trace_site.py
@@ -73,25 +73,27 @@
             memory_mb=MODEL_SIZES_MB[index % len(MODEL_SIZES_MB)],
             prompt_tokens_per_s=PROMPT_TOKENS_PER_S,
             answer_tokens_per_s=ANSWER_TOKENS_PER_S,
-            adapters=tuple(
-                ids.AdapterName(f'a{number}')
-                for number in range(index, size.adapters, len(names))
-            ),
+            adapters=_adapters(size.adapters)[index :: len(names)],
         )
         for index, (pool, name) in enumerate(names)
     )
 
 
+def _adapters(count: int) -> tuple[ids.AdapterName, ...]:
+    return tuple(ids.AdapterName(f'a{number}') for number in range(count))
+
+
 def _profile(
     name: str,
-    model_names: tuple[ids.ModelName, ...],
+    size: SiteSize,
     first_token_ms: float,
     *,
     at_most_once: bool = False,
 ) -> profile.Profile:
     return profile.Profile(
         name=ids.ProfileName(name),
-        models=model_names,
+        models=tuple(model.name for model in models(size)),
+        adapters=_adapters(size.adapters),
         targets=target.Targets(
             first_token_ms=first_token_ms,
             between_tokens_ms=BETWEEN_TOKENS_MS,
@@ -108,12 +110,11 @@
     once: str,
 ) -> SiteSize:
     """Return the site with a quick, a slow and an unrepeatable profile."""
-    names = tuple(model.name for model in models(size))
     return msgspec.structs.replace(
         size,
         profiles=(
-            _profile(quick, names, QUICK_MS),
-            _profile(slow, names, SLOW_MS),
-            _profile(once, names, ONCE_MS, at_most_once=True),
+            _profile(quick, size, QUICK_MS),
+            _profile(slow, size, SLOW_MS),
+            _profile(once, size, ONCE_MS, at_most_once=True),
         ),
     )
--- /dev/null
+++ b/oatcrank/placement_choice.py
@@ -0,0 +1,16 @@
+"""Make the placement policy that the settings name."""
+
+from oatcrank import (
+    expected_gain_placement,
+    on_demand_placement,
+    placement,
+    placement_kind,
+    policy_settings,
+)
+
+
+def new(chosen: policy_settings.PolicySettings) -> placement.Placement:
+    """Return a placement that has seen nothing yet."""
+    if chosen.placement is placement_kind.PlacementKind.on_demand:
+        return on_demand_placement.OnDemandPlacement()
+    return expected_gain_placement.ExpectedGainPlacement(chosen)
--- a/oatcrank/policies.py
+++ b/oatcrank/policies.py
@@ -37,6 +37,11 @@
     informed = 'informed'
 
 
+def weights_of(site: str) -> policy_settings.PolicySettings:
+    """Return a site's weights, or the default ones."""
+    return WEIGHTS_BY_SITE.get(site, policy_settings.PolicySettings())
+
+
 def replay(
     policy: Policy,
     replayed: trace.Trace,
@@ -46,10 +51,7 @@
     if policy is Policy.informed:
         return informed_placement.best_plan(replayed)
     if weights is None:
-        weights = WEIGHTS_BY_SITE.get(
-            replayed.head.site,
-            policy_settings.PolicySettings(),
-        )
+        weights = weights_of(replayed.head.site)
     harness = policy_harness.PolicyHarness(
         replayed,
         {
--- a/oatcrank/policy_settings.py
+++ b/oatcrank/policy_settings.py
@@ -1,10 +1,13 @@
-"""Weigh what placement costs."""
+"""Choose the placement policy and weigh what it costs."""
 
-from oatcrank import section
+from oatcrank import placement_kind, section
 
 
 class PolicySettings(section.Section, frozen=True, kw_only=True):
     """Weigh accelerators used against moves when models are placed."""
 
+    placement: placement_kind.PlacementKind = (
+        placement_kind.PlacementKind.expected_gain
+    )
     accelerator_weight: float = 1
     move_weight: float = 1
--- a/oatcrank/replay.py
+++ b/oatcrank/replay.py
@@ -81,6 +81,9 @@
     async def run(self) -> ReplayReport:
         """Replay the whole trace and wait for the last answer."""
         start_s = self._clock.now()
+        self._watch.counted_until_s = (
+            start_s + self._trace.head.seconds / self._speed
+        )
         await self._watch.read()
         beside = [
             asyncio.create_task(self._watch.run()),
--- a/oatcrank/replay_command.py
+++ b/oatcrank/replay_command.py
@@ -4,19 +4,17 @@
 import asyncio
 import pathlib
 import sys
-from collections.abc import Mapping
-from typing import TypeVar
 
 import jsonc
 import msgspec
 
 from oatcrank import (
-    _policy_table,
     command,
     errors,
     plots,
     policy_harness,
     replay,
+    replay_text,
     settings,
     trace,
 )
@@ -24,9 +22,6 @@
 PERCENT = 100
 SYSTEM = 'system'
 
-Name = TypeVar('Name', bound=str)
-
-
 HELP = """\
 Replay a trace against the running system and say whether the outcomes that it
 states held.  The requests go to the instance of the settings and to those that
@@ -123,35 +118,7 @@
         encoded = msgspec.json.format(msgspec.json.encode(report))
         sys.stdout.write(f'{encoded.decode()}\n')
         return
-    row = _policy_table.Row(
-        site=report.site,
-        trace=f'{report.site}-{report.spell}',
-        policy=SYSTEM,
-        figures=report.figures,
-    )
-    figures = report.figures
-    lines = [
-        *_policy_table.lines([row]),
-        '',
-        *_shares('profile', figures.attainment_by_profile),
-        *_shares('model', figures.attainment_by_model),
-        f'moves: {figures.moves_by_kind}',
-        f'refusals: {figures.refusals_by_code}',
-        f'first token, ms: {figures.first_token_ms}',
-        f'between tokens, ms: {figures.between_tokens_ms}',
-        f'reports that could not be read: {report.unread_reports}',
-        f'not as stated: {report.not_as_stated}',
-        *report.shown,
-        f'stated outcomes held: {"yes" if report.held else "no"}',
-    ]
-    sys.stdout.write('\n'.join((*lines, '')))
-
-
-def _shares(kind: str, share_by_name: Mapping[Name, float]) -> list[str]:
-    return [
-        f'{kind} {name}: {share:.3f} attained'
-        for name, share in sorted(share_by_name.items())
-    ]
+    sys.stdout.write(replay_text.text(report))
 
 
 def _panels(samples: list[policy_harness.Sample]) -> list[plots.Panel]:
--- a/oatcrank/trace_command.py
+++ b/oatcrank/trace_command.py
@@ -7,7 +7,7 @@
 from oatcrank import command, trace, trace_generator
 
 HELP = """\
-Write a made-up trace: requests over ten minutes, with the outcomes that a
+Write a made-up trace: requests over some time, with the outcomes that a
 replay must reach.  The same seed gives the same file.  Spells and the format
 are described in docs/TRACES.md; `oatcrank replay` and `oatcrank policy` use it.
 """
@@ -40,12 +40,20 @@
             help='another seed gives other requests (default %(default)s)',
         )
 
+        parser.add_argument(
+            '--seconds',
+            type=int,
+            default=int(trace_generator.TRACE_S),
+            help='how long the whole spell lasts (default %(default)s)',
+        )
+
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
         """Write the file."""
         usual = trace_generator.generate(
             options.site,
             options.spell,
             options.seed,
+            seconds=options.seconds,
         )
         try:
             trace.write(options.file, trace_generator.with_faults(usual))
--- a/oatcrank/trace_generator.py
+++ b/oatcrank/trace_generator.py
@@ -34,22 +34,28 @@
 TIME_DIGITS = 3
 
 
-def generate(site: str, spell: str, seed: int) -> trace.Trace:
+def generate(
+    site: str,
+    spell: str,
+    seed: int,
+    *,
+    seconds: float = TRACE_S,
+) -> trace.Trace:
     """Return the trace that the seed gives for a site and spell."""
     size = _trace_sites.SIZE_BY_SITE[site]
     kind = _trace_spell.Spell(spell)
     dice = random.Random(f'{site} {spell} {seed}')
-    head = _head(size, spell, seed)
+    head = msgspec.structs.replace(_head(size, spell, seed), seconds=seconds)
     demand = _trace_spell.SpellDemand(
         kind,
         models=len(head.models),
-        seconds=TRACE_S,
+        seconds=seconds,
         dice=dice,
     )
     arrivals = [
         _arrival(head, model, at_s, demand, dice)
         for index, model in enumerate(head.models)
-        for at_s in _times(demand, index, dice)
+        for at_s in _times(demand, index, seconds, dice)
     ]
     arrivals.sort(key=lambda arrival: arrival.at)
     return trace.Trace(head=head, arrivals=tuple(arrivals))
@@ -70,7 +76,7 @@
         return usual
     events = tuple(
         trace_event.Event(
-            at=part * TRACE_S,
+            at=part * usual.head.seconds,
             event=trace_event.EventKind.fault,
             subject=subject,
             body={'down': down},
@@ -107,10 +113,11 @@
 def _times(
     demand: _trace_spell.SpellDemand,
     model: int,
+    seconds: float,
     dice: random.Random,
 ) -> list[float]:
     times = []
-    for second in range(int(TRACE_S)):
+    for second in range(int(seconds)):
         rate = demand.rate(model, second)
         at_s = dice.expovariate(rate) if rate else 1
         while at_s < 1:
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -35,7 +35,7 @@
 def test_each_pool_holds_each_model_once(name: str) -> None:
     chosen = sites.SITE_BY_NAME[name]
     for pool in chosen.pools:
-        free = [site_configs.ENGINE_MEMORY_MB for _ in range(pool.engines)]
+        free = [pool.memory_mb for _ in range(pool.engines)]
         for needed in sorted(needs(chosen, pool.name), reverse=True):
             fits = [each for each in free if each >= needed]
             assert fits
