Read the instance list once for membership and data path

Cause: docs/CAPACITY.md projects the list as the largest traffic of a daemon (2,510 KB/s at the design's size), read twice a period by two parts. Ruled out: a longer period (a leaving backend server would be noticed later). Change: one shared reading, young enough for both; its period from the settings. Conclusion: the list still has to become a difference or to be read by few in a cell.

--- a/oatcrank/_entry_platform.py
+++ b/oatcrank/_entry_platform.py
@@ -18,10 +18,13 @@
     profile_book,
     rpc,
     settings,
+    shared_instance_list,
     snapshot_store,
 )
 
 MS_PER_S = 1000
+# A little less than the period, so that each period reads anew.
+LIST_AGE_SHARE = 0.9
 
 
 class EntryPlatform:
@@ -40,10 +43,14 @@
             platform.key_value,
             timeout_s=timeout_s,
         )
-        self.listing = _instance_list_http.HttpInstanceList(
-            self.rpc,
-            platform.instance_list,
-            timeout_s=timeout_s,
+        self.listing = shared_instance_list.SharedInstanceList(
+            _instance_list_http.HttpInstanceList(
+                self.rpc,
+                platform.instance_list,
+                timeout_s=timeout_s,
+            ),
+            self.clock,
+            max_age_s=LIST_AGE_SHARE * platform.list_period_ms / MS_PER_S,
         )
         self.weights = _weight_store_http.HttpWeightStore(
             self.rpc,
@@ -95,6 +102,9 @@
             shared=self.documents,
             follower=self.follower,
         )
+        self.membership.list_period_s = (
+            self.settings.platform.list_period_ms / MS_PER_S
+        )
         self.changes.on_change(lambda _: self._rebuild())
         await self.servers.refresh()
 
