Forget arrivals that no controller has read

Cause: every instance takes its own reports onto its board, also while it controls nothing; on taking the lease it would have read hours of arrivals as one burst. Ruled out: reporting only while controlling (the first reports after a takeover lost). Conclusion: a takeover starts from present demand.

--- a/oatcrank/demand_board.py
+++ b/oatcrank/demand_board.py
@@ -33,10 +33,15 @@
             dict[ids.ModelName, demand_report.ModelDemand],
         ] = {}
         self._heard_at: dict[ids.InstanceId, float] = {}
+        self._read_at = ticker.now()
 
     def take(self, report: demand_report.DemandReport) -> None:
         """Take one instance's report."""
-        self._heard_at[report.instance_id] = self._clock.now()
+        now = self._clock.now()
+        if now - self._read_at > SILENT_S:
+            # Nobody controls from here: old arrivals would look like a burst.
+            self._arrivals.clear()
+        self._heard_at[report.instance_id] = now
         self._last[report.instance_id] = {
             one.model: one for one in report.models
         }
@@ -45,6 +50,7 @@
 
     def read(self, needs: Needs) -> tuple[placement.ModelView, ...]:
         """Return a pool's models and start counting their arrivals anew."""
+        self._read_at = self._clock.now()
         self._forget_silent()
         return tuple(self._view(need) for need in needs.values())
 
--- /dev/null
+++ b/tests/test_demand_board.py
@@ -0,0 +1,49 @@
+"""Check what a controller learns of the demand for its models."""
+
+import pytest
+
+from oatcrank import clock, demand_board, demand_report, ids, model_need
+
+MODEL = ids.ModelName('m')
+NEEDS = {MODEL: model_need.ModelNeed(model=MODEL, memory_mb=1)}
+
+
+def report(instance: str, arrivals: int) -> demand_report.DemandReport:
+    return demand_report.DemandReport(
+        instance_id=ids.InstanceId(instance),
+        models=(
+            demand_report.ModelDemand(
+                model=MODEL,
+                arrivals=arrivals,
+                waiting=1,
+                running=2,
+                service_s=0.5,
+            ),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('pause_s', 'arrivals', 'waiting'),
+    [
+        (1, 5 + 3 + 4, 2),
+        # Reports that nobody read for long are not a burst.
+        (60, 4, 1),
+    ],
+)
+def test_read(pause_s: float, arrivals: int, waiting: int) -> None:
+    ticker = clock.ManualClock()
+    board = demand_board.DemandBoard(
+        ticker,
+        first_token_s=lambda model: 1,
+        weight=lambda model: 1,
+    )
+    board.take(report('a', 5))
+    board.take(report('b', 3))
+    ticker.advance(pause_s)
+    board.take(report('a', 4))
+    view = board.read(NEEDS)[0]
+    assert view.arrivals == arrivals
+    assert view.waiting == waiting
+    again = board.read(NEEDS)[0]
+    assert again.arrivals == 0
