Prove that planned stops cut nothing and that retries stay bounded

Planned stop: all three entry instances are replaced one after the other under six callers that hold their addresses for keep_s (2 s), and one is stopped amid a stream that outlasts that time. Retry budget: sixty streams are in flight when the engines of their failure domain are killed; answers and failed attempts together stay within 1.2 x offered + the three bursts of 10.

--- a/tests/proof_site.py
+++ b/tests/proof_site.py
@@ -376,6 +376,17 @@
     return dict(collections.Counter(map(_title, outcomes)))
 
 
+async def busiest(site: ProofSite) -> launched.Launched:
+    sizes = [len(await site.ledger(engine)) for engine in site.engines]
+    return site.engines[sizes.index(max(sizes))]
+
+
+async def begun(site: ProofSite) -> set[str]:
+    entries = await site.ledger(*site.engines)
+    ids = {entry.request_id.split('.')[0] for entry in entries}
+    return {one for one in ids if one != 'warm'}
+
+
 def _title(ended: call_outcome.CallOutcome) -> str:
     if ended.refused is None:
         return ended.outcome.value
--- /dev/null
+++ b/tests/test_proof_10_retry_budget.py
@@ -0,0 +1,63 @@
+"""Prove that retries stay a bounded share of what is offered."""
+
+import asyncio
+import pathlib
+
+import proof_site
+import pytest
+
+from oatcrank import limits_settings, retry_budget
+
+OFFERED = 60
+SHARE = limits_settings.LimitsSettings().retry_share
+ALLOWED = (1 + SHARE) * OFFERED + proof_site.ENTRY_COUNT * retry_budget.BURST
+DOMAINS = ('d-a', 'd-a', 'd-b', 'd-b')
+
+
+def failed_attempts(directory: pathlib.Path) -> int:
+    """Count the attempts that the entry instances saw fail."""
+    logs = [path.read_text() for path in directory.glob('entry-*.log')]
+    return sum(log.count('event=attempt_failed') for log in logs)
+
+
+async def running(site: proof_site.ProofSite) -> int:
+    told = [await site.status(address) for address in site.addresses]
+    return sum(one.sections['running'] for one in told)
+
+
+def make(directory: pathlib.Path) -> proof_site.Scenario:
+    async def domain_lost(site: proof_site.ProofSite) -> None:
+        senders = [site.caller('talk', one) for one in site.addresses]
+        # All are in flight when the domain goes, so that all want a retry.
+        asking = asyncio.gather(
+            *(
+                senders[number % len(senders)].complete(
+                    proof_site.question('m-one', f'r{number}', tokens=300)
+                )
+                for number in range(OFFERED)
+            )
+        )
+        while await running(site) < OFFERED or not await proof_site.begun(site):
+            await asyncio.sleep(0)
+        holder = site.engines.index(await proof_site.busiest(site))
+        lost = [
+            engine
+            for engine, domain in zip(site.engines, DOMAINS, strict=True)
+            if domain == DOMAINS[holder]
+        ]
+        await asyncio.gather(*(engine.kill() for engine in lost))
+        await site.unlist(lost)
+        ends = await asking
+        done = sum(one.outcome is proof_site.ANSWERED for one in ends)
+        failed = failed_attempts(directory)
+        title = f'{failed} failed attempts, {ALLOWED - done:.0f} allowed'
+        proof_site.tell(title, ends)
+        assert failed
+        assert done + failed <= ALLOWED
+
+    return domain_lost
+
+
+@pytest.mark.point(10, 'the engines of a failure domain are killed under load')
+def test_domain_lost(tmp_path: pathlib.Path) -> None:
+    proof_site.run(tmp_path, make(tmp_path), domains=DOMAINS)
--- a/tests/test_proof_3_whole_answer.py
+++ b/tests/test_proof_3_whole_answer.py
@@ -7,7 +7,7 @@
 import proof_site
 import pytest
 
-from emulator import call_outcome, launched
+from emulator import call_outcome
 
 STREAMS = 300
 DROPPED = 40
@@ -53,7 +53,7 @@
 
 
 async def cut(site: proof_site.ProofSite) -> None:
-    holder = await busiest(site)
+    holder = await proof_site.busiest(site)
     await site.faults(holder, cut_stream_after=12)
     asking = asyncio.create_task(ask_many(site, 24))
     while not any(entry.cancelled for entry in await site.ledger(holder)):
@@ -70,9 +70,9 @@
 
 async def killed(site: proof_site.ProofSite) -> None:
     asking = asyncio.create_task(ask_many(site, 24, tokens=80))
-    while len(await begun(site)) < 24:
+    while len(await proof_site.begun(site)) < 24:
         await asyncio.sleep(0)
-    holder = await busiest(site)
+    holder = await proof_site.busiest(site)
     await holder.kill()
     await site.unlist([holder])
     outcomes = await asking
@@ -80,17 +80,6 @@
     assert await resumed(site)
 
 
-async def busiest(site: proof_site.ProofSite) -> launched.Launched:
-    sizes = [len(await site.ledger(engine)) for engine in site.engines]
-    return site.engines[sizes.index(max(sizes))]
-
-
-async def begun(site: proof_site.ProofSite) -> set[str]:
-    entries = await site.ledger(*site.engines)
-    ids = {entry.request_id.split('.')[0] for entry in entries}
-    return {one for one in ids if one != 'warm'}
-
-
 async def dropped(site: proof_site.ProofSite) -> None:
     for number in range(DROPPED):
         await drop(site, number)
--- /dev/null
+++ b/tests/test_proof_7_planned_stop.py
@@ -0,0 +1,84 @@
+"""Prove that a planned stop cuts no request."""
+
+import asyncio
+import pathlib
+
+import proof_site
+import pytest
+
+from emulator import call_outcome
+
+CALLERS = 6
+
+
+async def work(
+    site: proof_site.ProofSite,
+    number: int,
+    stopped: asyncio.Event,
+    ends: list[call_outcome.CallOutcome],
+) -> None:
+    """Call again and again, with addresses held as long as they may be."""
+    talk = site.caller('talk')
+    once = site.caller('once')
+    count = 0
+    while not stopped.is_set():
+        count += 1
+        name = f'c{number}n{count}'
+        ends.append(
+            await talk.complete(proof_site.question('m-one', name, tokens=30))
+        )
+        ends.append(
+            await once.call_service(
+                proof_site.SERVICE, 'pay', b'x', key=name, request_id=f'k{name}'
+            )
+        )
+
+
+async def rolling(site: proof_site.ProofSite) -> None:
+    stopped = asyncio.Event()
+    ends: list[call_outcome.CallOutcome] = []
+    async with asyncio.TaskGroup() as group:
+        for number in range(CALLERS):
+            group.create_task(work(site, number, stopped, ends))
+        for number, file in enumerate(site.files):
+            await site.first_run(*site.engines)
+            before = len(ends)
+            site.entries[number].terminate()
+            assert await site.entries[number].wait() == 0
+            assert len(ends) > before
+            site.entries[number] = await site.launcher.entry(file)
+        stopped.set()
+    proof_site.tell('all entry instances replaced under load', ends)
+    assert proof_site.tally(ends) == {'answered': len(ends)}
+    ran = await site.ledger(*site.services)
+    assert len({entry.key for entry in ran}) == len(ran)
+
+
+async def long_stream(site: proof_site.ProofSite) -> None:
+    """Stop an instance while it streams for longer than addresses are kept."""
+    sender = site.caller('talk', site.addresses[0])
+    asking = asyncio.create_task(
+        sender.complete(proof_site.question('m-one', 'long', tokens=600))
+    )
+    while 'long' not in await proof_site.begun(site):
+        await asyncio.sleep(0)
+    site.entries[0].terminate()
+    ended = await asking
+    assert ended.outcome is proof_site.ANSWERED, ended.problem
+    assert await site.entries[0].wait() == 0
+
+
+@pytest.mark.parametrize(
+    'scenario',
+    [
+        pytest.param(one, marks=pytest.mark.point(7, title), id=title)
+        for one, title in (
+            (rolling, 'every entry instance is replaced under load'),
+            (long_stream, 'an entry instance stops amid a long stream'),
+        )
+    ],
+)
+def test_planned_stop(
+    scenario: proof_site.Scenario, tmp_path: pathlib.Path
+) -> None:
+    proof_site.run(tmp_path, scenario)
