Keep waiting suspects apart, so that innocents are not refused

Cause: after a crash its suspects are to run each on a server without another suspect. Those that had to wait for a place were placed without that rule, and a suspect counted on its server only once its task ran again, so that one pass of the queue put all of them together. With one engine for the model the innocent were blamed for three crashes and refused for good with crashes_backend_servers. Ruled out: the news between instances (each instance had blamed its own requests three times) and the domain rule (one server).

Change: a waiter keeps how often it is suspected and is placed alone, the least suspected first; a suspect counts from its placement on.

--- a/oatcrank/dispatch.py
+++ b/oatcrank/dispatch.py
@@ -45,13 +45,12 @@
         self._budget.earn()
         while True:
             self._check_suspect(wanted)
-            suspected = self._suspects.crashes(wanted.fingerprint) > 0
-            server = await self._place(wanted, alone=suspected)
-            server.suspects += suspected
+            crashes = self._suspects.crashes(wanted.fingerprint)
+            server = await self._place(wanted, alone=crashes)
             try:
                 await self._try(server, wanted, answer)
             finally:
-                server.suspects -= suspected
+                server.suspects -= crashes > 0
                 self._release(server, wanted)
             if wanted.answered:
                 self._suspects.clear(wanted.fingerprint)
@@ -62,9 +61,12 @@
         self,
         wanted: job.Job,
         *,
-        alone: bool,
+        alone: int,
     ) -> backend_server.BackendServer:
-        """Return a server with a place taken; raises refusal.Refused."""
+        """Return a server with a place taken; raises refusal.Refused.
+
+        With any crashes to its name, the request counts as a suspect there.
+        """
 
     @abc.abstractmethod
     def _release(
--- a/oatcrank/dispatch_queue.py
+++ b/oatcrank/dispatch_queue.py
@@ -18,9 +18,10 @@
 class Waiter:
     """Hold one request in the queue of its model."""
 
-    def __init__(self, held: job.ModelJob) -> None:
-        """Wait for a server."""
+    def __init__(self, held: job.ModelJob, alone: int) -> None:
+        """Wait for a server, one without another suspect if alone."""
         self.job = held
+        self.alone = alone
         self.placed: asyncio.Future[backend_server.BackendServer] = (
             asyncio.get_running_loop().create_future()
         )
@@ -74,15 +75,19 @@
         self,
         wanted: job.ModelJob,
         *,
-        alone: bool = False,
+        alone: int = 0,
     ) -> backend_server.BackendServer:
-        """Return a server with a place taken on it; raises refusal.Refused."""
+        """Return a server with a place taken on it; raises refusal.Refused.
+
+        alone counts the crashes that the request may have caused: with any, it
+        gets a server that runs no other suspect, and counts as one there.
+        """
         if not self.waiting(wanted.model) or alone:
             server = self._try(wanted, alone=alone)
             if server is not None:
                 return server
         self._check_in_time(wanted)
-        return await self._wait(wanted)
+        return await self._wait(wanted, alone)
 
     def release(
         self,
@@ -117,28 +122,32 @@
             self._place_waiters(waiters)
 
     def _place_waiters(self, waiters: list[Waiter]) -> None:
-        waiters.sort(key=lambda waiter: waiter.job.deadline)
+        # The least suspected first: the innocent are cleared before the next
+        # crash, and nobody meets the same crashing request again and again.
+        waiters.sort(key=lambda waiter: (waiter.alone, waiter.job.deadline))
         for waiter in tuple(waiters):
-            server = self._try(waiter.job, alone=False)
-            if server is None:
+            server = self._try(waiter.job, alone=waiter.alone)
+            if server is not None:
+                waiters.remove(waiter)
+                waiter.placed.set_result(server)
+            elif not waiter.alone:
                 return
-            waiters.remove(waiter)
-            waiter.placed.set_result(server)
 
     def _try(
         self,
         wanted: job.ModelJob,
         *,
-        alone: bool,
+        alone: int,
     ) -> backend_server.BackendServer | None:
         server = self._router.choose(
             self._present(wanted.model),
             prefix=wanted.prefix,
             avoid=wanted.avoid,
-            alone=alone,
+            alone=alone > 0,
         )
         if server is not None:
             server.in_flight += 1
+            server.suspects += alone > 0
             self.running_by_model[wanted.model] += 1
             place = (server.listed.instance_id, wanted.model)
             self._running_by_place[place] += 1
@@ -190,8 +199,12 @@
         service_s = self.service_s_by_model.get(model, SERVICE_S_GUESS)
         return service_s * ahead / slots
 
-    async def _wait(self, wanted: job.ModelJob) -> backend_server.BackendServer:
-        waiter = Waiter(wanted)
+    async def _wait(
+        self,
+        wanted: job.ModelJob,
+        alone: int,
+    ) -> backend_server.BackendServer:
+        waiter = Waiter(wanted, alone)
         waiters = self._waiting_by_model.setdefault(wanted.model, [])
         waiters.append(waiter)
         try:
@@ -212,7 +225,9 @@
     def _withdraw(self, waiter: Waiter) -> None:
         model = waiter.job.model
         if waiter.placed.done():
-            self.release(waiter.placed.result(), model)
+            server = waiter.placed.result()
+            server.suspects -= waiter.alone > 0
+            self.release(server, model)
             return
         waiters = self._waiting_by_model[model]
         waiters.remove(waiter)
--- a/oatcrank/model_dispatch.py
+++ b/oatcrank/model_dispatch.py
@@ -57,7 +57,7 @@
         self,
         wanted: job.Job,
         *,
-        alone: bool,
+        alone: int,
     ) -> backend_server.BackendServer:
         assert isinstance(wanted, job.ModelJob)
         return await self._places.place(wanted, alone=alone)
--- a/oatcrank/service_dispatch.py
+++ b/oatcrank/service_dispatch.py
@@ -41,13 +41,13 @@
         self,
         wanted: job.Job,
         *,
-        alone: bool,
+        alone: int,
     ) -> backend_server.BackendServer:
         assert isinstance(wanted, job.ServiceJob)
         server = self._router.choose(
             self._servers.of_service(wanted.service),
             avoid=wanted.avoid,
-            alone=alone,
+            alone=alone > 0,
         )
         if server is None:
             raise dispatch_queue.refused_in_queue(
@@ -57,6 +57,7 @@
                 ran=wanted.may_have_run,
             )
         server.in_flight += 1
+        server.suspects += alone > 0
         return server
 
     def _release(
--- a/tests/test_dispatch_queue.py
+++ b/tests/test_dispatch_queue.py
@@ -135,3 +135,28 @@
         assert not places.waiting(MODEL)
 
     asyncio.run(run())
+
+
+def test_waiting_suspects_run_one_at_a_time() -> None:
+    async def run() -> None:
+        server = engine_server()
+        server.take_report(0, 0, 4)
+        servers: list[backend_server.BackendServer] = []
+        places = places_on(servers)
+        waiting = {
+            crashes: asyncio.create_task(
+                places.place(job_of(f'{crashes}', 5000), alone=crashes)
+            )
+            for crashes in (2, 1, 0)
+        }
+        await asyncio.sleep(0)
+        servers.append(server)
+        places.wake()
+        await asyncio.wait([waiting[0], waiting[1]])
+        assert not waiting[2].done()
+        assert server.suspects == 1
+        server.suspects -= 1
+        places.release(server, MODEL)
+        assert await waiting[2] is server
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_proof_9_crashing_request.py
@@ -0,0 +1,124 @@
+"""Prove that a request that crashes engines is stopped, and it alone."""
+
+import asyncio
+import pathlib
+
+import proof_site
+import pytest
+
+from emulator import call_outcome, caller, poll
+from oatcrank import refusal
+
+LIMIT = 3
+POISON = 'poison'
+OTHERS = 6
+SUSPECTS = 'suspects/entry-1'
+CRASHES = refusal.Code.crashes_backend_servers
+
+
+class Platform:
+    """Restart each engine that crashed, as a platform does."""
+
+    def __init__(self, site: proof_site.ProofSite) -> None:
+        self.crashes = 0
+        self._site = site
+
+    async def keep(self, number: int) -> None:
+        """Keep one engine running; it crashes whenever it runs the poison."""
+        site = self._site
+        while True:
+            await site.faults(site.engines[number], crash_on=POISON)
+            await site.engines[number].wait()
+            self.crashes += 1
+            port = int(site.engines[number].address.split(':')[1])
+            site.engines[number] = await site.engine(number, port)
+
+
+async def innocent(
+    site: proof_site.ProofSite,
+    number: int,
+    stopped: asyncio.Event,
+    ends: list[call_outcome.CallOutcome],
+) -> None:
+    """Send one request after the other, each until it is answered."""
+    sender = site.caller('talk')
+    count = 0
+    while not stopped.is_set():
+        count += 1
+        asked = proof_site.question('m-one', f'i{number}n{count}')
+        ended = None
+        while ended is None or ended.outcome is not proof_site.ANSWERED:
+            ended = await sender.complete(asked)
+            ends.append(ended)
+            assert not is_blamed(ended), ended
+            await asyncio.sleep(poll.STEP_S)
+
+
+def is_blamed(ended: call_outcome.CallOutcome) -> bool:
+    return ended.refused is not None and ended.refused.code is CRASHES
+
+
+async def ask_poison(
+    sender: caller.Caller,
+    request_id: str,
+) -> call_outcome.CallOutcome:
+    return await sender.complete(
+        proof_site.question('m-one', request_id, prompt=POISON)
+    )
+
+
+async def until_refused(site: proof_site.ProofSite) -> None:
+    """Resend under new and old ids, as a stubborn caller does."""
+    sender = site.caller('talk', site.addresses[0])
+    for number in range(100):
+        ended = await ask_poison(sender, f'p{number // 2}')
+        assert ended.outcome is not proof_site.ANSWERED
+        if is_blamed(ended):
+            return
+        await asyncio.sleep(poll.STEP_S)
+    raise AssertionError('never refused for good')
+
+
+async def news_travelled(site: proof_site.ProofSite) -> None:
+    told = await site.status(site.addresses[0])
+    newest = told.version_by_name[SUSPECTS]
+    for address in site.addresses:
+        version = 0
+        while version < newest:
+            told = await site.status(address)
+            version = told.version_by_name.get(SUSPECTS, 0)
+
+
+async def crashing(site: proof_site.ProofSite) -> None:
+    platform = Platform(site)
+    stopped = asyncio.Event()
+    ends: list[call_outcome.CallOutcome] = []
+    numbers = range(len(site.engines))
+    keepers = [asyncio.create_task(platform.keep(one)) for one in numbers]
+    async with asyncio.TaskGroup() as group:
+        for number in range(OTHERS):
+            group.create_task(innocent(site, number, stopped, ends))
+        await site.first_run(*site.engines)
+        await until_refused(site)
+        await news_travelled(site)
+        crashes = platform.crashes
+        assert 1 <= crashes <= LIMIT
+        for number, address in enumerate(site.addresses):
+            sender = site.caller('talk', address)
+            ended = await ask_poison(sender, f'late{number}')
+            assert is_blamed(ended)
+        stopped.set()
+    for keeper in keepers:
+        keeper.cancel()
+    assert platform.crashes == crashes
+    proof_site.tell(f'{crashes} engines crashed; the others', ends)
+    assert {one.outcome for one in ends} <= {
+        proof_site.ANSWERED,
+        call_outcome.Outcome.refused,
+        call_outcome.Outcome.interrupted,
+    }
+
+
+@pytest.mark.point(9, 'a request that crashes each engine that runs it')
+def test_crashing_request(tmp_path: pathlib.Path) -> None:
+    proof_site.run(tmp_path, crashing)
