--- a/oatcrank/dispatch_queue.py
+++ b/oatcrank/dispatch_queue.py
@@ -33,8 +33,8 @@
 class Waiter:
     """Hold one request in the queue of its model."""
 
-    def __init__(self, held: job.ModelJob, *, alone: bool) -> None:
-        """Wait for a server, with no other suspect on it if alone."""
+    def __init__(self, held: job.ModelJob, *, alone: int) -> None:
+        """Wait for a server, one without another suspect if alone."""
         self.job = held
         self.alone = alone
         self.placed: asyncio.Future[backend_server.BackendServer] = (
@@ -43,7 +43,7 @@
 
 
 Queue = slack_queue.SlackQueue[Waiter]
-Line = tuple[ids.ModelName, bool]
+Line = tuple[ids.ModelName, int]
 
 
 class DispatchQueue:
@@ -90,17 +90,22 @@
     def waiting(self, model: ids.ModelName) -> int:
         """Return how many requests wait for a model."""
         return sum(
-            len(self._queue_by_line.get((model, alone), ()))
-            for alone in (False, True)
+            len(waiters)
+            for (waited, _), waiters in self._queue_by_line.items()
+            if waited == model
         )
 
     async def place(
         self,
         wanted: job.ModelJob,
         *,
-        alone: bool = False,
+        alone: int = 0,
     ) -> backend_server.BackendServer:
-        """Return a server with a place taken on it; raises refusal.Refused."""
+        """Return a server with a place taken on it; raises refusal.Refused.
+
+        alone counts the crashes that the request may have caused: with any, it
+        gets a server that runs no other suspect, and counts as one there.
+        """
         if not self.waiting(wanted.model) or alone:
             server = self._try(wanted, alone=alone)
             if server is not None:
@@ -137,8 +142,10 @@
 
     def wake(self) -> None:
         """Place whatever can be placed now, by slack within each model."""
-        for waiters in tuple(self._queue_by_line.values()):
-            self._place_waiters(waiters)
+        # The least suspected first: the innocent are cleared before the next
+        # crash, and nobody meets the same crashing request again and again.
+        for line in sorted(self._queue_by_line, key=_suspicion):
+            self._place_waiters(self._queue_by_line[line])
 
     def _place_waiters(self, waiters: Queue) -> None:
         waiter = waiters.peek()
@@ -154,16 +161,17 @@
         self,
         wanted: job.ModelJob,
         *,
-        alone: bool,
+        alone: int,
     ) -> backend_server.BackendServer | None:
         server = self._router.choose(
             self._present(wanted.model),
             prefix=wanted.prefix,
             avoid=wanted.avoid,
-            alone=alone,
+            alone=alone > 0,
         )
         if server is not None:
             server.in_flight += 1
+            server.suspects += alone > 0
             self.running_by_model[wanted.model] += 1
             place = (server.listed.instance_id, wanted.model)
             self._running_by_place[place] += 1
@@ -226,7 +234,7 @@
         self,
         wanted: job.ModelJob,
         *,
-        alone: bool,
+        alone: int,
     ) -> backend_server.BackendServer:
         waiter = Waiter(wanted, alone=alone)
         line = (wanted.model, alone)
@@ -257,7 +265,9 @@
     def _withdraw(self, waiter: Waiter) -> None:
         model = waiter.job.model
         if waiter.placed.done():
-            self.release(waiter.placed.result(), model)
+            server = waiter.placed.result()
+            server.suspects -= waiter.alone > 0
+            self.release(server, model)
             return
         line = (model, waiter.alone)
         waiters = self._queue_by_line[line]
@@ -266,6 +276,10 @@
             self._queue_by_line.pop(line)
 
 
+def _suspicion(line: Line) -> int:
+    return line[1]
+
+
 def refused_in_queue(
     code: refusal.Code,
     message: str,
