Let engine stand-ins be down, as traces ask

Cause: a trace's lost failure domain posts {"down": true} to its engines, whose faults had no such field, so that the event could not come about. Ruled out: `leaving` in its place, which is announced and ends gracefully; a lost domain cuts what runs without a word. While down, an engine cuts every connection and stops what runs or waits; it keeps its memory. Bodies of both events are checked against the stand-ins.

--- a/emulator/cancel_handler.py
+++ b/emulator/cancel_handler.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from emulator import stand_in_engine, work
-from oatcrank import json_handler
+from emulator import engine_handler, work
 
 
 class Cancel(msgspec.Struct, frozen=True):
@@ -16,13 +15,9 @@
     """Say that no such request runs any more."""
 
 
-class CancelHandler(json_handler.JsonHandler):
+class CancelHandler(engine_handler.EngineHandler):
     """Stop requests by their ids."""
 
-    def initialize(self, engine: stand_in_engine.StandInEngine) -> None:
-        """Keep the engine."""
-        self._engine = engine
-
     def post(self) -> None:
         """Stop every request of that id."""
         request_id = self.decode(Cancel).request_id
--- a/emulator/completions_handler.py
+++ b/emulator/completions_handler.py
@@ -8,7 +8,7 @@
 
 from emulator import (
     completion,
-    cut_handler,
+    engine_handler,
     stand_in_engine,
     stream_sink,
     whole_sink,
@@ -24,12 +24,12 @@
     code: str
 
 
-class CompletionsHandler(cut_handler.CutHandler):
+class CompletionsHandler(engine_handler.EngineHandler):
     """Run a completion and answer with a stream or as a whole."""
 
     def initialize(self, engine: stand_in_engine.StandInEngine) -> None:
         """Keep the engine."""
-        self._engine = engine
+        super().initialize(engine)
         self._work: work.Work | None = None
 
     async def post(self) -> None:
--- a/emulator/engine_batch.py
+++ b/emulator/engine_batch.py
@@ -114,6 +114,8 @@
         return whole * self._config.prefix_hit_share if hit else whole
 
     def _tick(self) -> None:
+        if self._faults.current.down:
+            self._cut_all()
         now = asyncio.get_running_loop().time()
         crash_on = self._faults.current.crash_on
         cut_after = self._faults.current.cut_stream_after
@@ -125,6 +127,10 @@
             elif cut_after is not None and len(wanted.texts) >= cut_after:
                 self.stop(wanted, work.End.cut)
 
+    def _cut_all(self) -> None:
+        for wanted in (*self.queued, *self.running):
+            self.stop(wanted, work.End.cut)
+
     def _finish(self, wanted: work.Work) -> None:
         self.running.remove(wanted)
         self._close(wanted, cancelled=False)
--- a/emulator/engine_faults.py
+++ b/emulator/engine_faults.py
@@ -6,6 +6,7 @@
 class EngineFaults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
     """Hold what goes wrong; the counts go down as they are used.
 
+    down: every connection is cut, and what runs is stopped.
     drop_orders: that many next orders are answered and have no effect.
     delay_orders_s: orders are answered at once and take effect later.
     double_orders: each order takes effect twice, the second time later.
@@ -17,6 +18,7 @@
     hang_s: reports and orders are answered that much later.
     """
 
+    down: bool = False
     drop_orders: int = 0
     delay_orders_s: float = 0
     double_orders: bool = False
--- a/emulator/orders_handler.py
+++ b/emulator/orders_handler.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from emulator import cut_handler, stand_in_engine
+from emulator import engine_handler
 from oatcrank import order
 
 
@@ -19,13 +19,9 @@
     """Say that an order was taken."""
 
 
-class OrdersHandler(cut_handler.CutHandler):
+class OrdersHandler(engine_handler.EngineHandler):
     """Take orders and answer at once."""
 
-    def initialize(self, engine: stand_in_engine.StandInEngine) -> None:
-        """Keep the engine."""
-        self._engine = engine
-
     async def post(self) -> None:
         """Take one order."""
         wanted = self.decode(order.Order)
--- a/emulator/report_handler.py
+++ b/emulator/report_handler.py
@@ -2,17 +2,12 @@
 
 import asyncio
 
-from emulator import stand_in_engine
-from oatcrank import json_handler
+from emulator import engine_handler
 
 
-class ReportHandler(json_handler.JsonHandler):
+class ReportHandler(engine_handler.EngineHandler):
     """Answer with the engine's report."""
 
-    def initialize(self, engine: stand_in_engine.StandInEngine) -> None:
-        """Keep the engine."""
-        self._engine = engine
-
     async def get(self) -> None:
         """Answer with the report."""
         await asyncio.sleep(self._engine.faults.current.hang_s)
--- a/tests/test_engine_stand_in.py
+++ b/tests/test_engine_stand_in.py
@@ -24,6 +24,7 @@
 
 MODEL = ids.ModelName('m')
 ADAPTER = ids.AdapterName('a')
+FAULTS_BY_ENDING = {'cut': {'cut_stream_after': 1}, 'down': {'down': True}}
 CATALOGUE = weight_store.Catalogue(
     models=(
         weight_store.ModelWeights(
@@ -274,7 +275,7 @@
     assert order_seen[1:] == sorted(order_seen[1:], key='3 2 1 0'.index)
 
 
-@pytest.mark.parametrize('ending', ['cancel', 'unload', 'cut'])
+@pytest.mark.parametrize('ending', ['cancel', 'unload', 'cut', 'down'])
 def test_streams_end_early(ending: str) -> None:
     async def run() -> bool:
         async with bench(tokens_per_s=50) as seen:
@@ -292,7 +293,7 @@
             elif ending == 'unload':
                 await seen.send('unload_model')
             else:
-                seen.engine.faults.merge({'cut_stream_after': 1})
+                seen.engine.faults.merge(FAULTS_BY_ENDING[ending])
             await poll.until(lambda: not batch.running)
             with pytest.raises(httpclient.HTTPError):
                 await asked
@@ -301,6 +302,22 @@
     assert asyncio.run(run())
 
 
+def test_down_engine_takes_no_call() -> None:
+    async def run() -> None:
+        async with bench() as seen:
+            seen.engine.faults.merge({'down': True})
+            with pytest.raises(errors.PlatformError):
+                await seen.client.report(timeout_s=5)
+            with pytest.raises(errors.PlatformError):
+                await seen.send('load_model')
+            with pytest.raises(httpclient.HTTPError):
+                await seen.ask()
+            seen.engine.faults.merge({'down': False})
+            assert not (await seen.client.report(timeout_s=5)).held
+
+    asyncio.run(run())
+
+
 def test_caller_gone() -> None:
     async def run() -> bool:
         async with bench() as seen:
--- a/tests/test_replay_site.py
+++ b/tests/test_replay_site.py
@@ -1,8 +1,14 @@
 """Check that a trace's site is the one that its head tells of."""
 
+import msgspec
 import pytest
 
-from emulator import site_configs, trace_site
+from emulator import (
+    engine_faults,
+    key_value_faults,
+    site_configs,
+    trace_site,
+)
 from oatcrank import (
     expected_gain_placement,
     listen_settings,
@@ -79,3 +85,21 @@
         placement=placement_kind.PlacementKind(kind)
     )
     assert isinstance(placement_choice.new(chosen), made)
+
+
+@pytest.mark.parametrize(
+    ('spell', 'faults'),
+    [
+        ('morning_peak', engine_faults.EngineFaults),
+        ('demand_shift', key_value_faults.KeyValueFaults),
+    ],
+)
+def test_stand_ins_know_the_faults(
+    spell: str,
+    faults: type[msgspec.Struct],
+) -> None:
+    usual = trace_generator.generate('yard', spell, 7, seconds=SECONDS)
+    events = trace_generator.with_faults(usual).events
+    for event, down in zip(events, (True, False), strict=True):
+        assert event.at < SECONDS
+        assert msgspec.convert(event.body, faults) == faults(down=down)
