Type the adapter loader where it is used

Cause: the model dispatch took it as Any, written before the loader existed. Ruled out: an abstract base class for one implementation. Change: two annotations.

--- a/oatcrank/adapter_loader.py
+++ b/oatcrank/adapter_loader.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import uuid
+from collections.abc import AsyncIterator
 
 from oatcrank import (
     backend_server,
@@ -111,7 +112,7 @@
         raise errors.NotLoaded(f'{server}: no memory is reserved for {adapter}')
 
     @contextlib.asynccontextmanager
-    async def _place(self):  # type: ignore[no-untyped-def]
+    async def _place(self) -> AsyncIterator[None]:
         async with self._changed:
             await self._changed.wait_for(
                 lambda: self._active < max(1, self._share()),
--- a/oatcrank/model_dispatch.py
+++ b/oatcrank/model_dispatch.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from oatcrank import (
+    adapter_loader,
     backend_server,
     dispatch,
     dispatch_queue,
@@ -43,7 +44,7 @@
         *,
         places: dispatch_queue.DispatchQueue,
         engines: Engines,
-        adapters: Any,
+        adapters: adapter_loader.AdapterLoader,
         **common: Any,
     ) -> None:
         """Reach engines by engines(server); adapters loads adapters."""
