--- a/tests/small_site.py
+++ b/tests/small_site.py
@@ -54,11 +54,15 @@
 
 
 def promise(
-    name: str = 'drafts', *, adapters: int = 0, first_token_ms: int = 30_000
+    name: str = 'drafts',
+    *,
+    adapters: int = 0,
+    first_token_ms: int = 30_000,
+    models: tuple[ids.ModelName, ...] = MODELS,
 ) -> profile.Profile:
     return profile.Profile(
         name=ids.ProfileName(name),
-        models=MODELS,
+        models=models,
         adapters=adapter_names()[:adapters],
         services=(SERVICE,),
         targets=target.Targets(
@@ -102,6 +106,7 @@
     ) -> None:
         chosen = msgspec.structs.replace(SITE, pools=pools)
         super().__init__(started_by, chosen, directory)
+        self.attempt_s: float = HANG_S
         self.relays: list[cut_relay.CutRelay] = []
         self._is_relayed = is_relayed
         self.client = rpc.Rpc()
@@ -166,16 +171,21 @@
         return page.entries
 
     async def excess(self) -> list[Any]:
-        found = []
-        for engine in self.engine_by_id.values():
-            page = await self.ask(
+        return sum([page.excess for page in await self.memory()], [])
+
+    async def used_mb(self) -> int:
+        return sum(page.used_mb for page in await self.memory())
+
+    async def memory(self) -> list[memory_handler.MemoryPage]:
+        return [
+            await self.ask(
                 engine.address,
                 'GET',
                 '/control/memory',
                 answer_type=memory_handler.MemoryPage,
             )
-            found.extend(page.excess)
-        return found
+            for engine in self.engine_by_id.values()
+        ]
 
     async def controller(self) -> int:
         """Return the number of the entry instance that controls."""
@@ -207,13 +217,26 @@
             stream=True,
         )
         async with asyncio.timeout(HANG_S):
-            while True:
-                ended = await sender.complete(asked)
-                if ended.outcome is call_outcome.Outcome.answered:
-                    return ended
+            ended = await self._attempt(sender, asked)
+            while ended.outcome is not call_outcome.Outcome.answered:
                 assert ended.outcome is not call_outcome.Outcome.wrong, ended
                 pause_s = ended.refused and ended.refused.retry_after_s
                 await asyncio.sleep(pause_s or POLL_S)
+                ended = await self._attempt(sender, asked)
+        return ended
+
+    async def _attempt(
+        self, sender: caller.Caller, asked: completion.Completion
+    ) -> call_outcome.CallOutcome:
+        try:
+            async with asyncio.timeout(self.attempt_s):
+                return await sender.complete(asked)
+        except TimeoutError:
+            # The entry instance asked may be frozen.
+            sender.book.forget()
+            return call_outcome.CallOutcome(
+                outcome=call_outcome.Outcome.unreachable
+            )
 
     async def relist(self, server_id: str, state: instance_list.State) -> None:
         self._listed = [
@@ -222,9 +245,6 @@
             else one
             for one in self._listed
         ]
-        await self.tell_list()
-
-    async def tell_list(self) -> None:
         await self.ask(
             self.instance_list.address,
             'POST',
--- a/tests/test_proof_8_changes.py
+++ b/tests/test_proof_8_changes.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -50,6 +50,18 @@
             await self._settle(number, wanted, based_on)
             self.settled += 1
 
+    @contextlib.asynccontextmanager
+    async def watched(self) -> AsyncIterator[None]:
+        """Watch every instance; a watch only ends by what it finds."""
+        watches = [asyncio.create_task(self.watch(one)) for one in range(3)]
+        try:
+            yield
+        finally:
+            for watch in watches:
+                watch.cancel()
+            ended = await asyncio.gather(*watches, return_exceptions=True)
+        assert {type(one) for one in ended} == {asyncio.CancelledError}, ended
+
     async def watch(self, number: int) -> None:
         """See that the revision shown by an instance only rises."""
         newest = 0
@@ -232,19 +244,10 @@
         async with small_site.running(is_relayed=True, pools=()) as site:
             world = World(site)
             world.relays = site.relays
-            watches = [
-                asyncio.create_task(world.watch(one)) for one in range(3)
-            ]
-            async with asyncio.timeout(small_site.HANG_S):
+            async with world.watched(), asyncio.timeout(small_site.HANG_S):
                 await asyncio.gather(
                     fault(world), *(world.operate(one) for one in range(3))
                 )
-            await world.check()
-            for watch in watches:
-                watch.cancel()
-            ended = await asyncio.gather(*watches, return_exceptions=True)
-            assert {type(one) for one in ended} == {asyncio.CancelledError}, (
-                ended
-            )
+                await world.check()
 
     asyncio.run(run())
