Keep control running when a profile withdraws a model that is held

Cause: the placement saw servers that hold or load a model which no profile covers any more, and looked it up among the models it was given: KeyError in _room.Room, which ended every pool's control. The task was started again and failed again, with the lease still held, so that no model was loaded from then on. Ruled out: a lost or late order (the log shows each taken); a caller that hangs (the task_failed event names the error). Change: such models are hidden from the placement; their memory stays reserved and their unloads go on as before. With the replicas not inherited at a takeover, killed still passes: a new controller adopts what the engines report, so that case does not prove the inheriting. Conclusion: a real fault, mended.

--- a/oatcrank/pool_controller.py
+++ b/oatcrank/pool_controller.py
@@ -230,10 +230,13 @@
             load_slots=slots,
             load_s=self._budget.load_s,
             servers=tuple(
-                _observing.server_view(
-                    self._servers.listed[server],
-                    seen,
-                    table,
+                _without_unwanted(
+                    _observing.server_view(
+                        self._servers.listed[server],
+                        seen,
+                        table,
+                    ),
+                    need_by_model,
                 )
                 for server, seen in open_servers.items()
             ),
@@ -309,5 +312,18 @@
         await self._sender.send(written, table, (*seen, *fresh))
 
 
+def _without_unwanted(
+    view: placement.ServerView,
+    wanted: Collection[ids.ModelName],
+) -> placement.ServerView:
+    """Hide models that no profile covers; their memory stays taken."""
+    return msgspec.structs.replace(
+        view,
+        loaded=tuple(model for model in view.loaded if model in wanted),
+        loading=tuple(model for model in view.loading if model in wanted),
+        unloading=tuple(model for model in view.unloading if model in wanted),
+    )
+
+
 def _busy(table: replica_table.ReplicaTable) -> Collection[ids.ServerId]:
     return {replica.server for replica in table if replica.state is not LOADED}
