--- a/tests/proof_site.py
+++ b/tests/proof_site.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import collections
+import contextlib
+import itertools
 import json
+import os
 import pathlib
+import socket
 import sys
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 
@@ -44,6 +48,14 @@
 HANG_S = 100
 TIMEOUT_S = 10
 ENTRY_COUNT = 3
+# Below the ports that the system gives to connections, each run elsewhere.
+FIRST_PORT = 12_000
+PORT_COUNT = 18_000
+PORTS_PER_RUN = 250
+PORTS = itertools.cycle(
+    FIRST_PORT + (os.getpid() * PORTS_PER_RUN + number) % PORT_COUNT
+    for number in range(PORT_COUNT)
+)
 SLOTS = 16
 MODELS = ('m-one', 'm-two')
 ADAPTER = 'a-one'
@@ -138,6 +150,7 @@
         self.services: list[launched.Launched] = []
         self.entries: list[launched.Launched] = []
         self.domains = domains
+        self.seen_of_killed: list[ledger_entry.LedgerEntry] = []
         self._limits = limits or limits_settings.LimitsSettings(
             address_keep_s=2
         )
@@ -166,7 +179,7 @@
         self.services = await asyncio.gather(
             *map(self.service, range(self._service_count))
         )
-        ports = [launcher.free_port() for _ in range(ENTRY_COUNT)]
+        ports = [_lasting_port() for _ in range(ENTRY_COUNT)]
         self.listed = self._listed(ports)
         self.instance_list = await self.launcher.stand_in(
             'instance-list',
@@ -180,7 +193,11 @@
         await self._create_profiles()
         await asyncio.gather(*map(self._warm, self.addresses))
 
-    async def engine(self, number: int, port: int = 0) -> launched.Launched:
+    async def engine(
+        self,
+        number: int,
+        port: int | None = None,
+    ) -> launched.Launched:
         config = engine_config.EngineConfig(
             server_id=f'engine-{number}',
             pool='p',
@@ -192,7 +209,10 @@
             queue_limit=self._queue_limit,
         )
         return await self.launcher.stand_in(
-            'engine', config, port=port, name=config.server_id
+            'engine',
+            config,
+            port=port or _lasting_port(),
+            name=config.server_id,
         )
 
     async def service(self, number: int, port: int = 0) -> launched.Launched:
@@ -393,6 +413,15 @@
     return f'{ended.refused.code.value}/{ended.refused.run_state.value}'
 
 
+def _lasting_port() -> int:
+    """Return a free port that no connection is given while it is unused."""
+    while True:
+        port = next(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((stand_in.HOST, port))
+            return port
+
+
 def _instance(
     process: launched.Launched,
     kind: str,
