Index one pool's plan at a time, and give faults of files as results

Cause: docs/CAPACITY.md projects 45% of a core for indexing all plans at each version of one; and the house style asks for result, which nothing used. Change: PlanView keeps one index per pool; checked_file returns a result.

--- a/emulator/slope_entry.py
+++ b/emulator/slope_entry.py
@@ -64,7 +64,7 @@
     count.install()
     chosen = checked_file.read(
         options.settings, settings.Settings, settings_check.faults
-    )
+    ).unwrap()
     logs.start(chosen.instance_id)
     asyncio.run(_serve(chosen, count, options.counts))
 
--- a/oatcrank/check_settings_command.py
+++ b/oatcrank/check_settings_command.py
@@ -3,7 +3,9 @@
 import argparse
 import sys
 
-from oatcrank import checked_file, command, errors, settings, settings_check
+import result
+
+from oatcrank import checked_file, command, settings, settings_check
 
 
 class CheckSettingsCommand(command.Command):
@@ -21,14 +23,13 @@
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
         """Check the file; faults go to standard error."""
-        try:
-            checked_file.read(
-                options.file,
-                settings.Settings,
-                settings_check.faults,
-            )
-        except errors.SettingsError as error:
-            sys.stderr.write(f'{error}\n')
+        checked = checked_file.read(
+            options.file,
+            settings.Settings,
+            settings_check.faults,
+        )
+        if isinstance(checked, result.Err):
+            sys.stderr.write(f'{checked.err_value}\n')
             return command.ExitStatus.failed
         sys.stdout.write(f'{options.file}: good\n')
         return command.ExitStatus.success
--- a/oatcrank/checked_file.py
+++ b/oatcrank/checked_file.py
@@ -8,8 +8,7 @@
 import jsonc
 import jsonschema
 import msgspec
-
-from oatcrank import errors
+import result
 
 SHOWN_CHARACTERS = 60
 
@@ -21,12 +20,12 @@
     path: str,
     content_type: type[Content],
     check: Check[Content],
-) -> Content:
-    """Return a file's content; raises errors.SettingsError."""
+) -> result.Result[Content, str]:
+    """Return a file's content, or all its faults as lines of text."""
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(f'{path}: {error}') from error
+        return result.Err(f'{path}: {error}')
     return parse(path, text, content_type, check)
 
 
@@ -35,31 +34,26 @@
     text: str,
     content_type: type[Content],
     check: Check[Content],
-) -> Content:
-    """Return a text's content; raises errors.SettingsError."""
+) -> result.Result[Content, str]:
+    """Return a text's content, or all its faults as lines of text."""
     try:
         found = jsonc.loads(text)
     except ValueError as error:
-        raise errors.SettingsError(f'{name}: not JSON: {error}') from error
+        return result.Err(f'{name}: not JSON: {error}')
     faults = list(_schema_faults(found, content_type))
-    if not faults:
-        content = _converted(name, found, content_type)
-        faults = list(check(content))
     if faults:
-        lines = '\n'.join(f'  {fault}' for fault in faults)
-        raise errors.SettingsError(f'{name}:\n{lines}')
-    return content
-
-
-def _converted(
-    name: str,
-    found: object,
-    content_type: type[Content],
-) -> Content:
+        return _faulty(name, faults)
     try:
-        return msgspec.convert(found, content_type)
+        content = msgspec.convert(found, content_type)
     except msgspec.ValidationError as error:
-        raise errors.SettingsError(f'{name}:\n  {error}') from error
+        return _faulty(name, [str(error)])
+    faults = list(check(content))
+    return _faulty(name, faults) if faults else result.Ok(content)
+
+
+def _faulty(name: str, faults: list[str]) -> result.Err[str]:
+    lines = '\n'.join(f'  {fault}' for fault in faults)
+    return result.Err(f'{name}:\n{lines}')
 
 
 def _schema_faults(found: object, content_type: type[Any]) -> Iterator[str]:
--- a/oatcrank/plan_view.py
+++ b/oatcrank/plan_view.py
@@ -5,6 +5,7 @@
 from oatcrank import ids, plan
 
 Listener = Callable[[plan.Plan], None]
+ReplicasByModel = dict[ids.ModelName, tuple[plan.Replica, ...]]
 
 
 class PlanView:
@@ -13,10 +14,8 @@
     def __init__(self) -> None:
         """Know no plan."""
         self.plan_by_pool: dict[ids.PoolName, plan.Plan] = {}
-        self._replicas_by_model: dict[
-            ids.ModelName,
-            tuple[plan.Replica, ...],
-        ] = {}
+        self._pool_by_model: dict[ids.ModelName, ids.PoolName] = {}
+        self._loaded_by_pool: dict[ids.PoolName, ReplicasByModel] = {}
         self._listeners: list[Listener] = []
 
     def on_newer(self, listener: Listener) -> None:
@@ -29,7 +28,9 @@
         if known is not None and known.version >= newer.version:
             return False
         self.plan_by_pool[newer.pool] = newer
-        self._index()
+        loaded = _loaded(newer)
+        self._loaded_by_pool[newer.pool] = loaded
+        self._pool_by_model.update(dict.fromkeys(loaded, newer.pool))
         for listener in self._listeners:
             listener(newer)
         return True
@@ -41,14 +42,15 @@
 
     def replicas_of(self, model: ids.ModelName) -> tuple[plan.Replica, ...]:
         """Return the replicas that take requests for a model."""
-        return self._replicas_by_model.get(model, ())
-
-    def _index(self) -> None:
-        found: dict[ids.ModelName, list[plan.Replica]] = {}
-        for known in self.plan_by_pool.values():
-            for replica in known.replicas:
-                if replica.state is plan.ReplicaState.loaded:
-                    found.setdefault(replica.model, []).append(replica)
-        self._replicas_by_model = {
-            model: tuple(replicas) for model, replicas in found.items()
-        }
+        pool = self._pool_by_model.get(model)
+        if pool is None:
+            return ()
+        return self._loaded_by_pool[pool].get(model, ())
+
+
+def _loaded(known: plan.Plan) -> ReplicasByModel:
+    found: dict[ids.ModelName, list[plan.Replica]] = {}
+    for replica in known.replicas:
+        if replica.state is plan.ReplicaState.loaded:
+            found.setdefault(replica.model, []).append(replica)
+    return {model: tuple(replicas) for model, replicas in found.items()}
--- a/oatcrank/profile_command.py
+++ b/oatcrank/profile_command.py
@@ -187,7 +187,7 @@
         options.file,
         profile.Profile,
         profile_check.faults,
-    )
+    ).unwrap_or_raise(errors.SettingsError)
     creates = options.action == 'create'
     return operator_client.ask(
         options.address,
--- a/oatcrank/serve_command.py
+++ b/oatcrank/serve_command.py
@@ -5,11 +5,12 @@
 import signal
 import sys
 
+import result
+
 from oatcrank import (
     checked_file,
     command,
     entry,
-    errors,
     logs,
     settings,
     settings_check,
@@ -46,15 +47,15 @@
 
     def run(self, options: argparse.Namespace) -> command.ExitStatus:
         """Serve; a first SIGTERM or SIGINT stops without cutting requests."""
-        try:
-            chosen = checked_file.read(
-                options.settings,
-                settings.Settings,
-                settings_check.faults,
-            )
-        except errors.SettingsError as error:
-            sys.stderr.write(f'{error}\n')
+        checked = checked_file.read(
+            options.settings,
+            settings.Settings,
+            settings_check.faults,
+        )
+        if isinstance(checked, result.Err):
+            sys.stderr.write(f'{checked.err_value}\n')
             return command.ExitStatus.usage
+        chosen = checked.ok_value
         logs.start(chosen.instance_id)
         asyncio.run(_serve(chosen))
         return command.ExitStatus.success
