Tell placement when the last round was, not how long ago

Cause: the controller passed the seconds since the last round as `since_s`, which is the time of the last round. Change: pass the time; a test checks that rounds follow each other, and fails without the change.

--- a/oatcrank/pool_controller.py
+++ b/oatcrank/pool_controller.py
@@ -226,7 +226,7 @@
         slots = self._slots(table)
         observed = placement.Observation(
             now_s=now,
-            since_s=now - self._decided,
+            since_s=self._decided,
             load_slots=slots,
             load_s=self._budget.load_s,
             servers=tuple(
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -45,11 +45,13 @@
 class ScriptedPlacement(placement.Placement):
     def __init__(self) -> None:
         self.moves: list[placement.Move] = []
+        self.seen: list[placement.Observation] = []
 
     def decide(
         self,
         seen: placement.Observation,
     ) -> tuple[placement.Move, ...]:
+        self.seen.append(seen)
         moves = tuple(self.moves)
         self.moves.clear()
         return moves
--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -1,5 +1,6 @@
 """Check that control never overcommits memory nor cuts running work."""
 
+import itertools
 from collections.abc import Callable
 
 import pytest
@@ -307,6 +308,16 @@
     assert world.state('s0', 'a') == 'loaded'
 
 
+def test_rounds_follow_each_other(world: control_world.World) -> None:
+    world.clock.advance(1000)
+    world.rounds(0, 4)
+    seen = world.policy.seen
+    assert len(seen) > 4
+    for before, after in itertools.pairwise(seen):
+        assert after.since_s == before.now_s
+        assert after.now_s > after.since_s
+
+
 def test_leaving_server(world: control_world.World) -> None:
     load(world, 'a')
     listed = world.listed
