Let a new instance say that it knows no profiles yet

Cause: before its first reading of the log an instance answered that a profile was never created, which is false. Ruled out: waiting for the log in the request (an outage would hold it). Change: reads of profiles, history and audit are refused with when to come back. Conclusion: an answer about profiles is about what the log holds.

--- a/oatcrank/operator_handlers.py
+++ b/oatcrank/operator_handlers.py
@@ -46,6 +46,11 @@
         """Keep what the handler works on."""
         self.parts = configuration
 
+    def check_informed(self) -> None:
+        """Refuse while the profiles are not known; raises refusal.Refused."""
+        if self.parts.follower.newest == change_follower.UNINFORMED:
+            raise refusal.Refused(operator_refusals.uninformed())
+
     async def accept(
         self,
         kind: change.ChangeKind,
@@ -96,6 +101,7 @@
 
     def get(self) -> None:
         """List the profiles in force."""
+        self.check_informed()
         whole = self.parts.log.whole()
         self.answer(
             operator_messages.ProfileList(
@@ -128,6 +134,7 @@
 
     def get(self, name: str) -> None:
         """Show a profile and its revision, also after it was retired."""
+        self.check_informed()
         state = self.parts.log.state(ids.ProfileName(name))
         if state is None:
             raise refusal.Refused(operator_refusals.never_created(name))
@@ -167,6 +174,7 @@
 
     async def get(self, name: str) -> None:
         """List the profile's changes in order."""
+        self.check_informed()
         if self.parts.log.state(ids.ProfileName(name)) is None:
             raise refusal.Refused(operator_refusals.never_created(name))
         self.answer(
@@ -186,6 +194,7 @@
 
     async def get(self) -> None:
         """List a page of changes after a number."""
+        self.check_informed()
         after = self.get_query_argument('after', '0')
         if not after.isdecimal():
             raise refusal.Refused(
--- a/oatcrank/operator_refusals.py
+++ b/oatcrank/operator_refusals.py
@@ -25,6 +25,16 @@
     )
 
 
+def uninformed() -> refusal.Refusal:
+    """Refuse to read for an instance that has not read the log yet."""
+    return refusal.Refusal(
+        code=refusal.Code.platform_unavailable,
+        message='this instance has just started and knows no profiles yet',
+        run_state=refusal.RunState.did_not_run,
+        retry_after_s=change_refusal.RETRY_AFTER_S,
+    )
+
+
 def unreadable(error: errors.PlatformError) -> refusal.Refusal:
     """Refuse what cannot be read from the key-value service now."""
     return refusal.Refusal(
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -112,6 +112,27 @@
     assert told in shown.out + shown.err
 
 
+@pytest.mark.parametrize('line', ['profile show p', 'profile list', 'audit'])
+def test_uninformed_instance_does_not_say_what_there_is(
+    line: str,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def run() -> Exit:
+        store = configuration_parts.LateKeyValue()
+        one = entry_parts.Entry('e0', store, entry_parts.Listing())
+        one.link.cut = True
+        one.start()
+        address = one.membership.this.address
+        ended = await asyncio.to_thread(
+            run_command, f'{line} --address {address}'
+        )
+        await one.stop()
+        return ended
+
+    assert asyncio.run(run()) is Exit.unavailable
+    assert 'just started' in capsys.readouterr().err
+
+
 SETTINGS = """{
   "instance_id": "e0", "failure_domain": "d",  // where it stands
   "listen": {"host": "127.0.0.1", "port": 8080},
