--- a/oatcrank/_entry_serving.py
+++ b/oatcrank/_entry_serving.py
@@ -32,56 +32,68 @@
     """Return the parts that serve callers."""
     chosen = platform.settings
     plans = plan_view.PlanView()
-    built = serving.Serving(
-        chosen=chosen,
-        ticker=platform.clock,
-        meter=platform.meter,
-        membership=platform.membership,
-        profiles=lambda: platform.changes.profile_by_name,
-        isolated=lambda: platform.follower.isolated,
-    )
     chooser = router.Router(
         failure_domain=chosen.failure_domain,
         seed=platform.membership.this.incarnation,
     )
+    places = dispatch_queue.DispatchQueue(
+        servers=_Replicas(plans, platform).of_model,
+        chooser=chooser,
+        ticker=platform.clock,
+        queue_limit=chosen.limits.queued_per_model,
+    )
     common = {
         'suspects': _suspects(platform),
         'budget': retry_budget.RetryBudget(chosen.limits.retry_share),
         'ticker': platform.clock,
         'meter': platform.meter,
     }
-    built.plans = plans
-    built.places = dispatch_queue.DispatchQueue(
-        servers=_Replicas(plans, platform).of_model,
-        chooser=chooser,
-        ticker=platform.clock,
-        queue_limit=chosen.limits.queued_per_model,
-    )
-    built.models = model_dispatch.ModelDispatch(
-        places=built.places,
-        engines=lambda server: engine_at(platform, server.listed.address),
-        adapters=adapter_loader.AdapterLoader(
-            plans=plans,
-            peers=platform.membership,
-            in_transit=chosen.weight_store.adapters_in_transit,
+    claimed = _claims(platform)
+    return serving.Serving(
+        settings=chosen,
+        clock=platform.clock,
+        meter=platform.meter,
+        members=platform.membership,
+        profiles=lambda: platform.changes.profile_by_name,
+        isolated=lambda: platform.follower.isolated,
+        plans=plans,
+        places=places,
+        models=model_dispatch.ModelDispatch(
+            places=places,
+            engines=lambda server: engine_at(platform, server.listed.address),
+            adapters=_adapters(platform, plans),
+            **common,
+        ),
+        services=service_dispatch.ServiceDispatch(
+            servers=platform.servers,
+            chooser=chooser,
+            **common,
         ),
-        **common,
+        claims=claimed,
+        unrepeatable=unrepeatable.Unrepeatable(claimed),
     )
-    built.services = service_dispatch.ServiceDispatch(
-        servers=platform.servers,
-        chooser=chooser,
-        **common,
+
+
+def _adapters(
+    platform: _entry_platform.EntryPlatform,
+    plans: plan_view.PlanView,
+) -> adapter_loader.AdapterLoader:
+    return adapter_loader.AdapterLoader(
+        plans=plans,
+        peers=platform.membership,
+        in_transit=platform.settings.weight_store.adapters_in_transit,
     )
-    built.claims = claims.Claims(
+
+
+def _claims(platform: _entry_platform.EntryPlatform) -> claims.Claims:
+    return claims.Claims(
         store=platform.store,
         peers=platform.membership,
         client=platform.rpc,
-        settings=chosen.claims,
+        settings=platform.settings.claims,
         time=platform.clock,
         meter=platform.meter,
     )
-    built.unrepeatable = unrepeatable.Unrepeatable(built.claims)
-    return built
 
 
 def engine_at(
--- a/oatcrank/serving.py
+++ b/oatcrank/serving.py
@@ -1,6 +1,7 @@
 """Hold the parts that serve callers on one instance."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
@@ -25,35 +26,31 @@
 ProfileByName = Mapping[ids.ProfileName, profile.Profile]
 
 
+@dataclasses.dataclass(kw_only=True)
 class Serving:
-    """Give the handlers of callers what they need."""
+    """Give the handlers of callers what they need.
 
-    def __init__(
-        self,
-        *,
-        chosen: settings.Settings,
-        ticker: clock.Clock,
-        meter: metrics.Metrics,
-        membership: members.Members,
-        profiles: Callable[[], ProfileByName],
-        isolated: Callable[[], bool],
-    ) -> None:
-        """Start without dispatches; they are set while the instance starts."""
-        self.settings = chosen
-        self.clock = ticker
-        self.meter = meter
-        self.members = membership
-        self.profiles = profiles
-        self.places: dispatch_queue.DispatchQueue
-        self.models: model_dispatch.ModelDispatch
-        self.services: service_dispatch.ServiceDispatch
-        self.unrepeatable: unrepeatable.Unrepeatable
-        self.plans: plan_view.PlanView
-        self.claims: claims.Claims
-        self.running = 0
+    isolated tells that changes of profiles could go unseen here.
+    """
+
+    settings: settings.Settings
+    clock: clock.Clock
+    meter: metrics.Metrics
+    members: members.Members
+    profiles: Callable[[], ProfileByName]
+    isolated: Callable[[], bool]
+    plans: plan_view.PlanView
+    places: dispatch_queue.DispatchQueue
+    models: model_dispatch.ModelDispatch
+    services: service_dispatch.ServiceDispatch
+    claims: claims.Claims
+    unrepeatable: unrepeatable.Unrepeatable
+    running: int = 0
+
+    def __post_init__(self) -> None:
+        """Start without a running request."""
         self._quiet = asyncio.Event()
         self._quiet.set()
-        self._isolated = isolated
 
     def begin(self) -> None:
         """Count a request that has begun."""
@@ -72,7 +69,7 @@
 
     def check_in_service(self) -> None:
         """Refuse new work while changes of profiles could go unseen."""
-        if not self._isolated():
+        if not self.isolated():
             return
         raise refusal.Refused(
             refusal.Refusal(
