Decide nothing on a server that no longer answers

Cause: a dead engine that the lagging list still shows kept its last report for good, so its models passed for loaded and nobody loaded them elsewhere; requests waited out deadlines of 8 to 20 s after an engine was killed. Ruled out: dropping its replicas (its memory must stay reserved until it is gone or reports); the placement (it never saw that the model was missing). Change: after two lost answers in a row a server is left out of what is decided on, asked again once a second, and back with its first report. Conclusion: a lost engine that is idle is noticed after report_period_ms (5 s) and a round; noticing it by failed requests is left.

--- a/oatcrank/pool_servers.py
+++ b/oatcrank/pool_servers.py
@@ -14,6 +14,9 @@
 )
 
 MS_PER_S = 1000
+# One lost answer says little; a second one in a row takes the server out.
+SILENT_AFTER = 2
+SILENT_RETRY_S = 1.0
 
 
 class PoolServers:
@@ -33,6 +36,8 @@
         self._period_s = settings.report_period_ms / MS_PER_S
         self._timeout_s = settings.order_timeout_ms / MS_PER_S
         self._seen: dict[ids.ServerId, seen_report.SeenReport] = {}
+        self._failures: dict[ids.ServerId, int] = {}
+        self._asked_at: dict[ids.ServerId, float] = {}
         self.listed: dict[ids.ServerId, instance_list.Instance] = {}
         self.is_known = False
 
@@ -54,13 +59,18 @@
         }
         for gone in self._seen.keys() - self.listed.keys():
             self._seen.pop(gone)
+            self._failures.pop(gone, None)
 
     def open(self) -> Mapping[ids.ServerId, seen_report.SeenReport]:
-        """Return the reports of the servers that are not leaving."""
+        """Return the reports of the servers that answer and do not leave.
+
+        The list may show a dead server for long; what it last reported must
+        not pass for models that are loaded.
+        """
         return {
             server: seen
             for server, seen in self._seen.items()
-            if not self.is_leaving(server)
+            if not self.is_leaving(server) and not self._is_silent(server)
         }
 
     def is_leaving(self, server: ids.ServerId) -> bool:
@@ -80,12 +90,24 @@
         wanted = [
             server
             for server in self.listed
-            if server in busy
-            or server not in self._seen
-            or self._seen[server].asked <= oldest
+            if not self._rests(server)
+            and (
+                server in busy
+                or server not in self._seen
+                or self._seen[server].asked <= oldest
+                or server in self._failures
+            )
         ]
         return await self.ask(wanted)
 
+    def _is_silent(self, server: ids.ServerId) -> bool:
+        return self._failures.get(server, 0) >= SILENT_AFTER
+
+    def _rests(self, server: ids.ServerId) -> bool:
+        if not self._is_silent(server):
+            return False
+        return self._clock.now() - self._asked_at[server] < SILENT_RETRY_S
+
     async def ask(
         self,
         servers: Iterable[ids.ServerId],
@@ -96,13 +118,16 @@
 
     async def _ask(self, server: ids.ServerId) -> seen_report.SeenReport | None:
         asked = self._clock.now()
+        self._asked_at[server] = asked
         backend = self._ports.engine_of(self.listed[server])
         try:
             report = await backend.report(timeout_s=self._timeout_s)
         except (errors.PlatformError, errors.BackendError):
+            self._failures[server] = self._failures.get(server, 0) + 1
             return None
         if report.server_id != server:
             return None
+        self._failures.pop(server, None)
         seen = seen_report.SeenReport(asked=asked, report=report)
         self._seen[server] = seen
         return seen
--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -41,6 +41,24 @@
     assert world.state(server, model) == 'loaded'
 
 
+def test_dead_server_that_stays_listed_is_not_decided_on(
+    world: control_world.World,
+) -> None:
+    load(world, 'a')
+    world.engines['s0'].is_down = True
+    # Its report is old after 5 s; two lost answers take it out.
+    world.rounds(0, 20)
+    views = {view.server: view for view in world.policy.seen[-1].servers}
+    assert 's0' not in views
+    assert world.state('s0', 'a') == 'loaded'
+    load(world, 'a', 's1')
+    world.engines['s0'].is_down = False
+    world.rounds(0, 8)
+    views = {view.server: view for view in world.policy.seen[-1].servers}
+    assert views['s0'].loaded == ('a',)
+    check(world)
+
+
 def check(world: control_world.World) -> None:
     for backend in world.engines.values():
         assert not backend.excess
