--- a/emulator/slope_projections.py
+++ b/emulator/slope_projections.py
@@ -203,9 +203,9 @@
     ),
     Projection(
         role='routing state',
-        what='core to index all plans at each version',
+        what='core to index a plan at each version',
         slope_name='plan_take',
-        size=Sizes.replicas,
+        size=Sizes.pool_replicas,
         rate=Rates.plan_versions,
         per_unit=MICROSECONDS_OF_PER_CENT,
         unit=CORE,
--- a/emulator/slope_requirements.py
+++ b/emulator/slope_requirements.py
@@ -27,7 +27,7 @@
     'core to take in the list',
     ALIVE_CORE,
     BOOK_CORE,
-    'core to index all plans at each version',
+    'core to index a plan at each version',
 )
 DAEMON_MEMORY = (
     'memory of an idle daemon, small lists',
--- a/emulator/slope_sizes.py
+++ b/emulator/slope_sizes.py
@@ -23,7 +23,7 @@
 ROUNDS_PER_S = 4
 REPORTS_PER_S = 0.2
 BODIES_PER_S = 9
-LIST_READS_PER_S = 2
+LIST_READS_PER_S = 1
 ALIVE_PER_S = 10
 DEMAND_PER_S = 2
 
@@ -91,7 +91,7 @@
         count=BODIES_PER_S,
     )
     list_reads = Size(
-        title='reads/s of the list: membership and data path',
+        title='reads/s of the list',
         count=LIST_READS_PER_S,
     )
     roster_reads = Size(
