Route at a cost that does not grow with the replicas

Ruled out: sampling without a fallback (the only server with room could be missed; a test holds that case). Change: of many servers a dozen are looked at, all only if none of them has room; a model's servers are kept until plan or list change; a prefix picks by one hash where there are many. The relay's figures have their place on the page.

--- a/emulator/slope.py
+++ b/emulator/slope.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from emulator import relay_row
+
 
 class Point(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one measurement; low and high are its spread."""
@@ -34,7 +36,7 @@
     machine: str
     quick: bool
     slopes: tuple[Slope, ...]
-    relay: dict[str, object] | None = None
+    relay: tuple[relay_row.RelayRow, ...] | None = None
 
     def of(self, name: str) -> Slope:
         """Return the slope of a name; raises KeyError."""
--- a/emulator/slope_page.py
+++ b/emulator/slope_page.py
@@ -1,6 +1,7 @@
 """Write the generated tables of docs/CAPACITY.md."""
 
 from emulator import (
+    relay_row,
     slope,
     slope_projections,
     slope_requirement,
@@ -106,10 +107,7 @@
 def _relay(book: slope.SlopeBook) -> str:
     if book.relay is None:
         return NOT_MEASURED
-    return slope_table.text(
-        ('figure', 'value'),
-        ((name, str(found)) for name, found in book.relay.items()),
-    )
+    return relay_row.table(book.relay)
 
 
 def _points(found: slope.Slope) -> str:
--- a/emulator/slopes.py
+++ b/emulator/slopes.py
@@ -9,6 +9,7 @@
 
 from emulator import (
     launch_error,
+    relay_row,
     slope,
     slope_changes,
     slope_claims,
@@ -108,10 +109,12 @@
         yield from slope_real.measure(quick=quick, sizes=options.sizes)
 
 
-def _relay() -> dict[str, object] | None:
+def _relay() -> tuple[relay_row.RelayRow, ...] | None:
     if not RELAY.exists():
         return None
-    return msgspec.json.decode(RELAY.read_bytes(), type=dict[str, object])
+    return msgspec.json.decode(
+        RELAY.read_bytes(), type=tuple[relay_row.RelayRow, ...]
+    )
 
 
 def _write_page() -> None:
--- a/oatcrank/_entry_serving.py
+++ b/oatcrank/_entry_serving.py
@@ -1,5 +1,7 @@
 """Assemble the data path of an entry instance."""
 
+import dataclasses
+
 import msgspec
 
 from oatcrank import (
@@ -14,6 +16,7 @@
     engine,
     ids,
     model_dispatch,
+    plan,
     plan_view,
     retry_budget,
     router,
@@ -108,6 +111,15 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class _Found:
+    """Hold a model's servers for as long as plan and list stay the same."""
+
+    replicas: tuple[plan.Replica, ...]
+    changes: int
+    servers: list[backend_server.BackendServer]
+
+
 class _Replicas:
     """Find the listed servers that hold a model."""
 
@@ -118,17 +130,32 @@
     ) -> None:
         self._plans = plans
         self._servers = platform.servers
+        self._found_by_model: dict[ids.ModelName, _Found] = {}
 
     def of_model(
         self,
         model: ids.ModelName,
     ) -> list[backend_server.BackendServer]:
+        replicas = self._plans.replicas_of(model)
+        known = self._found_by_model.get(model)
+        if (
+            known is not None
+            and known.replicas is replicas
+            and known.changes == self._servers.changes
+        ):
+            return known.servers
         by_id = self._servers.by_id
-        return [
+        servers = [
             by_id[replica.server]
-            for replica in self._plans.replicas_of(model)
+            for replica in replicas
             if replica.server in by_id
         ]
+        self._found_by_model[model] = _Found(
+            replicas,
+            self._servers.changes,
+            servers,
+        )
+        return servers
 
 
 def _suspects(
--- a/oatcrank/backend_servers.py
+++ b/oatcrank/backend_servers.py
@@ -23,6 +23,7 @@
         """Know no server until the list has been read."""
         self.by_id: dict[ids.ServerId, backend_server.BackendServer] = {}
         self.entries: frozenset[str] = frozenset()
+        self.changes = 0
         self._listing = listing
         self._known = False
         self._clock = ticker
@@ -57,9 +58,11 @@
         }
         for server_id in self.by_id.keys() - found.keys():
             self.by_id.pop(server_id)
+            self.changes += 1
         for server_id, one in found.items():
             known = self.by_id.get(server_id)
             if known is None or known.listed.address != one.address:
+                self.changes += 1
                 self.by_id[server_id] = backend_server.BackendServer(
                     one,
                     self._clock,
--- a/oatcrank/router.py
+++ b/oatcrank/router.py
@@ -8,6 +8,7 @@
 from oatcrank import backend_server, ids
 
 SAMPLED = 4
+LOOKED_AT = 12
 SAME_DOMAIN_DISCOUNT = 0.05
 PREFIX_DISCOUNT = 0.25
 FULL_LOAD = 1.25
@@ -40,7 +41,7 @@
         failure domains to avoid are used only when no other has room; alone
         keeps away from servers that run another suspected request.
         """
-        fit = [server for server in servers if _fits(server, alone=alone)]
+        fit = self._fitting(servers, prefix, alone=alone)
         if not fit:
             return None
         elsewhere = [
@@ -52,6 +53,23 @@
         favourite = _favourite(few, prefix) if prefix else None
         return min(few, key=lambda server: self._score(server, favourite))
 
+    def _fitting(
+        self,
+        servers: Sequence[backend_server.BackendServer],
+        prefix: str,
+        *,
+        alone: bool,
+    ) -> list[backend_server.BackendServer]:
+        """Return servers with room, of a few if there are many."""
+        if len(servers) > LOOKED_AT:
+            few = self._random.sample(servers, LOOKED_AT)
+            if prefix:
+                few.append(_favourite(servers, prefix))
+            found = [server for server in few if _fits(server, alone=alone)]
+            if found:
+                return found
+        return [server for server in servers if _fits(server, alone=alone)]
+
     def _sample(
         self,
         servers: list[backend_server.BackendServer],
@@ -87,6 +105,11 @@
     servers: Sequence[backend_server.BackendServer],
     prefix: str,
 ) -> backend_server.BackendServer:
+    if len(servers) > LOOKED_AT:
+        # With many servers, looking at each would cost more than the rare
+        # change of all favourites when their number changes.
+        place = xxhash.xxh3_64_intdigest(prefix.encode()) % len(servers)
+        return servers[place]
     return max(
         servers,
         key=lambda server: xxhash.xxh3_64_intdigest(
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -59,6 +59,14 @@
     assert (found and found.listed.instance_id) == chosen
 
 
+def test_finds_the_only_room_among_many() -> None:
+    made = router.Router(failure_domain=ids.FailureDomain('near'), seed=1)
+    servers = [server(f'full-{number}', load=9) for number in range(300)]
+    free = server('free')
+    servers.insert(150, free)
+    assert made.choose(servers) is free
+
+
 def test_prefix_keeps_to_one_server_until_it_is_loaded() -> None:
     made = router.Router(failure_domain=ids.FailureDomain('near'), seed=1)
     servers = [server(name) for name in 'abc']
