Give one code one status

Cause: a resend's outcome_unknown and interrupted came with 503 where docs/CALLING.md and the first sending say 502. Ruled out: changing the page: 503 invites a client to send again.

--- a/oatcrank/_claim_refusals.py
+++ b/oatcrank/_claim_refusals.py
@@ -44,6 +44,7 @@
             message='an earlier attempt with this key may have run',
             run_state=refusal.RunState.may_have_run,
             request_id=request_id,
+            status=HTTPStatus.BAD_GATEWAY,
         ),
     )
 
@@ -74,5 +75,6 @@
             run_state=refusal.RunState.did_not_run,
             request_id=request_id,
             retry_after_s=RETRY_AFTER_S,
+            status=HTTPStatus.BAD_GATEWAY,
         ),
     )
