--- a/oatcrank/caller_handler.py
+++ b/oatcrank/caller_handler.py
@@ -88,30 +88,35 @@
             await self._finish()
 
     def refuse(self, refused: refusal.Refusal) -> None:
-        """Finish with a refusal that names the request."""
+        """Note a refusal and finish with it; it names the request."""
         checked = getattr(self, 'checked', None)
         if checked is not None and not refused.request_id:
             refused = msgspec.structs.replace(
                 refused, request_id=checked.request_id
             )
+        self._note(refused)
         super().refuse(refused)
 
     async def _finish(self) -> None:
         with contextlib.suppress(IOError):
             await self.finish()
 
-    def _refuse(self, refused: refusal.Refusal) -> None:
+    def _note(self, refused: refusal.Refusal) -> None:
         logs.event(
             'refused',
-            request_id=self.checked.request_id,
+            request_id=refused.request_id,
             code=refused.code.value,
             run_state=refused.run_state.value,
             reason=refused.message,
         )
         self.parts.meter.count(f'refused.{refused.code.value}')
+
+    def _refuse(self, refused: refusal.Refusal) -> None:
         if self.outlet.gone:
+            self._note(refused)
             return
         if self.outlet.started:
+            self._note(refused)
             # The status has been sent: the stream ends without its last event.
             self.write(EVENT_START + msgspec.json.encode(Failed(refused)))
             self.finish(event_splitter.EVENT_END)
--- a/oatcrank/logs.py
+++ b/oatcrank/logs.py
@@ -7,6 +7,8 @@
 
 import eliot
 
+from oatcrank import _library_logs
+
 UNSAFE = re.compile(r'[\s"=\\]')
 SKIPPED_FIELDS = frozenset(('task_uuid', 'task_level', 'message_type'))
 
@@ -43,8 +45,9 @@
 
 
 def start(instance_id: str) -> None:
-    """Send this process's events to standard error."""
+    """Send this process's events, and the libraries', to standard error."""
     eliot.add_destinations(KeyValueDestination(sys.stderr, instance_id))
+    _library_logs.attach()
 
 
 def event(name: str, **fields: object) -> None:
