Let one request at a time try a server that crashed

Cause: a dead server that still accepts and cuts (as the stand-in of a lost failure domain does) was tried by every request whenever its pause ended; each such attempt may have run and spent the retry budget. Ruled out: a larger budget (it would multiply the load on what is left). Change: a server found crashed is on trial, as one that took nothing already was. Figures: tests/test_dispatch.py before: 1 failed, 1 passed; after: 2 passed.

--- a/oatcrank/dispatch.py
+++ b/oatcrank/dispatch.py
@@ -101,11 +101,14 @@
             self._take_not_started(server, wanted, error)
         except errors.Interrupted as error:
             self._note(server, wanted, error)
-            await self._suspects.interrupted(
+            crashed = await self._suspects.interrupted(
                 server,
                 wanted.fingerprint,
                 lambda: self._alive(server),
             )
+            if crashed:
+                # It may still accept and cut: one request at a time tries it.
+                server.failed(took_nothing=True)
             self._check_suspect(wanted, error)
             if wanted.work_class.at_most_once:
                 raise refusal.Refused(_unknown(wanted, error)) from error
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,102 @@
+"""Check what an interrupted attempt teaches of its server."""
+
+import asyncio
+
+import pytest
+
+from oatcrank import (
+    backend_server,
+    clock,
+    crash_suspects,
+    dispatch,
+    errors,
+    ids,
+    instance_list,
+    job,
+    metrics,
+    outlet,
+    profile,
+    refusal,
+    retry_budget,
+    target,
+)
+
+
+class NoOutlet(outlet.Outlet):
+    """Take nothing."""
+
+    def head(self, status: int, content_type: str) -> None:
+        raise AssertionError
+
+    def write(self, chunk: bytes) -> None:
+        raise AssertionError
+
+
+class CuttingDispatch(dispatch.Dispatch):
+    """Send to one server, which cuts every answer."""
+
+    def __init__(self, ticker: clock.Clock, *, alive: bool) -> None:
+        super().__init__(
+            suspects=crash_suspects.CrashSuspects(
+                limit=3, ticker=ticker, publish=lambda counts: None
+            ),
+            budget=retry_budget.RetryBudget(0),
+            ticker=ticker,
+            meter=metrics.NoMetrics(),
+        )
+        self.alive = alive
+        self.server = backend_server.BackendServer(
+            instance_list.Instance(
+                instance_id='a',
+                kind=instance_list.Kind.engine,
+                address='127.0.0.1:1',
+                failure_domain=ids.FailureDomain('x'),
+            ),
+            ticker,
+        )
+
+    async def _place(
+        self, wanted: job.Job, *, alone: int
+    ) -> backend_server.BackendServer:
+        self.server.in_flight += 1
+        return self.server
+
+    def _release(
+        self, server: backend_server.BackendServer, wanted: job.Job
+    ) -> None:
+        server.in_flight -= 1
+
+    async def _attempt(
+        self,
+        server: backend_server.BackendServer,
+        wanted: job.Job,
+        answer: outlet.Outlet,
+    ) -> None:
+        raise errors.Interrupted('cut')
+
+    async def _alive(self, server: backend_server.BackendServer) -> bool:
+        return self.alive
+
+
+@pytest.mark.parametrize('alive', [True, False])
+def test_dead_server_is_tried_by_one(alive: bool) -> None:
+    ticker = clock.ManualClock()
+    sending = CuttingDispatch(ticker, alive=alive)
+    wanted = job.Job(
+        request_id=ids.RequestId('r'),
+        work_class=profile.Profile(
+            name=ids.ProfileName('p'),
+            targets=target.Targets(
+                first_token_ms=1, between_tokens_ms=1, whole_answer_ms=1e6
+            ),
+            at_most_once=True,
+        ),
+        fingerprint=7,
+        arrived=0,
+    )
+    with pytest.raises(refusal.Refused):
+        asyncio.run(sending.run(wanted, NoOutlet()))
+    ticker.advance(60)
+    assert sending.server.usable
+    sending.server.in_flight += 1
+    assert sending.server.usable is alive
