Count a former controller as stopped only where that is certain

Cause: an instance that the platform's list did not show counted as gone, though the list lags and may never have shown a fresh one; and whoever answered at its address spoke for it. A frozen, newly started controller could have been taken for ended, and the memory that its late order may fill given away. Ruled out: trusting membership alone (a frozen instance is silent, not gone). Change: gone means listed once and no more; an answer names its instance and incarnation; tests of both and of the adapter loader. Conclusion: no proof with processes provokes the unlisted case.

--- a/oatcrank/_entry_control.py
+++ b/oatcrank/_entry_control.py
@@ -61,6 +61,7 @@
             lease=self.lease,
             own_idle=self.own_idle,
             control=self.pools,
+            peers=self._platform.membership,
         )
 
     def own_idle(self, query: idle_query.IdleQuery) -> bool:
@@ -88,7 +89,7 @@
                     listed.address,
                 ),
                 own_idle=self.own_idle,
-                listed_entries=lambda: platform.servers.entries,
+                gone=platform.servers.is_gone_entry,
             ),
             board=self.board,
             book=platform.book,
--- a/oatcrank/backend_servers.py
+++ b/oatcrank/backend_servers.py
@@ -22,7 +22,8 @@
     ) -> None:
         """Know no server until the list has been read."""
         self.by_id: dict[ids.ServerId, backend_server.BackendServer] = {}
-        self.entries: frozenset[str] = frozenset()
+        self._entries: frozenset[str] = frozenset()
+        self._entries_seen: set[str] = set()
         self.changes = 0
         self._listing = listing
         self._known = False
@@ -46,11 +47,12 @@
     def take(self, listed: tuple[instance_list.Instance, ...]) -> None:
         """Replace what is known by a newer list, keeping counts."""
         self._known = True
-        self.entries = frozenset(
+        self._entries = frozenset(
             one.instance_id
             for one in listed
             if one.kind is instance_list.Kind.entry
         )
+        self._entries_seen |= self._entries
         found = {
             ids.ServerId(one.instance_id): one
             for one in listed
@@ -70,6 +72,12 @@
             else:
                 known.listed = one
 
+    def is_gone_entry(self, instance_id: str) -> bool:
+        """Tell whether an entry instance was listed and is so no more."""
+        if instance_id in self._entries:
+            return False
+        return instance_id in self._entries_seen
+
     def listed(self) -> tuple[instance_list.Instance, ...] | None:
         """Return the backend servers as last listed, or None before that."""
         if not self._known:
--- a/oatcrank/control_handlers.py
+++ b/oatcrank/control_handlers.py
@@ -13,6 +13,7 @@
     ids,
     json_handler,
     leadership,
+    members,
     pool_control,
 )
 
@@ -52,15 +53,26 @@
 class DeposedHandler(json_handler.JsonHandler):
     """Learn that another instance controls now."""
 
-    def initialize(self, control: pool_control.PoolControl) -> None:
+    def initialize(
+        self,
+        control: pool_control.PoolControl,
+        peers: members.Members,
+    ) -> None:
         """Stop the controllers of this instance."""
         self._control = control
+        self._this = peers.this
 
     async def post(self) -> None:
         """Stop below the fence that follows the deposed one."""
         former = self.decode(deposed.Deposed)
         stopped = self._control.depose(ids.Fence(former.fence + 1))
-        self.answer(deposed_reply.DeposedReply(stopped))
+        self.answer(
+            deposed_reply.DeposedReply(
+                instance_id=self._this.instance_id,
+                incarnation=self._this.incarnation,
+                stopped=stopped,
+            ),
+        )
 
 
 def routes(
@@ -69,10 +81,15 @@
     lease: leadership.Leadership,
     own_idle: control_peers.OwnIdle,
     control: pool_control.PoolControl,
+    peers: members.Members,
 ) -> list[Any]:
     """Return the routes between controllers and entry instances."""
     return [
         (demand_sender.PATH, DemandHandler, {'board': board, 'lease': lease}),
         (control_peers.IDLE_PATH, IdleHandler, {'own_idle': own_idle}),
-        (control_peers.DEPOSED_PATH, DeposedHandler, {'control': control}),
+        (
+            control_peers.DEPOSED_PATH,
+            DeposedHandler,
+            {'control': control, 'peers': peers},
+        ),
     ]
--- a/oatcrank/control_peers.py
+++ b/oatcrank/control_peers.py
@@ -26,7 +26,7 @@
 NewPolicy = Callable[[], placement.Placement]
 EngineOf = Callable[[instance_list.Instance], engine.ModelEngine]
 OwnIdle = Callable[[idle_query.IdleQuery], bool]
-Listed = Callable[[], frozenset[str]]
+Gone = Callable[[str], bool]
 
 
 class ControlPeers:
@@ -39,14 +39,18 @@
         client: rpc.Rpc,
         engine_of: EngineOf,
         own_idle: OwnIdle,
-        listed_entries: Listed,
+        gone: Gone,
     ) -> None:
-        """Answer for this instance by own_idle."""
+        """Answer for this instance by own_idle.
+
+        gone tells that the platform's list has shown an instance and does so
+        no more: the list lags, so one that it never showed may yet run.
+        """
         self.engine_of = engine_of
         self._peers = peers
         self._rpc = client
         self._own_idle = own_idle
-        self._listed_entries = listed_entries
+        self._gone = gone
 
     async def idle(
         self,
@@ -75,10 +79,8 @@
             return former.incarnation < self._peers.this.incarnation
         for peer in self._others():
             if peer.instance_id == former.controller:
-                if peer.incarnation > former.incarnation:
-                    return True
                 return await self._peer_stopped(peer, former)
-        return former.controller not in self._listed_entries()
+        return self._gone(former.controller)
 
     def _others(self) -> list[member.Member]:
         this = self._peers.this.instance_id
@@ -118,4 +120,8 @@
             )
         except errors.OatcrankError:
             return False
+        if reply.instance_id != former.controller:
+            return False
+        if reply.incarnation != former.incarnation:
+            return reply.incarnation > former.incarnation
         return reply.stopped
--- a/oatcrank/deposed_reply.py
+++ b/oatcrank/deposed_reply.py
@@ -2,8 +2,12 @@
 
 import msgspec
 
+from oatcrank import ids
+
 
 class DeposedReply(msgspec.Struct, frozen=True):
-    """Say whether the earlier controller can send no more orders."""
+    """Say who answers and whether it can send no more orders."""
 
+    instance_id: ids.InstanceId
+    incarnation: int
     stopped: bool
--- /dev/null
+++ b/tests/test_adapter_loader.py
@@ -0,0 +1,112 @@
+"""Check that adapters are ordered once, and only where memory is reserved."""
+
+import asyncio
+
+import pytest
+
+from emulator import memory_engine, settable_members
+from oatcrank import (
+    adapter_loader,
+    backend_server,
+    clock,
+    errors,
+    ids,
+    instance_list,
+    member,
+    order,
+    plan,
+    plan_view,
+)
+
+SERVER = ids.ServerId('s')
+MODEL = ids.ModelName('m')
+ADAPTER = ids.AdapterName('a')
+
+
+@pytest.mark.parametrize(
+    ('state', 'reserved', 'fault', 'orders'),
+    [
+        ('loaded', (ADAPTER,), None, 1),
+        ('loaded', (), None, 0),
+        ('draining', (ADAPTER,), None, 0),
+        ('loaded', (ADAPTER,), memory_engine.Fault.drop, 0),
+        ('loaded', (ADAPTER,), memory_engine.Fault.lose_answer, 1),
+    ],
+)
+def test_ensure(
+    state: str,
+    reserved: tuple[ids.AdapterName, ...],
+    fault: memory_engine.Fault | None,
+    orders: int,
+) -> None:
+    async def run() -> memory_engine.MemoryEngine:
+        ticker = clock.ManualClock()
+        engine = memory_engine.MemoryEngine(
+            SERVER, 10, {MODEL: 5, ADAPTER: 1}, ticker
+        )
+        loading = order.Order(
+            order_id=ids.OrderId('1'),
+            fence=ids.Fence(7),
+            kind=order.OrderKind.load_model,
+            model=MODEL,
+        )
+        await engine.order(loading, timeout_s=1)
+        engine.taken.clear()
+        if fault is not None:
+            engine.faults.append(fault)
+        loader, server = parts(state, reserved, ticker)
+        calls = [
+            loader.ensure(server, engine, MODEL, ADAPTER) for _ in range(3)
+        ]
+        ends = await asyncio.gather(*calls, return_exceptions=True)
+        good = orders and fault is None
+        wanted = type(None) if good else errors.NotLoaded
+        assert all(isinstance(end, wanted) for end in ends)
+        return engine
+
+    engine = asyncio.run(run())
+    assert len(engine.taken) == orders
+    assert all(one.fence == 7 for one in engine.taken)
+    assert not engine.excess
+
+
+def parts(
+    state: str,
+    reserved: tuple[ids.AdapterName, ...],
+    ticker: clock.Clock,
+) -> tuple[adapter_loader.AdapterLoader, backend_server.BackendServer]:
+    plans = plan_view.PlanView()
+    replica = plan.Replica(
+        server=SERVER,
+        model=MODEL,
+        state=plan.ReplicaState(state),
+        memory_mb=6,
+        adapters=reserved,
+    )
+    plans.take(
+        plan.Plan(
+            pool=ids.PoolName('p'),
+            fence=ids.Fence(7),
+            version=1,
+            controller=ids.InstanceId('x'),
+            replicas=(replica,),
+        ),
+    )
+    this = member.Member(
+        instance_id=ids.InstanceId('x'),
+        address='127.0.0.1:1',
+        failure_domain=ids.FailureDomain('x'),
+        incarnation=1,
+    )
+    loader = adapter_loader.AdapterLoader(
+        plans=plans,
+        peers=settable_members.SettableMembers(this),
+        in_transit=1,
+    )
+    listed = instance_list.Instance(
+        instance_id=SERVER,
+        kind=instance_list.Kind.engine,
+        address='127.0.0.1:1',
+        failure_domain=ids.FailureDomain('x'),
+    )
+    return loader, backend_server.BackendServer(listed, ticker)
--- /dev/null
+++ b/tests/test_control_peers.py
@@ -0,0 +1,112 @@
+"""Check when a former controller counts as unable to send any order."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from emulator import settable_members
+from oatcrank import (
+    backend_servers,
+    clock,
+    control_peers,
+    deposed,
+    deposed_reply,
+    errors,
+    ids,
+    instance_list,
+    member,
+    rpc,
+)
+
+FORMER = deposed.Deposed(
+    controller=ids.InstanceId('old'), incarnation=3, fence=ids.Fence(5)
+)
+SILENT = errors.UnknownOutcome('no answer')
+
+
+def member_of(name: str, incarnation: int = 3) -> member.Member:
+    return member.Member(
+        instance_id=ids.InstanceId(name),
+        address='127.0.0.1:1',
+        failure_domain=ids.FailureDomain('x'),
+        incarnation=incarnation,
+    )
+
+
+def reply(
+    name: str, incarnation: int, *, stopped: bool
+) -> deposed_reply.DeposedReply:
+    return deposed_reply.DeposedReply(
+        instance_id=ids.InstanceId(name),
+        incarnation=incarnation,
+        stopped=stopped,
+    )
+
+
+class AnsweringRpc(rpc.Rpc):
+    """Answer every call by what was set."""
+
+    def __init__(self, answer: deposed_reply.DeposedReply | Exception) -> None:
+        super().__init__()
+        self.answer = answer
+
+    async def post(self, *call: Any, **options: Any) -> Any:
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+def entries(*names: str) -> tuple[instance_list.Instance, ...]:
+    return tuple(
+        instance_list.Instance(
+            instance_id=name,
+            kind=instance_list.Kind.entry,
+            address='127.0.0.1:1',
+            failure_domain=ids.FailureDomain('x'),
+        )
+        for name in names
+    )
+
+
+@pytest.mark.parametrize(
+    ('alive', 'answer', 'lists', 'stopped'),
+    [
+        (True, reply('old', 3, stopped=True), [()], True),
+        (True, reply('old', 3, stopped=False), [()], False),
+        (True, reply('old', 4, stopped=False), [()], True),
+        (True, reply('old', 2, stopped=True), [()], False),
+        # Another process at its address says nothing of it.
+        (True, reply('new', 9, stopped=True), [()], False),
+        (True, SILENT, [()], False),
+        # Frozen: still listed, so it may wake.
+        (False, SILENT, [entries('old')], False),
+        (False, SILENT, [entries('old'), ()], True),
+        # A lagging list never showed it: it may run all the same.
+        (False, SILENT, [()], False),
+        (False, SILENT, [], False),
+    ],
+)
+def test_has_stopped(
+    alive: bool,
+    answer: deposed_reply.DeposedReply | Exception,
+    lists: list[tuple[instance_list.Instance, ...]],
+    stopped: bool,
+) -> None:
+    async def run() -> bool:
+        this = member_of('this')
+        peers = settable_members.SettableMembers(this)
+        peers.believed = (this, member_of('old')) if alive else (this,)
+        servers = backend_servers.BackendServers(None, clock.ManualClock())
+        for listed in lists:
+            servers.take(listed)
+        asking = control_peers.ControlPeers(
+            peers=peers,
+            client=AnsweringRpc(answer),
+            engine_of=lambda listed: None,
+            own_idle=lambda query: True,
+            gone=servers.is_gone_entry,
+        )
+        return await asking.has_stopped(FORMER)
+
+    assert asyncio.run(run()) is stopped
