--- /dev/null
+++ b/deploy/main.py
@@ -0,0 +1,7 @@
+"""Run an instance from a folder that holds the compiled package."""
+
+import sys
+
+from oatcrank.platform import __main__ as platform_main
+
+sys.exit(platform_main.main())
--- /dev/null
+++ b/oatcrank/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Know the instances of the system and let them talk to each other."""
--- /dev/null
+++ b/oatcrank/cluster/instance.py
@@ -0,0 +1,209 @@
+"""Put one instance together: tables, decisions and tasks."""
+
+import asyncio
+import random
+
+import msgspec
+
+from oatcrank import background, logs, metrics
+from oatcrank.cluster import (
+    catalogue,
+    codec,
+    member,
+    members,
+    mirror,
+    order_turn,
+    own_peer,
+    remote_arranger,
+    session,
+    store,
+)
+from oatcrank.forwarding import crash_watch, dialect, forwarder, parts
+from oatcrank.orders import order, order_desk
+from oatcrank.routing import (
+    choice,
+    crash_record,
+    retry_budgets,
+    route_table,
+    server_table,
+)
+from oatcrank.transport import caller_connection, limits
+
+READY_LOOK_S = 0.05
+# Callers keep an address this long before they ask again.
+ADDRESS_TTL_S = 2.0
+# Those who keep it longer find the port closed, and another address.
+LEAVE_S = 2.5
+STOP_MARGIN_S = 1.0
+IDLE_LOOK_S = 0.05
+PRUNE_S = 0.5
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the bounds that all instances keep together."""
+
+    retry_ratio: float
+    retry_allowance: float
+    retry_window_s: float
+    order_turn_s: float
+    stop_within_s: float
+
+
+class Ports(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what the outside of an instance provides."""
+
+    store: store.Store
+    codec: codec.Codec
+    dialect: dialect.Dialect
+    sender: order.OrderSender
+
+
+class Instance:
+    """Serve callers, keep registered, and give orders when it is one's turn."""
+
+    def __init__(
+        self,
+        own: member.Member,
+        bounds: Bounds,
+        ports: Ports,
+    ) -> None:
+        """Build all parts; nothing runs yet."""
+        self._bounds = bounds
+        dice = random.Random()  # noqa: S311
+        self.members = members.Members(own)
+        self.routes = route_table.RouteTable()
+        self.servers = server_table.ServerTable()
+        self._catalogue = catalogue.Catalogue(
+            ports.codec,
+            self.routes,
+            self.servers,
+            self.members,
+        )
+        self._mirror = mirror.Mirror(ports.store, self._catalogue, dice)
+        self._session = session.Session(ports.store, self.members)
+        self._desk = order_desk.OrderDesk(
+            instance_id=own.instance_id,
+            servers=self.servers,
+            routes=self.routes,
+            sender=ports.sender,
+        )
+        self._turn = order_turn.OrderTurn(
+            kept_in=ports.store,
+            seen=self._mirror,
+            known=self.members,
+            own_session=self._session,
+            desk=self._desk,
+            turn_s=bounds.order_turn_s,
+            dice=dice,
+        )
+        self._arranger = remote_arranger.RemoteArranger(
+            self._turn,
+            self._desk,
+            self.members,
+            self.servers,
+        )
+        crashes = crash_record.CrashRecord()
+        self.peer = own_peer.OwnPeer(
+            self._desk,
+            self._turn,
+            crashes,
+            self.members,
+        )
+        self._forwarder = forwarder.Forwarder(
+            parts.Parts(
+                dialect=ports.dialect,
+                routes=self.routes,
+                servers=self.servers,
+                chooser=choice.Chooser(own.failure_domain, dice),
+                retries=retry_budgets.RetryBudgets(
+                    ratio=bounds.retry_ratio,
+                    allowance=bounds.retry_allowance,
+                    window_s=bounds.retry_window_s,
+                    instances=lambda: self.members.most,
+                ),
+                arranger=self._arranger,
+                crashes=crashes,
+                crash_watch=crash_watch.CrashWatch(
+                    crashes,
+                    self.peer.tell_crashes,
+                ),
+                dice=dice,
+            ),
+        )
+        self._opened: set[caller_connection.CallerConnection] = set()
+        self._listening: asyncio.Server | None = None
+        self._background = background.Background(metrics.NoMetrics())
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers should come here."""
+        return self.members.own.ready
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for callers and begin to follow the store."""
+        self._listening = await asyncio.get_running_loop().create_server(
+            self._connection,
+            host,
+            port,
+            backlog=1024,
+        )
+        for name, work in (
+            ('mirror', self._mirror.run),
+            ('session', self._session.run),
+            ('order_turn', self._turn.run),
+            ('demand', self._arranger.run),
+            ('readiness', self._become_ready),
+            ('pruning', self._prune),
+        ):
+            self._background.start(name, work)
+
+    async def stop(self) -> None:
+        """Leave without cutting requests."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        self._forwarder.leaving = True
+        self._register(ready=False)
+        await self._turn.release()
+        await asyncio.sleep(LEAVE_S - (loop.time() - began_s))
+        if self._listening is not None:
+            self._listening.close()
+        ends_s = began_s + self._bounds.stop_within_s - STOP_MARGIN_S
+        while self._opened and loop.time() < ends_s:
+            for connection in tuple(self._opened):
+                connection.finish()
+            await asyncio.sleep(IDLE_LOOK_S)
+        if self._opened:
+            logs.event('stop_cuts', connections=len(self._opened))
+        await self._session.end()
+        await self._background.close()
+
+    def _connection(self) -> caller_connection.CallerConnection:
+        return caller_connection.CallerConnection(
+            self._forwarder,
+            self._limits,
+            self._opened,
+        )
+
+    def _limits(self) -> limits.Limits:
+        if self.routes.configuration is None:
+            return limits.Limits()
+        return self.routes.configuration.limits
+
+    async def _become_ready(self) -> None:
+        while self.routes.configuration is None:
+            await asyncio.sleep(READY_LOOK_S)
+        self._register(ready=True)
+
+    async def _prune(self) -> None:
+        while True:
+            await asyncio.sleep(PRUNE_S)
+            for one in self.servers.by_id.values():
+                one.pool.prune()
+
+    def _register(self, *, ready: bool) -> None:
+        self.members.own = msgspec.structs.replace(
+            self.members.own,
+            ready=ready,
+        )
+        logs.event('readiness', ready=ready)
+        self._session.tell()
--- /dev/null
+++ b/oatcrank/cluster/order_turn.py
@@ -0,0 +1,247 @@
+"""Hold the order lease, or wait for it to be free."""
+
+import asyncio
+import random
+
+import msgspec
+
+from oatcrank import errors, ids, logs
+from oatcrank.cluster import (
+    members,
+    mirror,
+    peer_messages,
+    peers,
+    session,
+    store,
+)
+from oatcrank.orders import order_desk, tenure
+
+HOLDER_KEY = 'orders/holder'
+LAST_KEY = 'orders/last'
+LOOK_S = 0.25
+ASK_WITHIN_S = 0.5
+RENEW_S = 0.4
+FIRST_WAIT_S = 0.3
+
+
+class HolderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the holder of the order lease, and where to ask it."""
+
+    instance_id: ids.InstanceId
+    started_ms: int
+    peer: str
+
+
+class OrderTurn:
+    """Try for the order lease, renew it, and hand it on."""
+
+    def __init__(
+        self,
+        *,
+        kept_in: store.Store,
+        seen: mirror.Mirror,
+        known: members.Members,
+        own_session: session.Session,
+        desk: order_desk.OrderDesk,
+        turn_s: float,
+        dice: random.Random,
+    ) -> None:
+        """Let a desk give orders while the lease is held."""
+        self._store = kept_in
+        self._mirror = seen
+        self._members = known
+        self._session = own_session
+        self._desk = desk
+        self._turn_s = turn_s
+        self._dice = dice
+        self._client = peers.Client()
+        self._wanted = True
+        self._lease: store.LeaseId | None = None
+
+    def holder(self) -> HolderRecord | None:
+        """Return the holder as last seen."""
+        item = self._mirror.get(HOLDER_KEY)
+        return None if item is None else _decoded(item)
+
+    async def run(self) -> None:
+        """Try and renew until cancelled."""
+        await asyncio.sleep(FIRST_WAIT_S * self._dice.random())
+        while True:
+            try:
+                await self._step()
+            except errors.PlatformError as error:
+                logs.event('order_lease_untried', error=error)
+            pause_s = LOOK_S if self._desk.turn is None else RENEW_S
+            await asyncio.sleep(pause_s)
+
+    async def release(self) -> None:
+        """Give the lease up for good."""
+        self._wanted = False
+        turn = self._desk.turn
+        self._desk.stop()
+        if turn is None:
+            return
+        try:
+            await self._store.write(
+                store.Write(
+                    expected={HOLDER_KEY: ids.Revision(turn.fence)},
+                    removed=(HOLDER_KEY,),
+                ),
+            )
+        except errors.PlatformError as error:
+            # The lease then ends with this instance's session.
+            logs.event('order_lease_unreleased', error=error)
+        logs.event('order_lease_released')
+
+    def stop(self, query: peer_messages.StopQuery) -> peer_messages.Stopped:
+        """Tell a successor that no order follows under an older fence."""
+        if query.started_ms != self._members.own.started_ms:
+            return peer_messages.Stopped(
+                known=False,
+                order_age_s_by_id={},
+                waits_s=0,
+                store_loads=0,
+            )
+        now_s = order_desk.suspended_time()
+        fence = query.fence
+        turn = self._desk.turn
+        waits_s = 0 if turn is None else turn.starts_s - now_s
+        if turn is not None and turn.fence < fence:
+            self._desk.stop()
+            logs.event('order_lease_superseded', fence=fence)
+        return peer_messages.Stopped(
+            known=True,
+            order_age_s_by_id={
+                server_id: now_s - last_s
+                for server_id, last_s in (self._desk.last_order_s_by_id.items())
+            },
+            waits_s=max(0, waits_s),
+            store_loads=self._desk.store_loads(),
+        )
+
+    async def _step(self) -> None:
+        if self._desk.turn is not None:
+            await self._renew(self._desk.turn)
+        elif self._wanted and self._session.lease is not None:
+            if self._mirror.get(HOLDER_KEY) is None and self._mirror.is_read:
+                await self._acquire(self._session.lease)
+
+    async def _renew(self, turn: tenure.Tenure) -> None:
+        sent_s = order_desk.suspended_time()
+        holder = self.holder()
+        mine = holder is not None and self._is_own(holder)
+        if not mine or self._session.lease != self._lease:
+            logs.event('order_lease_lost', fence=turn.fence)
+            self._desk.stop()
+            return
+        await self._session.keep()
+        if self._session.lease == self._lease:
+            turn.renew(sent_s)
+
+    async def _acquire(self, lease: store.LeaseId) -> None:
+        sent_s = order_desk.suspended_time()
+        former = self._mirror.get(LAST_KEY)
+        own = HolderRecord(
+            instance_id=self._members.own.instance_id,
+            started_ms=self._members.own.started_ms,
+            peer=self._members.own.peer,
+        )
+        encoded = msgspec.json.encode(own)
+        try:
+            revision = await self._store.write(
+                store.Write(
+                    expected={HOLDER_KEY: store.ABSENT},
+                    value_by_key={HOLDER_KEY: encoded, LAST_KEY: encoded},
+                    leased=lease,
+                    leased_keys=frozenset((HOLDER_KEY,)),
+                ),
+            )
+        except store.Moved:
+            return
+        except errors.UnknownOutcome:
+            found = await self._settled(encoded)
+            if found is None:
+                return
+            revision = found
+        self._mirror.take(
+            store.Item(key=HOLDER_KEY, value=encoded, revision=revision),
+        )
+        turn = tenure.begin(
+            fence=revision,
+            sent_s=sent_s,
+            now_s=order_desk.suspended_time(),
+            turn_s=self._turn_s,
+            first=former is None,
+        )
+        self._lease = lease
+        self._desk.begin(turn)
+        logs.event(
+            'order_lease_acquired',
+            fence=revision,
+            waits_s=round(turn.starts_s - turn.acquired_s, 3),
+        )
+        if former is not None:
+            asyncio.ensure_future(self._ask_former(former, turn))
+
+    async def _settled(self, encoded: bytes) -> ids.Revision | None:
+        """Return the revision of a write whose answer was lost."""
+        found = await self._store.read(HOLDER_KEY)
+        if found is None or found.value != encoded:
+            return None
+        return found.revision
+
+    async def _ask_former(
+        self,
+        last: store.Item,
+        turn: tenure.Tenure,
+    ) -> None:
+        """Shorten the wait if the former holder says that it has stopped."""
+        record = _decoded(last)
+        if record is None:
+            return
+        asked_s = order_desk.suspended_time()
+        try:
+            told = await self._client.ask(
+                record.peer,
+                'stop',
+                peer_messages.StopQuery(
+                    fence=ids.Fence(turn.fence),
+                    started_ms=record.started_ms,
+                ),
+                peer_messages.Stopped,
+                ASK_WITHIN_S,
+            )
+        except peers.PeerUnreachable as error:
+            logs.event('former_holder_silent', error=error)
+            return
+        if not told.known:
+            # That process is gone; how it ended is not known.
+            return
+        now_s = order_desk.suspended_time()
+        turn.follow(
+            {
+                server_id: now_s - age_s
+                for server_id, age_s in told.order_age_s_by_id.items()
+            },
+            now_s + told.waits_s,
+        )
+        logs.event(
+            'former_holder_stopped',
+            former=record.instance_id,
+            waits_s=round(turn.starts_s - asked_s, 3),
+        )
+
+    def _is_own(self, record: HolderRecord) -> bool:
+        own = self._members.own
+        return (record.instance_id, record.started_ms) == (
+            own.instance_id,
+            own.started_ms,
+        )
+
+
+def _decoded(item: store.Item) -> HolderRecord | None:
+    try:
+        return msgspec.json.decode(item.value or b'', type=HolderRecord)
+    except msgspec.MsgspecError as error:
+        logs.event('holder_record_unreadable', key=item.key, error=error)
+        return None
--- /dev/null
+++ b/oatcrank/cluster/own_peer.py
@@ -0,0 +1,92 @@
+"""Answer what other instances ask of this one."""
+
+import asyncio
+
+from oatcrank import logs
+from oatcrank.cluster import (
+    members,
+    order_turn,
+    peer_messages,
+    peers,
+    remote_arranger,
+)
+from oatcrank.orders import order_desk
+from oatcrank.routing import crash_record
+
+TELL_WITHIN_S = 1.0
+
+
+class OwnPeer(peers.Peer):
+    """Serve the desk, the turn and the record of crashes to others."""
+
+    def __init__(
+        self,
+        desk: order_desk.OrderDesk,
+        turn: order_turn.OrderTurn,
+        crashes: crash_record.CrashRecord,
+        known: members.Members,
+    ) -> None:
+        """Answer for one instance."""
+        self._desk = desk
+        self._turn = turn
+        self._crashes = crashes
+        self._members = known
+        self._client = peers.Client()
+        self._tellings: set[asyncio.Task[None]] = set()
+
+    async def arrange(
+        self,
+        query: peer_messages.ArrangeQuery,
+    ) -> peer_messages.Arranged:
+        """Have something loaded."""
+        return await remote_arranger.answer(self._desk, query)
+
+    async def demand(
+        self,
+        report: peer_messages.DemandReport,
+    ) -> peer_messages.Done:
+        """Take what callers of another instance ask for."""
+        remote_arranger.take(self._desk, report)
+        return peer_messages.Done()
+
+    async def crashes(
+        self,
+        report: peer_messages.CrashReport,
+    ) -> peer_messages.Done:
+        """Take suspects that another instance has found."""
+        now_s = asyncio.get_running_loop().time()
+        for fingerprint in report.fingerprints:
+            self._crashes.note(fingerprint, now_s)
+        logs.event('suspects_told', suspects=len(report.fingerprints))
+        return peer_messages.Done()
+
+    async def stop(
+        self,
+        query: peer_messages.StopQuery,
+    ) -> peer_messages.Stopped:
+        """Give no more orders."""
+        return self._turn.stop(query)
+
+    def tell_crashes(self, fingerprints: list[int]) -> None:
+        """Tell the other instances of suspects found here."""
+        report = peer_messages.CrashReport(fingerprints=tuple(fingerprints))
+        for other in self._members.others():
+            telling = asyncio.ensure_future(self._tell(other.peer, report))
+            self._tellings.add(telling)
+            telling.add_done_callback(self._tellings.discard)
+
+    async def _tell(
+        self,
+        address: str,
+        report: peer_messages.CrashReport,
+    ) -> None:
+        try:
+            await self._client.ask(
+                address,
+                'crashes',
+                report,
+                peer_messages.Done,
+                TELL_WITHIN_S,
+            )
+        except peers.PeerUnreachable as error:
+            logs.event('suspects_untold', error=error)
--- /dev/null
+++ b/oatcrank/cluster/peer_messages.py
@@ -0,0 +1,68 @@
+"""Define what instances tell each other."""
+
+import msgspec
+
+from oatcrank import ids
+from oatcrank.orders import demand
+from oatcrank.routing import need
+
+
+class ArrangeQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask the holder of the order lease to have something loaded.
+
+    unusable names servers that the asker can't use at the moment.
+    """
+
+    wanted: need.Need
+    unusable: tuple[ids.ServerId, ...] = ()
+
+
+class Arranged(msgspec.Struct, frozen=True, kw_only=True):
+    """Say where something is held, or how soon, or why it won't be.
+
+    Without a server the wait in seconds is when to ask again.
+    """
+
+    wait_s: float
+    server_id: ids.ServerId | None = None
+    refused: str = ''
+    hopeless: bool = False
+
+
+class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell what callers have asked for since the last report."""
+
+    asked: tuple[demand.Asked, ...]
+
+
+class CrashReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Name requests that were running on a server that crashed."""
+
+    fingerprints: tuple[int, ...]
+
+
+class StopQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask a former holder to give no more orders under an older fence.
+
+    started_ms names the start of the process that held the lease.
+    """
+
+    fence: ids.Fence
+    started_ms: int
+
+
+class Stopped(msgspec.Struct, frozen=True, kw_only=True):
+    """Say how long ago the last orders were sent, in seconds, by server.
+
+    A process that was started since knows nothing of it.  waits_s is left
+    of a turn that had not begun.
+    """
+
+    known: bool
+    order_age_s_by_id: dict[ids.ServerId, float]
+    waits_s: float
+    store_loads: int
+
+
+class Done(msgspec.Struct, frozen=True):
+    """Acknowledge a message that asks for nothing."""
--- /dev/null
+++ b/oatcrank/cluster/remote_arranger.py
@@ -0,0 +1,195 @@
+"""Ask the holder of the order lease for what no server holds."""
+
+import asyncio
+import collections
+import time
+
+from oatcrank import errors, logs
+from oatcrank.cluster import (
+    member,
+    members,
+    order_turn,
+    peer_messages,
+    peers,
+)
+from oatcrank.forwarding import arranger
+from oatcrank.orders import demand, order_desk
+from oatcrank.routing import need, server_table
+
+ASK_WITHIN_S = 1.0
+NO_HOLDER_RETURN_S = 1.0
+REPORT_S = 1.0
+
+
+class RemoteArranger(arranger.Arranger):
+    """Join equal wishes into one question; report demand once a second."""
+
+    def __init__(
+        self,
+        turn: order_turn.OrderTurn,
+        desk: order_desk.OrderDesk,
+        known: members.Members,
+        servers: server_table.ServerTable,
+    ) -> None:
+        """Ask the own desk while this instance is the holder."""
+        self._turn = turn
+        self._desk = desk
+        self._members = known
+        self._servers = servers
+        self._client = peers.Client()
+        self._asked: collections.Counter[need.Need] = collections.Counter()
+        self._recent = demand.Demand()
+        self._told: order_turn.HolderRecord | None = None
+        self._question_by_need: dict[
+            need.Need,
+            asyncio.Task[arranger.Arrangement],
+        ] = {}
+
+    def note_demand(self, wanted: need.Need) -> None:
+        """Count a request for a model."""
+        if wanted.model is not None:
+            self._asked[wanted] += 1
+            self._recent.note(wanted, 1, time.monotonic())
+
+    async def arrange(self, wanted: need.Need) -> arranger.Arrangement:
+        """Have something loaded; the same wish joins one under way."""
+        question = self._question_by_need.get(wanted)
+        if question is None:
+            question = asyncio.ensure_future(self._ask(wanted))
+            self._question_by_need[wanted] = question
+            question.add_done_callback(
+                lambda _: self._question_by_need.pop(wanted, None),
+            )
+        return await asyncio.shield(question)
+
+    async def run(self) -> None:
+        """Report demand to the holder until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            await self._report()
+
+    async def _ask(self, wanted: need.Need) -> arranger.Arrangement:
+        query = peer_messages.ArrangeQuery(
+            wanted=wanted,
+            unusable=self._unusable(wanted),
+        )
+        try:
+            told = await self._put(query)
+        except (peers.PeerUnreachable, errors.PlatformError) as error:
+            logs.event('arrange_failed', model=wanted.model, error=error)
+            return arranger.Arrangement(
+                ready_in_s=NO_HOLDER_RETURN_S,
+                refused='the order giver is unreachable',
+            )
+        if told.server_id is not None:
+            found = self._servers.by_id.get(told.server_id)
+            if found is not None:
+                found.learn(wanted)
+        return arranger.Arrangement(
+            ready_in_s=told.wait_s,
+            refused=told.refused,
+            hopeless=told.hopeless,
+        )
+
+    async def _put(
+        self,
+        query: peer_messages.ArrangeQuery,
+    ) -> peer_messages.Arranged:
+        holder = self._holder()
+        if holder is None:
+            return peer_messages.Arranged(
+                wait_s=NO_HOLDER_RETURN_S,
+                refused='no instance gives orders',
+            )
+        if holder.instance_id == self._members.own.instance_id:
+            return await answer(self._desk, query)
+        return await self._client.ask(
+            holder.peer,
+            'arrange',
+            query,
+            peer_messages.Arranged,
+            ASK_WITHIN_S,
+        )
+
+    def _holder(self) -> member.Member | None:
+        record = self._turn.holder()
+        if record is None:
+            return None
+        own = self._members.own
+        if record.instance_id == own.instance_id:
+            return own
+        return self._members.by_id.get(record.instance_id)
+
+    def _unusable(self, wanted: need.Need) -> tuple:
+        now_s = time.monotonic()
+        return tuple(
+            one.server_id
+            for one in self._servers.of_service(wanted.service)
+            if one.holds(wanted) and not one.usable(now_s)
+        )
+
+    def _news(self) -> tuple[demand.Asked, ...]:
+        """Return the last second's demand; to a new holder, all recent."""
+        record = self._turn.holder()
+        if record != self._told:
+            self._told = record
+            return self._recent.summary(time.monotonic())
+        return tuple(
+            demand.Asked(wanted, times) for wanted, times in self._asked.items()
+        )
+
+    async def _report(self) -> None:
+        holder = self._holder()
+        if holder is None or not self._asked:
+            return
+        report = peer_messages.DemandReport(asked=self._news())
+        self._asked.clear()
+        if holder.instance_id == self._members.own.instance_id:
+            take(self._desk, report)
+            return
+        try:
+            await self._client.ask(
+                holder.peer,
+                'demand',
+                report,
+                peer_messages.Done,
+                ASK_WITHIN_S,
+            )
+        except peers.PeerUnreachable as error:
+            logs.event('demand_unreported', error=error)
+
+
+async def answer(
+    desk: order_desk.OrderDesk,
+    query: peer_messages.ArrangeQuery,
+) -> peer_messages.Arranged:
+    """Answer a question at the desk."""
+    try:
+        placed = await desk.arrange(query.wanted, query.unusable)
+    except order_desk.NotOrdered as error:
+        logs.event(
+            'not_arranged',
+            model=query.wanted.model,
+            adapter=query.wanted.adapter or '',
+            reason=error,
+            again_s=error.again_s,
+        )
+        return peer_messages.Arranged(
+            wait_s=error.again_s,
+            refused=str(error),
+            hopeless=error.hopeless,
+        )
+    return peer_messages.Arranged(
+        wait_s=placed.wait_s,
+        server_id=placed.server_id,
+    )
+
+
+def take(
+    desk: order_desk.OrderDesk,
+    report: peer_messages.DemandReport,
+) -> None:
+    """Add a report to the demand that the desk weighs."""
+    now_s = order_desk.suspended_time()
+    for one in report.asked:
+        desk.asked.note(one.wanted, one.times, now_s)
--- a/oatcrank/commands.py
+++ b/oatcrank/commands.py
@@ -12,9 +12,11 @@
     trace_command,
     version_command,
 )
+from oatcrank.platform import platform_command
 
 ALL: tuple[command.Command, ...] = (
     serve_command.ServeCommand(),
+    platform_command.PlatformCommand(),
     profile_command.ProfileCommand(),
     status_command.StatusCommand(),
     audit_command.AuditCommand(),
--- /dev/null
+++ b/oatcrank/forwarding/request_metrics.py
@@ -0,0 +1,24 @@
+"""Count requests and measure how long they take."""
+
+import prometheus_client
+
+REQUESTS = prometheus_client.Counter(
+    'oatcrank_requests',
+    'Requests of callers by how they ended.',
+    ('service', 'outcome'),
+)
+ATTEMPTS = prometheus_client.Counter(
+    'oatcrank_attempts',
+    'Sends to backend servers by how far they got.',
+    ('service', 'progress'),
+)
+SECONDS = prometheus_client.Histogram(
+    'oatcrank_request_seconds',
+    'Seconds from the first byte read to the end of the answer.',
+    ('service',),
+)
+FIRST_BYTE_SECONDS = prometheus_client.Histogram(
+    'oatcrank_first_byte_seconds',
+    'Seconds from the first byte read to the first byte of the answer.',
+    ('service',),
+)
--- /dev/null
+++ b/oatcrank/forwarding/trip.py
@@ -0,0 +1,267 @@
+"""Take one request to backend servers until it has its answer."""
+
+import asyncio
+import http
+
+from oatcrank import ids, logs
+from oatcrank.forwarding import (
+    attempt,
+    attempt_state,
+    caller_request,
+    event_cutter,
+    parts,
+    refusal,
+    request_metrics,
+    server_search,
+)
+from oatcrank.routing import crash_record, need, route, server
+from oatcrank.transport import message, reply
+
+# An answer that a server gives at the very end still reaches its caller.
+END_SLACK_S = 0.1
+CRASHED_RETURN_S = 5.0
+FAILED_RETURN_S = 0.3
+DECLINED_PAUSE_S = 0.03
+SHORTEST_ATTEMPT_S = 0.02
+SERVER_ERROR = 500
+
+
+class Trip:
+    """Hold one request while it is served."""
+
+    def __init__(
+        self,
+        shared: parts.Parts,
+        request: caller_request.CallerRequest,
+        on_route: route.Route,
+        out: reply.Reply,
+    ) -> None:
+        """Serve a request of a route."""
+        self._shared = shared
+        self._request = request
+        self._route = on_route
+        self._out = out
+        self._history = attempt_state.History()
+        self._sends = 0
+        self._tried: list[ids.ServerId] = []
+        self._failed_answer: attempt.HeldAnswer | None = None
+        self._cutter = event_cutter.EventCutter(request.last_event_id)
+        limit_s = on_route.timeout_s
+        if request.deadline_s is not None:
+            limit_s = min(limit_s, request.deadline_s)
+        self._ends_s = request.began_s + limit_s
+        self._wanted = need.Need(
+            self._service(),
+            request.model,
+            request.adapter,
+        )
+        self._print = crash_record.fingerprint(
+            request.target,
+            request.caller,
+            request.body,
+        )
+        self._outcome = 'cancelled'
+
+    async def run(self) -> None:
+        """Answer the request, whatever happens."""
+        try:
+            await self._within_time()
+        finally:
+            self._log()
+
+    async def _within_time(self) -> None:
+        try:
+            async with asyncio.timeout_at(self._ends_s + END_SLACK_S):
+                await self._serve()
+        except TimeoutError:
+            self._outcome = 'timeout'
+            self._give_up(
+                'out of time',
+                FAILED_RETURN_S,
+                http.HTTPStatus.GATEWAY_TIMEOUT,
+            )
+        except refusal.Refused as refused:
+            self._outcome = 'refused'
+            self._give_up(refused.reason, refused.return_s)
+
+    async def _serve(self) -> None:
+        now_s = self._shared.now()
+        if self._shared.crashes.is_refused(self._print, now_s):
+            raise refusal.Refused('crashes servers', CRASHED_RETURN_S)
+        self._shared.arranger.note_demand(self._wanted)
+        search = server_search.ServerSearch(
+            self._shared,
+            self._request,
+            self._route,
+            self._wanted,
+            self._ends_s,
+        )
+        while True:
+            chosen = await search.find(self._tried)
+            self._account()
+            if chosen.server_id not in self._tried:
+                self._tried.append(chosen.server_id)
+            self._sends += 1
+            ended = await self._attempt(chosen)
+            if await self._settle(ended, chosen, search):
+                return
+
+    def _account(self) -> None:
+        """Count a first send, or spend one of the retries."""
+        now_s = self._shared.now()
+        if not self._sends:
+            self._shared.retries.note_first(self._wanted.service, now_s)
+        elif not self._shared.retries.spend(self._wanted.service, now_s):
+            raise refusal.Refused('no retries left', FAILED_RETURN_S)
+
+    async def _attempt(self, chosen: server.Server) -> attempt.Ended:
+        one = attempt.Attempt(
+            self._shared,
+            self._request,
+            self._route,
+            chosen,
+            self._out,
+            self._cutter,
+        )
+        try:
+            return await one.run(self._ends_s)
+        finally:
+            self._history.note(one.progress)
+            request_metrics.ATTEMPTS.labels(
+                self._wanted.service,
+                one.progress.name,
+            ).inc()
+
+    async def _settle(
+        self,
+        ended: attempt.Ended,
+        chosen: server.Server,
+        search: server_search.ServerSearch,
+    ) -> bool:
+        """Return whether the request has its final answer."""
+        step = attempt_state.step_after(
+            ended.progress,
+            repeatable=self._route.repeatable,
+            delivered=self._out.started,
+            resumable=self._route.repeatable and self._route.streaming,
+        )
+        if step is attempt_state.Step.deliver:
+            return self._deliver(ended)
+        logs.event(
+            'attempt_failed',
+            request=self._request.request_id,
+            server=chosen.server_id,
+            progress=ended.progress.name,
+            reason=ended.reason,
+            step=step.name,
+        )
+        if step is attempt_state.Step.send_again:
+            await self._before_again(ended, chosen, search)
+            return False
+        self._outcome = 'failed'
+        self._give_up(ended.reason, FAILED_RETURN_S)
+        return True
+
+    async def _before_again(
+        self,
+        ended: attempt.Ended,
+        chosen: server.Server,
+        search: server_search.ServerSearch,
+    ) -> None:
+        if ended.progress is attempt_state.Progress.written:
+            self._shared.crash_watch.interrupted(chosen, self._print)
+            search.avoid(chosen.server_id)
+        elif ended.progress is attempt_state.Progress.unsent:
+            # Nothing has reached it: it doesn't count as one of the servers.
+            self._tried.remove(chosen.server_id)
+        elif ended.not_held:
+            chosen.forget(self._wanted)
+        else:
+            search.avoid_if_possible(chosen.server_id)
+            await asyncio.sleep(DECLINED_PAUSE_S)
+
+    def _deliver(self, ended: attempt.Ended) -> bool:
+        held = ended.held
+        if held is None:
+            self._outcome = 'streamed'
+            self._shared.crashes.clear(self._print)
+            return True
+        if self._out.started:
+            self._give_up('a resumed stream failed', FAILED_RETURN_S)
+            return True
+        worth_another = (
+            held.status >= SERVER_ERROR
+            and self._route.repeatable
+            and len(self._tried) < self._route.max_servers
+            and self._ends_s - self._shared.now() > SHORTEST_ATTEMPT_S
+        )
+        if worth_another:
+            self._failed_answer = held
+            return False
+        self._pass_on(held)
+        return True
+
+    def _pass_on(self, held: attempt.HeldAnswer) -> None:
+        self._outcome = f'answered {held.status}'
+        self._out.answer(
+            held.status,
+            held.headers,
+            held.body,
+            reason=held.reason,
+        )
+
+    def _give_up(
+        self,
+        reason: str,
+        return_s: float,
+        unknown: http.HTTPStatus = http.HTTPStatus.BAD_GATEWAY,
+    ) -> None:
+        if self._out.started:
+            self._out.abort()
+        elif self._failed_answer is not None:
+            self._pass_on(self._failed_answer)
+            return
+        elif self._history.promise is attempt_state.Promise.not_run:
+            self._out.answer(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                return_headers(return_s),
+                b'',
+            )
+        else:
+            self._out.answer(unknown, [], b'')
+        self._outcome = f'{self._outcome}: {reason}'
+
+    def _service(self) -> ids.ServiceName:
+        shares = self._route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        drawn = self._shared.dice.choices(
+            shares,
+            [share.weight for share in shares],
+        )
+        return drawn[0].service
+
+    def _log(self) -> None:
+        took_s = self._shared.now() - self._request.began_s
+        service = self._wanted.service
+        request_metrics.REQUESTS.labels(
+            service,
+            self._outcome.partition(':')[0],
+        ).inc()
+        request_metrics.SECONDS.labels(service).observe(took_s)
+        logs.event(
+            'request_done',
+            request=self._request.request_id,
+            route=self._route.name,
+            model=self._wanted.model or '',
+            adapter=self._wanted.adapter or '',
+            servers=','.join(self._tried),
+            sends=self._sends,
+            outcome=self._outcome,
+            ms=round(took_s * 1000),
+        )
+
+
+def return_headers(return_s: float) -> message.Headers:
+    """Return the header that says when to come back, in seconds."""
+    return [(b'Retry-After', b'%.2f' % return_s)]
--- a/oatcrank/logs.py
+++ b/oatcrank/logs.py
@@ -3,20 +3,30 @@
 import json
 import re
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import eliot
 
-from oatcrank import _library_logs
+from oatcrank import _library_logs, bounded_writer
 
 UNSAFE = re.compile(r'[\s"=\\]')
 SKIPPED_FIELDS = frozenset(('task_uuid', 'task_level', 'message_type'))
 
 
+class LineSink(Protocol):
+    """Take lines of text."""
+
+    def write(self, line: str, /) -> object:
+        """Take one line, with its end."""
+
+    def flush(self) -> None:
+        """Hand on what was taken."""
+
+
 class KeyValueDestination:
     """Write eliot's messages to a text stream."""
 
-    def __init__(self, stream: TextIO, instance_id: str) -> None:
+    def __init__(self, stream: LineSink, instance_id: str) -> None:
         """Write to stream in the name of an instance."""
         self._stream = stream
         self._instance_id = instance_id
@@ -50,6 +60,13 @@
     _library_logs.attach()
 
 
+def start_standard_output(instance_id: str) -> None:
+    """Send events to standard output, never waiting for its reader."""
+    writer = bounded_writer.BoundedWriter(sys.stdout.fileno())
+    eliot.add_destinations(KeyValueDestination(writer, instance_id))
+    _library_logs.attach()
+
+
 def event(name: str, **fields: object) -> None:
     """Log one event."""
     eliot.log_message(message_type=name, **fields)
--- /dev/null
+++ b/oatcrank/orders/ledger.py
@@ -0,0 +1,184 @@
+"""Keep what one backend server holds, by its count of accepted orders.
+
+Every order names the count it was decided on, and a server takes it only at
+that count: what is known to be held at a count can't be overrun by an order
+that arrives late or twice.
+"""
+
+import math
+
+import msgspec
+
+from oatcrank import ids
+from oatcrank.orders import order
+from oatcrank.routing import listing, route
+
+# A report may be this old; before, it says nothing of an order just sent.
+REPORT_LAG_S = 0.4
+UNLOAD_GUESS_S = 0.5
+
+
+class Work(msgspec.Struct, kw_only=True):
+    """Hold an order on a model that a server is carrying out."""
+
+    one: order.Order
+    began_s: float
+    ends_s: float
+
+
+class Ledger:
+    """Hold what a server has and what it has been told."""
+
+    def __init__(self, listed: listing.Listing) -> None:
+        """Know nothing for certain until a report is taken."""
+        self.listed = listed
+        self.orders_taken: int | None = None
+        self.adapters_by_model: dict[ids.ModelName, set[ids.AdapterName]] = {}
+        self.work: Work | None = None
+        # Kept for one placement, from its decision to its last order.
+        self.claimed = False
+        self.leaving_adapters: set[tuple[ids.ModelName, ids.AdapterName]] = (
+            set()
+        )
+        self.last_order_s = -math.inf
+        self.unreachable_until_s = -math.inf
+        self._used_s_by_model: dict[ids.ModelName, float] = {}
+
+    @property
+    def known(self) -> bool:
+        """Tell whether orders may be decided on what is known."""
+        return self.orders_taken is not None
+
+    def ready(self, now_s: float) -> bool:
+        """Tell whether the server would take an order on a model."""
+        return (
+            self.known
+            and self.work is None
+            and not self.claimed
+            and self.reachable(now_s)
+        )
+
+    def reachable(self, now_s: float) -> bool:
+        """Tell whether the server was not found unreachable lately."""
+        return now_s >= self.unreachable_until_s and not self.listed.leaving
+
+    def needs_report(self, now_s: float) -> bool:
+        """Tell whether a report would be taken and is worth its price."""
+        return (
+            (not self.known or bool(self.leaving_adapters))
+            and self.reachable(now_s)
+            and now_s - self.last_order_s > REPORT_LAG_S
+        )
+
+    def take_report(self, told: order.Report, now_s: float) -> None:
+        """Replace what is known, unless an order is on its way."""
+        if now_s - self.last_order_s <= REPORT_LAG_S:
+            return
+        if told.busy and self.work is None:
+            # What another holder has ordered is seen when it is done.
+            self.orders_taken = None
+            return
+        self.orders_taken = told.orders_taken
+        self.leaving_adapters.clear()
+        self.adapters_by_model = {
+            model: set(adapters)
+            for model, adapters in told.adapters_by_model.items()
+        }
+        for model, adapter in told.arriving_adapters:
+            self.adapters_by_model.setdefault(model, set()).add(adapter)
+        if not told.busy:
+            self.work = None
+        elif self.work is not None:
+            self.adapters_by_model.setdefault(self.work.one.model, set())
+
+    def take_listing(self, listed: listing.Listing) -> None:
+        """Take a newer registration, which ends work that it shows done."""
+        self.listed = listed
+        if self.work is None:
+            return
+        one = self.work.one
+        held = one.model in listed.adapters_by_model
+        if held == (one.action is order.Action.load):
+            self.finish_work()
+
+    def finish_work(self) -> None:
+        """Note that the order under way is done."""
+        if self.work is None:
+            return
+        one = self.work.one
+        if one.action is order.Action.unload:
+            self.adapters_by_model.pop(one.model, None)
+        self.work = None
+
+    def distrust(self) -> None:
+        """Forget the count: something else than expected has happened."""
+        self.orders_taken = None
+
+    def take(self, one: order.Order, now_s: float, ends_s: float) -> None:
+        """Take an order that the server has accepted."""
+        self.orders_taken = one.orders_taken + 1
+        if one.adapter is not None:
+            self._take_adapter(one)
+            return
+        if one.action is order.Action.load:
+            self.adapters_by_model.setdefault(one.model, set())
+            self._used_s_by_model[one.model] = now_s
+        self.work = Work(one=one, began_s=now_s, ends_s=ends_s)
+
+    def _take_adapter(self, one: order.Order) -> None:
+        held = self.adapters_by_model.setdefault(one.model, set())
+        if one.adapter is None:
+            return
+        if one.action is order.Action.load:
+            held.add(one.adapter)
+        else:
+            # Its place is taken until its runs have ended.
+            self.leaving_adapters.add((one.model, one.adapter))
+
+    def drop_adapter(self, one: order.Order) -> None:
+        """Note that an adapter is certainly no longer held."""
+        if one.adapter is not None:
+            self.adapters_by_model.get(one.model, set()).discard(one.adapter)
+            self.leaving_adapters.discard((one.model, one.adapter))
+
+    # Room
+
+    def adapters(self) -> int:
+        """Return how many places for adapters are taken."""
+        return sum(map(len, self.adapters_by_model.values()))
+
+    def free_mb(self, engine: route.Engine) -> float:
+        """Return the memory left for models, all adapter places set aside."""
+        set_aside_mb = engine.max_adapters * max(
+            (model.adapter_mb for model in engine.model_by_name.values()),
+            default=0,
+        )
+        used_mb = sum(
+            weights_mb(engine, model) for model in self.adapters_by_model
+        )
+        return engine.weights_mb - set_aside_mb - used_mb
+
+    def loaded_s(self, model: ids.ModelName) -> float:
+        """Return when a model was ordered here, or minus infinity."""
+        return self._used_s_by_model.get(model, -math.inf)
+
+    def load_s(self, model: route.Model) -> float:
+        """Return how long the server would take to load a model."""
+        if model.name in self.listed.cached_in_memory:
+            return model.memory_load_s
+        if model.name in self.listed.cached_on_disk:
+            return model.disk_load_s
+        return model.store_load_s
+
+    def is_cached(self, model: ids.ModelName) -> bool:
+        """Tell whether a load needs nothing of the weight store."""
+        return (
+            model in self.listed.cached_in_memory
+            or model in self.listed.cached_on_disk
+        )
+
+
+def weights_mb(engine: route.Engine, name: ids.ModelName) -> float:
+    """Return a model's memory; an unknown one fills a server."""
+    found = engine.model_by_name.get(name)
+    return engine.weights_mb if found is None else found.weights_mb
--- /dev/null
+++ b/oatcrank/orders/order_desk.py
@@ -0,0 +1,461 @@
+"""Give orders while this instance holds the lease for it."""
+
+import asyncio
+import collections
+import time
+
+import msgspec
+
+from oatcrank import errors, ids, logs
+from oatcrank.orders import (
+    demand,
+    ledger,
+    load_ceiling,
+    order,
+    placement,
+    tenure,
+)
+from oatcrank.routing import need, route, route_table, server_table
+
+UNREACHABLE_S = 1.0
+# How long an adapter takes to arrive, and how soon to ask again for one.
+ADAPTER_LOAD_S = 0.012
+ASK_AGAIN_S = 0.25
+NO_PLACE_RETURN_S = 1.0
+UNLOAD_WAIT_S = 6.0
+LOAD_OVERDUE_S = 5.0
+LOOK_S = 0.05
+
+
+class NotOrdered(errors.OatcrankError):
+    """Report that something can't be ordered now, and when to ask again."""
+
+    def __init__(self, reason: str, again_s: float, *, hopeless: bool = False):
+        """Keep whether waiting for it is of no use."""
+        super().__init__(reason)
+        self.again_s = again_s
+        self.hopeless = hopeless
+
+
+class Placed(msgspec.Struct, frozen=True, kw_only=True):
+    """Say where something is held, or when to ask again, in seconds."""
+
+    wait_s: float
+    server_id: ids.ServerId | None = None
+
+
+def suspended_time() -> float:
+    """Return seconds on a clock that runs on while a machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class OrderDesk:
+    """Have models and adapters loaded, each wish once."""
+
+    def __init__(
+        self,
+        *,
+        instance_id: ids.InstanceId,
+        servers: server_table.ServerTable,
+        routes: route_table.RouteTable,
+        sender: order.OrderSender,
+    ) -> None:
+        """Order servers of a table by way of a sender."""
+        self.asked = demand.Demand()
+        self.turn: tenure.Tenure | None = None
+        self.last_order_s_by_id: dict[ids.ServerId, float] = {}
+        self._instance_id = instance_id
+        self._servers = servers
+        self._routes = routes
+        self._sender = sender
+        self._ledger_by_id: dict[ids.ServerId, ledger.Ledger] = {}
+        self._lock_by_id: dict[ids.ServerId, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
+        self._ceiling_by_service: dict[
+            ids.ServiceName,
+            load_ceiling.LoadCeiling,
+        ] = {}
+        self._work_by_need: dict[need.Need, asyncio.Task[Placed]] = {}
+
+    def begin(self, turn: tenure.Tenure) -> None:
+        """Take up a turn; nothing known of before counts."""
+        self.turn = turn
+        self._ledger_by_id.clear()
+        self._ceiling_by_service.clear()
+
+    def stop(self) -> None:
+        """Give no more orders."""
+        self.turn = None
+
+    def store_loads(self) -> int:
+        """Return how many loads of the last seconds may still count."""
+        return sum(one.recent for one in self._ceiling_by_service.values())
+
+    async def arrange(
+        self,
+        wanted: need.Need,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> Placed:
+        """Return where something is held, or raise NotOrdered."""
+        if self.turn is None:
+            raise NotOrdered('this instance gives no orders', ASK_AGAIN_S)
+        self._follow_listings(wanted.service)
+        held = self._held(wanted, unusable)
+        if held is not None:
+            return held
+        work = self._work_by_need.get(wanted)
+        if work is None:
+            work = asyncio.ensure_future(self._load(wanted, unusable))
+            self._work_by_need[wanted] = work
+            work.add_done_callback(
+                lambda _: self._work_by_need.pop(wanted, None),
+            )
+        return await asyncio.shield(work)
+
+    # What is held
+
+    def _follow_listings(self, service: ids.ServiceName) -> None:
+        for one in self._servers.of_service(service):
+            known = self._ledger_by_id.get(one.server_id)
+            if known is None or not known.listed.is_same_process(one.listed):
+                self._ledger_by_id[one.server_id] = ledger.Ledger(one.listed)
+            elif known.listed is not one.listed:
+                known.take_listing(one.listed)
+
+    def _ledgers(self, service: ids.ServiceName) -> list[ledger.Ledger]:
+        return [
+            self._ledger_by_id[one.server_id]
+            for one in self._servers.of_service(service)
+            if one.server_id in self._ledger_by_id
+        ]
+
+    def _orderable(self, service: ids.ServiceName) -> list[ledger.Ledger]:
+        """Return the servers whose turn has begun."""
+        now_s = suspended_time()
+        return [
+            one
+            for one in self._ledgers(service)
+            if self.turn is not None
+            and self.turn.may_order(one.listed.server_id, now_s)
+        ]
+
+    def _held(
+        self,
+        wanted: need.Need,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> Placed | None:
+        now_s = suspended_time()
+        soonest: Placed | None = None
+        for one in self._ledgers(wanted.service):
+            wait_s = _wait_s(one, wanted, now_s)
+            if wait_s is None or one.listed.server_id in unusable:
+                continue
+            if not one.reachable(now_s):
+                continue
+            if soonest is None or wait_s < soonest.wait_s:
+                server_id = one.listed.server_id if wait_s <= 0 else None
+                soonest = Placed(wait_s=max(0, wait_s), server_id=server_id)
+        return soonest
+
+    # Loads
+
+    async def _load(
+        self,
+        wanted: need.Need,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> Placed:
+        await self._refresh(wanted.service)
+        held = self._held(wanted, unusable)
+        if held is not None:
+            return held
+        if wanted.adapter is None:
+            return await self._load_model(wanted, unusable)
+        model_only = need.Need(wanted.service, wanted.model)
+        if self._held(model_only, unusable) is None:
+            return await self._load_model(model_only, unusable)
+        return await self._load_adapter(wanted, unusable)
+
+    async def _load_model(
+        self,
+        wanted: need.Need,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> Placed:
+        engine = self._engine(wanted.service)
+        now_s = suspended_time()
+        ceiling = self._ceiling(wanted.service, engine)
+        if wanted.model is None:
+            raise NotOrdered('no model named', 0, hopeless=True)
+        chosen = self._placement(wanted.service, engine, unusable).model(
+            wanted.model,
+            now_s,
+            store_loads=ceiling.has_room(now_s),
+        )
+        if chosen is None:
+            raise NotOrdered('no place for the model', NO_PLACE_RETURN_S)
+        logs.event(
+            'model_placed',
+            model=wanted.model,
+            server=chosen.server_id,
+            unload=','.join(model for model, _ in chosen.unload),
+            load_s=chosen.load_s,
+            from_store=chosen.from_store,
+            demand=self.asked.model_rate(wanted, now_s),
+        )
+        one = self._ledger_by_id[chosen.server_id]
+        if chosen.from_store:
+            ceiling.note(now_s)
+        one.claimed = True
+        try:
+            await self._carry_out(
+                one,
+                chosen,
+                engine.model_by_name[wanted.model],
+            )
+        finally:
+            one.claimed = False
+        return Placed(wait_s=one.load_s(engine.model_by_name[wanted.model]))
+
+    async def _carry_out(
+        self,
+        one: ledger.Ledger,
+        chosen: placement.Choice,
+        wanted: route.Model,
+    ) -> None:
+        for model, _ in chosen.unload:
+            await self._order(one, order.Action.unload, model, None, 0)
+            await self._idle(one)
+        await self._order(
+            one,
+            order.Action.load,
+            wanted.name,
+            None,
+            one.load_s(wanted),
+        )
+
+    async def _load_adapter(
+        self,
+        wanted: need.Need,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> Placed:
+        engine = self._engine(wanted.service)
+        if wanted.model is None or wanted.adapter is None:
+            raise NotOrdered('no adapter named', 0, hopeless=True)
+        chosen = self._placement(wanted.service, engine, unusable).adapter(
+            wanted.model,
+            wanted.adapter,
+            suspended_time(),
+        )
+        if chosen is None:
+            raise NotOrdered('no place for the adapter', ASK_AGAIN_S)
+        one = self._ledger_by_id[chosen.server_id]
+        async with self._lock_by_id[chosen.server_id]:
+            if chosen.unload and one.adapters() >= engine.max_adapters:
+                await self._make_way(one, chosen.unload[0])
+            if one.adapters() >= engine.max_adapters:
+                raise NotOrdered('adapter places are in use', ASK_AGAIN_S)
+            await self._send(
+                one,
+                order.Action.load,
+                wanted.model,
+                wanted.adapter,
+                0,
+            )
+        return Placed(wait_s=ADAPTER_LOAD_S, server_id=chosen.server_id)
+
+    async def _make_way(
+        self,
+        one: ledger.Ledger,
+        victim: tuple[ids.ModelName, ids.AdapterName | None],
+    ) -> None:
+        model, adapter = victim
+        if adapter not in one.adapters_by_model.get(model, set()):
+            return
+        await self._send(one, order.Action.unload, model, adapter, 0)
+
+    async def _idle(self, one: ledger.Ledger) -> None:
+        """Wait until a server has carried out an order."""
+        ends_s = suspended_time() + UNLOAD_WAIT_S
+        while one.work is not None:
+            if suspended_time() > ends_s:
+                one.distrust()
+                raise NotOrdered('an unload takes too long', ASK_AGAIN_S)
+            await self._servers.changed(LOOK_S)
+            self._follow_listings(one.listed.service)
+
+    # Orders
+
+    async def _order(
+        self,
+        one: ledger.Ledger,
+        action: order.Action,
+        model: ids.ModelName,
+        adapter: ids.AdapterName | None,
+        takes_s: float,
+    ) -> None:
+        async with self._lock_by_id[one.listed.server_id]:
+            await self._send(one, action, model, adapter, takes_s)
+
+    async def _send(
+        self,
+        one: ledger.Ledger,
+        action: order.Action,
+        model: ids.ModelName,
+        adapter: ids.AdapterName | None,
+        takes_s: float,
+    ) -> None:
+        turn = self._check_turn(one.listed.server_id)
+        if one.orders_taken is None:
+            raise NotOrdered('what the server holds is unknown', ASK_AGAIN_S)
+        wish = order.Order(
+            action=action,
+            model=model,
+            adapter=adapter,
+            orders_taken=one.orders_taken,
+            holder=self._instance_id,
+            fence=ids.Fence(turn.fence),
+        )
+        self._note_sent(one)
+        outcome = await self._sender.send(one.listed, wish)
+        self._note_sent(one)
+        logs.event(
+            'order',
+            server=one.listed.server_id,
+            action=action.value,
+            model=model,
+            adapter=adapter or '',
+            orders_taken=wish.orders_taken,
+            fence=wish.fence,
+            outcome=outcome.name,
+        )
+        self._settle(one, wish, outcome, takes_s)
+
+    def _settle(
+        self,
+        one: ledger.Ledger,
+        wish: order.Order,
+        outcome: order.Outcome,
+        takes_s: float,
+    ) -> None:
+        now_s = suspended_time()
+        if outcome is order.Outcome.accepted:
+            one.take(wish, now_s, now_s + takes_s)
+            return
+        if outcome is order.Outcome.done:
+            one.take(wish, now_s, now_s)
+            one.finish_work()
+            if wish.action is order.Action.unload:
+                one.drop_adapter(wish)
+            return
+        if outcome is order.Outcome.unsent:
+            one.unreachable_until_s = now_s + UNREACHABLE_S
+        else:
+            one.distrust()
+        raise NotOrdered(f'order: {outcome.value}', ASK_AGAIN_S)
+
+    def _note_sent(self, one: ledger.Ledger) -> None:
+        one.last_order_s = suspended_time()
+        self.last_order_s_by_id[one.listed.server_id] = one.last_order_s
+
+    def _check_turn(self, server_id: ids.ServerId) -> tenure.Tenure:
+        now_s = suspended_time()
+        turn = self.turn
+        if turn is None:
+            raise NotOrdered('this instance gives no orders', ASK_AGAIN_S)
+        if not turn.may_order(server_id, now_s):
+            raise NotOrdered(
+                'the turn has not begun or is over',
+                max(ASK_AGAIN_S, turn.start_s(server_id) - now_s),
+            )
+        return turn
+
+    # Knowledge
+
+    async def _refresh(self, service: ids.ServiceName) -> None:
+        now_s = suspended_time()
+        await asyncio.gather(
+            *(
+                self._read_report(one)
+                for one in self._ledgers(service)
+                if one.needs_report(now_s)
+            ),
+        )
+
+    async def _read_report(self, one: ledger.Ledger) -> None:
+        async with self._lock_by_id[one.listed.server_id]:
+            if not one.needs_report(suspended_time()):
+                return
+            told = await self._sender.report(one.listed)
+            now_s = suspended_time()
+            if told is None:
+                one.unreachable_until_s = now_s + UNREACHABLE_S
+                return
+            one.take_report(told, now_s)
+            logs.event(
+                'server_report',
+                server=one.listed.server_id,
+                orders_taken=told.orders_taken,
+                busy=told.busy,
+                models=','.join(told.adapters_by_model),
+            )
+
+    def _placement(
+        self,
+        service: ids.ServiceName,
+        engine: route.Engine,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> placement.Placement:
+        usable = [
+            one
+            for one in self._orderable(service)
+            if one.listed.server_id not in unusable
+        ]
+        if not usable and self.turn is not None:
+            raise NotOrdered(
+                'the turn has not begun or is over',
+                max(ASK_AGAIN_S, self.turn.starts_s - suspended_time()),
+            )
+        return placement.Placement(usable, engine, self.asked, service)
+
+    def _engine(self, service: ids.ServiceName) -> route.Engine:
+        configuration = self._routes.configuration
+        found = (
+            configuration and configuration.service_by_name.get(service)
+        ) or None
+        if found is None or found.engine is None:
+            raise NotOrdered('the service has no models', 0, hopeless=True)
+        return found.engine
+
+    def _ceiling(
+        self,
+        service: ids.ServiceName,
+        engine: route.Engine,
+    ) -> load_ceiling.LoadCeiling:
+        return self._ceiling_by_service.setdefault(
+            service,
+            load_ceiling.LoadCeiling(engine.store_loads_per_s),
+        )
+
+
+def _wait_s(
+    one: ledger.Ledger,
+    wanted: need.Need,
+    now_s: float,
+) -> float | None:
+    """Return how long until a server holds something, or None."""
+    if wanted.model is None:
+        return None
+    held = one.adapters_by_model.get(wanted.model)
+    if held is None:
+        return None
+    if wanted.adapter is not None and wanted.adapter not in held:
+        return None
+    work = one.work
+    if work is None or work.one.model != wanted.model:
+        return 0
+    if work.one.action is order.Action.unload:
+        return None
+    if now_s > work.ends_s + LOAD_OVERDUE_S:
+        one.distrust()
+        return None
+    return max(LOOK_S, work.ends_s - now_s)
--- /dev/null
+++ b/oatcrank/orders/placement.py
@@ -0,0 +1,211 @@
+"""Decide which server loads a model or adapter, and what makes way.
+
+Answers demand that moves to models that no server holds, and rare models
+asked for at once: a load goes where it is quickest and costs least demand.
+"""
+
+from collections.abc import Collection, Sequence
+
+import msgspec
+
+from oatcrank import ids
+from oatcrank.orders import demand, ledger
+from oatcrank.routing import need, route
+
+# What was loaded this lately is kept, so that two models don't take turns.
+RESIDENCE_S = 3.0
+# A model makes way only for this many times its own demand.
+DISPLACING_DEMAND = 1.3
+# Requests a second that a model's last replica is worth beyond its demand.
+LAST_REPLICA = 0.05
+# The share of a model's demand that its second, or a further replica is worth
+# where one could serve it all.
+SECOND_REPLICA = 0.03
+FURTHER_REPLICA = 0.005
+# How long a request runs, and the share of the slots that may be taken.
+REQUEST_S = 0.6
+COMFORTABLE_LOAD = 0.5
+# A server takes no adapter while it loads a model: the share of a second's
+# requests for adapters that is lost.
+ADAPTERS_BLOCKED = 0.02
+# Demand that one second of loading weighs as much as.
+LOADING_WEIGHT = 0.1
+
+
+class Choice(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the server, what it unloads first, and how long the load takes."""
+
+    server_id: ids.ServerId
+    unload: tuple[tuple[ids.ModelName, ids.AdapterName | None], ...]
+    load_s: float
+    from_store: bool
+
+
+class Placement:
+    """Weigh the ledgers of one service's servers against its demand."""
+
+    def __init__(
+        self,
+        ledgers: Collection[ledger.Ledger],
+        engine: route.Engine,
+        asked: demand.Demand,
+        service: ids.ServiceName,
+    ) -> None:
+        """Decide for the servers of a service."""
+        self._ledgers = ledgers
+        self._engine = engine
+        self._asked = asked
+        self._service = service
+
+    def model(
+        self,
+        name: ids.ModelName,
+        now_s: float,
+        *,
+        store_loads: bool,
+    ) -> Choice | None:
+        """Return where to load a model, or None while there is no place."""
+        wanted = self._engine.model_by_name.get(name)
+        if wanted is None:
+            return None
+        options = [
+            option
+            for one in self._ledgers
+            if one.ready(now_s) and name not in one.adapters_by_model
+            for option in self._options(one, wanted, now_s)
+            if store_loads or not option[1].from_store
+        ]
+        if not options:
+            return None
+        cost, best = min(options, key=lambda option: option[0])
+        gain = self._asked.model_rate(self._need(name), now_s)
+        lost = cost - LOADING_WEIGHT * best.load_s
+        if best.unload and lost * DISPLACING_DEMAND > gain + LAST_REPLICA:
+            return None
+        return best
+
+    def adapter(
+        self,
+        model: ids.ModelName,
+        name: ids.AdapterName,
+        now_s: float,
+    ) -> Choice | None:
+        """Return where to load an adapter of a model that is held."""
+        options = []
+        for one in self._ledgers:
+            if model not in one.adapters_by_model or not one.ready(now_s):
+                continue
+            option = self._adapter_option(one, now_s)
+            if option is not None:
+                options.append(option)
+        if not options:
+            return None
+        return min(options, key=lambda option: option[0])[1]
+
+    def _options(
+        self,
+        one: ledger.Ledger,
+        wanted: route.Model,
+        now_s: float,
+    ) -> list[tuple[float, Choice]]:
+        victims = self._victims(one, wanted, now_s)
+        if victims is None:
+            return []
+        load_s = one.load_s(wanted)
+        lost = sum(self._loss(victim, now_s) for victim in victims)
+        if victims:
+            load_s += ledger.UNLOAD_GUESS_S
+        choice = Choice(
+            server_id=one.listed.server_id,
+            unload=tuple((victim, None) for victim in victims),
+            load_s=load_s,
+            from_store=not one.is_cached(wanted.name),
+        )
+        blocked = ADAPTERS_BLOCKED * self._adapter_rate(one, now_s)
+        return [(lost + (LOADING_WEIGHT + blocked) * load_s, choice)]
+
+    def _adapter_rate(self, one: ledger.Ledger, now_s: float) -> float:
+        return sum(
+            self._asked.rate(need.Need(self._service, model, adapter), now_s)
+            for model, adapters in one.adapters_by_model.items()
+            for adapter in adapters
+        )
+
+    def _victims(
+        self,
+        one: ledger.Ledger,
+        wanted: route.Model,
+        now_s: float,
+    ) -> Sequence[ids.ModelName] | None:
+        missing_mb = wanted.weights_mb - one.free_mb(self._engine)
+        victims: list[ids.ModelName] = []
+        if missing_mb <= 0:
+            return victims
+        by_loss = sorted(
+            one.adapters_by_model,
+            key=lambda model: self._loss(model, now_s),
+        )
+        for model in by_loss:
+            if now_s - one.loaded_s(model) < RESIDENCE_S:
+                continue
+            victims.append(model)
+            missing_mb -= ledger.weights_mb(self._engine, model)
+            if missing_mb <= 0:
+                return victims
+        return None
+
+    def _loss(self, model: ids.ModelName, now_s: float) -> float:
+        replicas = sum(model in one.adapters_by_model for one in self._ledgers)
+        rate = self._asked.model_rate(self._need(model), now_s)
+        if replicas <= 1:
+            return rate + LAST_REPLICA
+        slots = max(one.listed.slots for one in self._ledgers)
+        needed = rate * REQUEST_S / (slots * COMFORTABLE_LOAD)
+        if replicas - 1 < needed:
+            return rate / replicas
+        return rate * (SECOND_REPLICA if replicas == 2 else FURTHER_REPLICA)
+
+    def _adapter_option(
+        self,
+        one: ledger.Ledger,
+        now_s: float,
+    ) -> tuple[tuple[float, float], Choice] | None:
+        unload: tuple[tuple[ids.ModelName, ids.AdapterName | None], ...] = ()
+        cost = 0.0
+        if one.adapters() >= self._engine.max_adapters:
+            victim = self._adapter_victim(one)
+            if victim is None:
+                return None
+            unload = (victim,)
+            cost = 1 + self._asked.last_s(
+                need.Need(self._service, victim[0], victim[1]),
+            )
+        choice = Choice(
+            server_id=one.listed.server_id,
+            unload=unload,
+            load_s=0,
+            from_store=False,
+        )
+        return (max(0.0, cost), one.adapters()), choice
+
+    def _adapter_victim(
+        self,
+        one: ledger.Ledger,
+    ) -> tuple[ids.ModelName, ids.AdapterName] | None:
+        held = [
+            (model, adapter)
+            for model, adapters in one.adapters_by_model.items()
+            for adapter in adapters
+            if (model, adapter) not in one.leaving_adapters
+        ]
+        if not held:
+            return None
+        return min(
+            held,
+            key=lambda pair: self._asked.last_s(
+                need.Need(self._service, pair[0], pair[1]),
+            ),
+        )
+
+    def _need(self, model: ids.ModelName) -> need.Need:
+        return need.Need(self._service, model)
--- /dev/null
+++ b/oatcrank/platform/codec.py
@@ -0,0 +1,229 @@
+"""Read what the platform's operator and workers write to its store."""
+
+import msgspec
+
+from oatcrank import ids, logs
+from oatcrank.cluster import codec, store
+from oatcrank.routing import listing, route
+from oatcrank.transport import limits
+
+CONFIGURATION_KEY = 'op/config'
+SERVERS_PREFIX = 'servers/'
+IDEMPOTENT = 'idempotent'
+STREAMING = 'streaming'
+KINDS = frozenset((IDEMPOTENT, 'non_idempotent', STREAMING))
+STATES = frozenset(('ready', 'draining'))
+
+
+class _Split(msgspec.Struct):
+    backend: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    priority: int = 5
+    # The service that serves the route, where traffic_split names none.
+    backend: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+    weights_mb: float
+    load_s: float
+    adapter_mb: float = 0
+    warm_s: float | None = None
+    disk_s: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    weights_mb: float
+    max_adapters: int
+    loads_per_s: float
+    models: list[_Model]
+
+
+class _Backend(msgspec.Struct):
+    name: str
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    backends: list[_Backend]
+    limits: _Limits
+
+
+class HeldModel(msgspec.Struct):
+    """Name a model that a worker holds, and its adapters there."""
+
+    name: str
+    adapters: list[str] = []
+
+
+class _Copies(msgspec.Struct):
+    # Models whose weights lie in the worker's memory, or on its disk.
+    in_memory: list[str] = []
+    on_disk: list[str] = []
+
+
+class _Entry(msgspec.Struct):
+    # The service that the worker belongs to.
+    backend: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # The worker's start, in Unix milliseconds.
+    born: int = 0
+    # The number of orders accepted.
+    seq: int = 0
+    models: list[HeldModel] = []
+    at_hand: _Copies = msgspec.field(default_factory=_Copies)
+
+
+class PlatformCodec(codec.Codec):
+    """Know the keys and fields of the platform's store."""
+
+    def read(self, item: store.Item) -> codec.Meaning:
+        """Return what an item says, or None if it says nothing."""
+        if item.key == CONFIGURATION_KEY:
+            return _configuration(item)
+        if item.key.startswith(SERVERS_PREFIX):
+            return _listing(item)
+        return None
+
+
+def _configuration(item: store.Item) -> route.Configuration | None:
+    if item.value is None:
+        return None
+    try:
+        told = msgspec.json.decode(item.value, type=_Configuration)
+    except msgspec.MsgspecError as error:
+        logs.event('configuration_unreadable', error=error)
+        return None
+    return route.Configuration(
+        version=told.version,
+        routes=tuple(_route(one) for one in told.routes),
+        service_by_name={
+            ids.ServiceName(one.name): _service(one) for one in told.backends
+        },
+        limits=limits.Limits(
+            header_bytes=told.limits.max_header_bytes,
+            body_bytes=told.limits.max_body_bytes,
+            header_s=told.limits.header_timeout_ms / 1000,
+            idle_s=told.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(told: _Route) -> route.Route:
+    shares = [
+        route.Share(ids.ServiceName(one.backend), one.weight)
+        for one in told.traffic_split
+    ]
+    if not shares and told.backend is not None:
+        shares.append(route.Share(ids.ServiceName(told.backend), 1))
+    streaming = told.kind == STREAMING
+    return route.Route(
+        name=told.name,
+        host=told.hostname,
+        prefix=told.prefix,
+        shares=tuple(shares),
+        repeatable=told.resumable if streaming else told.kind == IDEMPOTENT,
+        streaming=streaming,
+        max_servers=max(1, told.max_attempts),
+        timeout_s=told.timeout_ms / 1000,
+        target_s=told.target_latency_ms / 1000,
+        urgency=told.priority,
+    )
+
+
+def _service(told: _Backend) -> route.Service:
+    return route.Service(
+        name=ids.ServiceName(told.name),
+        max_connections=told.max_conns,
+        engine=None if told.engine is None else _engine(told.engine),
+    )
+
+
+def _engine(told: _Engine) -> route.Engine:
+    return route.Engine(
+        model_by_name={
+            ids.ModelName(one.name): route.Model(
+                name=ids.ModelName(one.name),
+                weights_mb=one.weights_mb,
+                adapter_mb=one.adapter_mb,
+                store_load_s=one.load_s,
+                disk_load_s=one.load_s if one.disk_s is None else one.disk_s,
+                memory_load_s=(
+                    one.load_s if one.warm_s is None else one.warm_s
+                ),
+            )
+            for one in told.models
+        },
+        weights_mb=told.weights_mb,
+        max_adapters=told.max_adapters,
+        store_loads_per_s=told.loads_per_s,
+    )
+
+
+def _listing(item: store.Item) -> listing.Listing | codec.ServerGone:
+    server_id = ids.ServerId(item.key.removeprefix(SERVERS_PREFIX))
+    if item.value is None:
+        return codec.ServerGone(server_id, 'registration ended')
+    try:
+        told = msgspec.json.decode(item.value, type=_Entry)
+        return _usable(server_id, told)
+    except (msgspec.MsgspecError, ValueError) as error:
+        logs.event('registration_unreadable', server=server_id, error=error)
+        return codec.ServerGone(server_id, 'registration unreadable')
+
+
+def _usable(server_id: ids.ServerId, told: _Entry) -> listing.Listing:
+    if told.state not in STATES:
+        raise ValueError(f'unknown state {told.state}')
+    host, _, port = told.address.rpartition(':')
+    if not host:
+        raise ValueError(f'no address: {told.address}')
+    return listing.Listing(
+        server_id=server_id,
+        started_ms=told.born,
+        service=ids.ServiceName(told.backend),
+        host=host,
+        port=int(port),
+        failure_domain=ids.FailureDomain(told.zone),
+        slots=told.slots,
+        leaving=told.state == 'draining',
+        orders_taken=told.seq,
+        adapters_by_model=held_adapters(told.models),
+        cached_in_memory=tuple(map(ids.ModelName, told.at_hand.in_memory)),
+        cached_on_disk=tuple(map(ids.ModelName, told.at_hand.on_disk)),
+    )
+
+
+def held_adapters(
+    models: list[HeldModel],
+) -> dict[ids.ModelName, tuple[ids.AdapterName, ...]]:
+    """Return the adapters held by model."""
+    return {
+        ids.ModelName(one.name): tuple(map(ids.AdapterName, one.adapters))
+        for one in models
+    }
--- /dev/null
+++ b/oatcrank/platform/dialect.py
@@ -0,0 +1,150 @@
+"""Translate requests and answers from and to the platform's headers."""
+
+from oatcrank import ids
+from oatcrank.forwarding import caller_request, dialect
+from oatcrank.transport import message
+
+REQUEST_ID = b'x-request-id'
+DEADLINE_MS = b'x-deadline-ms'
+MODEL = b'x-model'
+PREFIX = b'x-prompt-prefix'
+LAST_EVENT_ID = b'last-event-id'
+EXPECTED_INSTANCE = b'x-expected-instance'
+PRIORITY = b'x-request-priority'
+SIGNATURE = b'x-response-signature'
+LOAD = b'x-server-load'
+NOT_EXECUTED = b'x-not-executed'
+INSTANCE = b'x-instance-id'
+MISDIRECTED = 421
+LEAST_URGENT = 9
+MOST_MS = 10**9
+
+# What only this system may tell a server; a caller's own is dropped.
+SET_BY_US = frozenset(
+    (
+        DEADLINE_MS,
+        LAST_EVENT_ID,
+        EXPECTED_INSTANCE,
+        PRIORITY,
+        b'x-expected-version',
+        b'x-hold',
+        b'x-pin-ms',
+        b'x-kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+    )
+)
+
+
+class PlatformDialect(dialect.Dialect):
+    """Know the platform's headers."""
+
+    def decode(self, raw: message.Request) -> caller_request.CallerRequest:
+        """Return a caller's request or raise Malformed."""
+        request_id = _text(raw, REQUEST_ID)
+        host = _text(raw, b'host')
+        if not request_id or not host:
+            raise dialect.Malformed('the request has no id or no host')
+        model, _, adapter = _text(raw, MODEL).partition('/')
+        deadline_ms = _number(_text(raw, DEADLINE_MS))
+        headers = [
+            pair
+            for pair in message.end_to_end(raw.headers)
+            if pair[0].lower() not in SET_BY_US
+        ]
+        return caller_request.CallerRequest(
+            request_id=ids.RequestId(request_id),
+            method=raw.method,
+            target=raw.target,
+            host=host.rpartition(':')[0] if ':' in host else host,
+            path=raw.path.decode('latin-1'),
+            headers=headers,
+            body=raw.body,
+            began_s=raw.began_s,
+            deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+            caller=raw.peer,
+            model=ids.ModelName(model) if model else None,
+            adapter=ids.AdapterName(adapter) if adapter else None,
+            prefix=_shared_part(_text(raw, PREFIX)),
+            last_event_id=_number(_text(raw, LAST_EVENT_ID)),
+        )
+
+    def encode(
+        self,
+        request: caller_request.CallerRequest,
+        sending: dialect.Sending,
+    ) -> bytes:
+        """Return the request as it goes to a server."""
+        left_ms = max(1, int(sending.left_s * 1000))
+        lines = [b'%s %s HTTP/1.1' % (request.method, request.target)]
+        lines.extend(b'%s: %s' % pair for pair in request.headers)
+        lines.append(b'X-Deadline-Ms: %d' % left_ms)
+        lines.append(
+            b'X-Expected-Instance: %s' % sending.listed.server_id.encode(),
+        )
+        if request.model is not None:
+            urgency = min(LEAST_URGENT, max(0, sending.urgency))
+            lines.append(b'X-Request-Priority: %d' % urgency)
+        if sending.last_event_id is not None:
+            lines.append(b'Last-Event-Id: %d' % sending.last_event_id)
+        if request.body or request.method not in {b'GET', b'HEAD'}:
+            lines.append(b'Content-Length: %d' % len(request.body))
+        return b'\r\n'.join((*lines, b'', b'')) + request.body
+
+    def read(self, head: message.ResponseHead) -> dialect.Answer:
+        """Return what the head of an answer says."""
+        by_name = {name.lower(): text for name, text in head.headers}
+        told_id = by_name.get(REQUEST_ID)
+        return dialect.Answer(
+            request_id=(
+                None
+                if told_id is None
+                else ids.RequestId(told_id.decode('latin-1'))
+            ),
+            signed=SIGNATURE in by_name,
+            not_run=NOT_EXECUTED in by_name,
+            elsewhere=head.status == MISDIRECTED,
+            encoded=b'content-encoding' in by_name,
+            load=_load(by_name.get(LOAD)),
+            idle_s=_idle_s(by_name.get(b'keep-alive')),
+        )
+
+
+def _text(raw: message.Request, name: bytes) -> str:
+    found = raw.header(name)
+    return '' if found is None else found.decode('latin-1').strip()
+
+
+def _number(text: str) -> int | None:
+    if not (text.isascii() and text.isdigit()):
+        return None
+    return min(int(text[:10]), MOST_MS)
+
+
+def _shared_part(prefix: str) -> str:
+    """Return the parts that other requests may share: all but the last."""
+    return prefix.rpartition(',')[0]
+
+
+def _load(told: bytes | None) -> dialect.ServerLoad | None:
+    """Decode `running,waiting,slots`."""
+    if told is None:
+        return None
+    numbers = [
+        _number(part.strip()) for part in told.decode('latin-1').split(',')
+    ]
+    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
+        return None
+    return dialect.ServerLoad(numbers[0], numbers[1])
+
+
+def _idle_s(told: bytes | None) -> float | None:
+    """Decode `timeout=SECONDS` among the parameters of Keep-Alive."""
+    if told is None:
+        return None
+    for part in told.decode('latin-1').split(','):
+        name, _, text = part.strip().partition('=')
+        if name.lower() == 'timeout':
+            seconds = _number(text.strip())
+            return None if seconds is None else float(seconds)
+    return None
--- /dev/null
+++ b/oatcrank/platform/orders.py
@@ -0,0 +1,132 @@
+"""Give orders to the platform's model workers."""
+
+import http
+
+import msgspec
+
+from oatcrank import errors, ids, logs
+from oatcrank.orders import order
+from oatcrank.platform import codec
+from oatcrank.routing import listing
+from oatcrank.transport import calls
+
+ORDER_WITHIN_S = 1.0
+REPORT_WITHIN_S = 0.5
+OPERATION_BY_ACTION = {
+    order.Action.load: 'model_load',
+    order.Action.unload: 'model_unload',
+}
+OUTCOME_BY_STATUS = {
+    http.HTTPStatus.ACCEPTED: order.Outcome.accepted,
+    http.HTTPStatus.OK: order.Outcome.done,
+    http.HTTPStatus.CONFLICT: order.Outcome.conflict,
+    http.HTTPStatus.PRECONDITION_FAILED: order.Outcome.rejected,
+    http.HTTPStatus.BAD_REQUEST: order.Outcome.rejected,
+    http.HTTPStatus.MISDIRECTED_REQUEST: order.Outcome.elsewhere,
+}
+
+
+class _OrderBody(msgspec.Struct, omit_defaults=True, kw_only=True):
+    operation: str
+    model: str
+    adapter: str | None = None
+    # The number of accepted orders that the worker must be at.
+    expected: int
+    holder: str
+    fencing_token: int
+
+
+class _ReportBody(msgspec.Struct):
+    busy: bool
+    # The number of accepted orders.
+    seq: int
+    models: list[codec.HeldModel] = []
+    # Adapters on their way, each as MODEL/NAME@VERSION.
+    coming: list[str] = []
+    # The worker's start, in Unix milliseconds.
+    born: int | None = None
+
+
+class WorkerOrders(order.OrderSender):
+    """Speak to workers about what they hold."""
+
+    async def send(
+        self,
+        listed: listing.Listing,
+        one: order.Order,
+    ) -> order.Outcome:
+        """Send one order."""
+        body = _OrderBody(
+            operation=OPERATION_BY_ACTION[one.action],
+            model=one.model,
+            adapter=one.adapter,
+            expected=one.orders_taken,
+            holder=one.holder,
+            fencing_token=one.fence,
+        )
+        try:
+            called = await calls.call(
+                _address(listed),
+                calls.Call(
+                    method='POST',
+                    target='/order',
+                    body=msgspec.json.encode(body),
+                    headers=(('X-Expected-Instance', listed.server_id),),
+                ),
+                ORDER_WITHIN_S,
+            )
+        except errors.NotStarted as error:
+            logs.event('order_unsent', server=listed.server_id, error=error)
+            return order.Outcome.unsent
+        except errors.Interrupted as error:
+            logs.event('order_unknown', server=listed.server_id, error=error)
+            return order.Outcome.unknown
+        outcome = OUTCOME_BY_STATUS.get(http.HTTPStatus(called.status))
+        if outcome is None:
+            logs.event(
+                'order_answer_unknown',
+                server=listed.server_id,
+                status=called.status,
+            )
+            return order.Outcome.unknown
+        return outcome
+
+    async def report(self, listed: listing.Listing) -> order.Report | None:
+        """Return what a worker says of itself, or None."""
+        try:
+            called = await calls.call(
+                _address(listed),
+                calls.Call(
+                    method='GET',
+                    target='/report',
+                    headers=(('X-Expected-Instance', listed.server_id),),
+                ),
+                REPORT_WITHIN_S,
+            )
+            if called.status != http.HTTPStatus.OK:
+                logs.event(
+                    'report_refused',
+                    server=listed.server_id,
+                    status=called.status,
+                )
+                return None
+            told = msgspec.json.decode(called.body, type=_ReportBody)
+        except (errors.BackendError, msgspec.MsgspecError) as error:
+            logs.event('report_failed', server=listed.server_id, error=error)
+            return None
+        return order.Report(
+            started_ms=told.born,
+            busy=told.busy,
+            orders_taken=told.seq,
+            adapters_by_model=codec.held_adapters(told.models),
+            arriving_adapters=tuple(map(_arriving, told.coming)),
+        )
+
+
+def _arriving(text: str) -> tuple[ids.ModelName, ids.AdapterName]:
+    model, _, adapter = text.partition('@')[0].partition('/')
+    return ids.ModelName(model), ids.AdapterName(adapter)
+
+
+def _address(listed: listing.Listing) -> str:
+    return f'{listed.host}:{listed.port}'
--- /dev/null
+++ b/oatcrank/platform/platform_command.py
@@ -0,0 +1,55 @@
+"""Run an instance on the users' platform: `oatcrank platform`."""
+
+import argparse
+import asyncio
+import os
+import sys
+
+from oatcrank import command, errors, logs
+from oatcrank.platform import serve, settings
+
+METRICS_PORT = 9464
+
+
+class PlatformCommand(command.Command):
+    """Be `oatcrank platform`."""
+
+    name = 'platform'
+    summary = "run an instance on the users' platform until SIGTERM"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Describe the arguments."""
+        parser.add_argument(
+            '--settings',
+            default=os.environ.get(settings.SETTINGS_VARIABLE),
+            metavar='FILE',
+            help=f'TOML; by default what ${settings.SETTINGS_VARIABLE} names',
+        )
+        parser.add_argument(
+            '--metrics-port',
+            type=int,
+            default=METRICS_PORT,
+            metavar='PORT',
+            help='where /metrics is served',
+        )
+        parser.add_argument(
+            '--check',
+            action='store_true',
+            help='only check the settings',
+        )
+
+    def run(self, options: argparse.Namespace) -> command.ExitStatus:
+        """Serve until told to stop."""
+        if options.settings is None:
+            sys.stderr.write('no settings: give --settings FILE\n')
+            return command.ExitStatus.usage
+        try:
+            chosen = settings.read(options.settings)
+        except errors.SettingsError as error:
+            sys.stderr.write(f'{error}\n')
+            return command.ExitStatus.usage
+        if options.check:
+            return command.ExitStatus.success
+        logs.start_standard_output(chosen.node_name)
+        asyncio.run(serve.serve(options.settings, options.metrics_port))
+        return command.ExitStatus.success
--- /dev/null
+++ b/oatcrank/platform/settings.py
@@ -0,0 +1,77 @@
+"""Read the settings file that the platform writes."""
+
+import msgspec
+
+from oatcrank import errors, ids
+from oatcrank.cluster import instance, member
+
+SETTINGS_VARIABLE = 'OATCRANK_CONFIG'
+
+
+class Listen(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the addresses to listen at, as `ip:port`."""
+
+    front: str
+    ready: str
+    control: str
+    directory: str
+
+
+class Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the bounds that rules name."""
+
+    grace_s: float
+    retry_budget_ratio: float
+    budget_window_s: float
+    retry_budget_slack: float
+    lease_ttl_ms: float
+    ttl_max_s: float
+
+
+class Store(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold where the platform's store is."""
+
+    address: str
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what a process is told; unknown fields are passed over."""
+
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    listen: Listen
+    bounds: Bounds
+    platform: Store
+
+    def member(self, started_ms: int) -> member.Member:
+        """Return this process as other instances know it."""
+        return member.Member(
+            instance_id=ids.InstanceId(self.node_name),
+            started_ms=started_ms,
+            failure_domain=ids.FailureDomain(self.zone),
+            region=self.region,
+            front=self.listen.front,
+            peer=self.listen.control,
+            ready=False,
+        )
+
+    def shared_bounds(self) -> instance.Bounds:
+        """Return the bounds that all instances keep together."""
+        return instance.Bounds(
+            retry_ratio=self.bounds.retry_budget_ratio,
+            retry_allowance=self.bounds.retry_budget_slack,
+            retry_window_s=self.bounds.budget_window_s,
+            order_turn_s=self.bounds.lease_ttl_ms / 1000,
+            stop_within_s=self.bounds.grace_s,
+        )
+
+
+def read(path: str) -> Settings:
+    """Return the settings or raise errors.SettingsError."""
+    try:
+        with open(path, 'rb') as source:
+            return msgspec.toml.decode(source.read(), type=Settings)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise errors.SettingsError(f'{path}: {error}') from error
--- /dev/null
+++ b/oatcrank/routing/choice.py
@@ -0,0 +1,98 @@
+"""Choose a backend server: little load, few failures, warm, near.
+
+Answers bursts (load is counted here before servers tell of it) and servers
+that fail in part (they lose their share but for single trials).
+"""
+
+import random
+from collections.abc import Collection, Iterable
+
+import msgspec
+import xxhash
+
+from oatcrank import ids
+from oatcrank.routing import need, server
+
+SAME_DOMAIN_DISCOUNT = 0.06
+PREFIX_DISCOUNT = 0.05
+FAILURE_WEIGHT = 2.0
+# Failures within this share of the best server's say nothing of a server.
+TOLERATED_FAILURES = 0.25
+TRIAL_SHARE = 0.02
+
+
+class Wish(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what a request would like of its server."""
+
+    wanted: need.Need
+    prefix: str = ''
+    avoid: frozenset[ids.ServerId] = frozenset()
+    only: frozenset[ids.ServerId] = frozenset()
+
+
+class Chooser:
+    """Score the servers that can take a request."""
+
+    def __init__(
+        self,
+        failure_domain: ids.FailureDomain,
+        dice: random.Random,
+    ) -> None:
+        """Prefer servers of one's own failure domain."""
+        self._domain = failure_domain
+        self._dice = dice
+
+    def choose(
+        self,
+        servers: Iterable[server.Server],
+        wish: Wish,
+        now_s: float,
+    ) -> server.Server | None:
+        """Return the best server that may be used, or None."""
+        fit = [
+            one
+            for one in servers
+            if one.usable(now_s) and one.holds(wish.wanted)
+        ]
+        if wish.only:
+            fit = [one for one in fit if one.server_id in wish.only]
+        fresh = [one for one in fit if one.server_id not in wish.avoid]
+        if not fresh:
+            return None
+        if len(fresh) > 1 and self._dice.random() < TRIAL_SHARE:
+            return self._dice.choice(fresh)
+        least = min(one.failure_share(now_s) for one in fresh)
+        favourite = _favourite(fresh, wish.prefix) if wish.prefix else None
+        return min(
+            fresh,
+            key=lambda one: self._score(one, least, favourite, now_s),
+        )
+
+    def _score(
+        self,
+        one: server.Server,
+        least_failures: float,
+        favourite: server.Server | None,
+        now_s: float,
+    ) -> float:
+        score = one.load(now_s) + self._dice.random() * 0.01
+        excess = one.failure_share(now_s) - least_failures
+        if excess > TOLERATED_FAILURES:
+            score += FAILURE_WEIGHT * excess
+        if one is favourite:
+            score -= PREFIX_DISCOUNT
+        if one.listed.failure_domain == self._domain:
+            score -= SAME_DOMAIN_DISCOUNT
+        return score
+
+
+def _favourite(
+    servers: Collection[server.Server],
+    prefix: str,
+) -> server.Server:
+    return max(
+        servers,
+        key=lambda one: xxhash.xxh3_64_intdigest(
+            f'{one.server_id}/{prefix}'.encode(),
+        ),
+    )
--- /dev/null
+++ b/oatcrank/routing/listing.py
@@ -0,0 +1,33 @@
+"""Describe a backend server as it has registered itself."""
+
+import msgspec
+
+from oatcrank import ids
+
+
+class Listing(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one registration; orders_taken counts accepted orders."""
+
+    server_id: ids.ServerId
+    started_ms: int
+    service: ids.ServiceName
+    host: str
+    port: int
+    failure_domain: ids.FailureDomain
+    slots: int
+    leaving: bool
+    orders_taken: int = 0
+    adapters_by_model: dict[ids.ModelName, tuple[ids.AdapterName, ...]] = (
+        msgspec.field(default_factory=dict)
+    )
+    cached_in_memory: tuple[ids.ModelName, ...] = ()
+    cached_on_disk: tuple[ids.ModelName, ...] = ()
+
+    def is_same_process(self, other: 'Listing') -> bool:
+        """Tell whether both are of one start of one server."""
+        return (self.server_id, self.started_ms, self.host, self.port) == (
+            other.server_id,
+            other.started_ms,
+            other.host,
+            other.port,
+        )
--- /dev/null
+++ b/oatcrank/routing/route.py
@@ -0,0 +1,69 @@
+"""Describe what a deployment serves: routes, services and models."""
+
+import msgspec
+
+from oatcrank import ids
+from oatcrank.transport import limits
+
+
+class Share(msgspec.Struct, frozen=True):
+    """Give a service its part of a route's requests."""
+
+    service: ids.ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """Say how the requests of a host and path prefix are served.
+
+    A repeatable request may run more than once; resumable streams are
+    repeatable.  Urgency 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    shares: tuple[Share, ...]
+    repeatable: bool
+    streaming: bool
+    max_servers: int
+    timeout_s: float
+    target_s: float
+    urgency: int
+
+
+class Model(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what a model weighs and how long it takes to load."""
+
+    name: ids.ModelName
+    weights_mb: float
+    adapter_mb: float
+    store_load_s: float
+    disk_load_s: float
+    memory_load_s: float
+
+
+class Engine(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what the model servers of a service can hold."""
+
+    model_by_name: dict[ids.ModelName, Model]
+    weights_mb: float
+    max_adapters: int
+    store_loads_per_s: float
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe the backend servers of a service; plain ones have no engine."""
+
+    name: ids.ServiceName
+    max_connections: int
+    engine: Engine | None = None
+
+
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one version of all that operators have set."""
+
+    version: int
+    routes: tuple[Route, ...]
+    service_by_name: dict[ids.ServiceName, Service]
+    limits: limits.Limits
--- /dev/null
+++ b/oatcrank/routing/server.py
@@ -0,0 +1,148 @@
+"""Keep what this instance knows of one backend server."""
+
+import math
+
+import msgspec
+
+from oatcrank import ids
+from oatcrank.routing import listing, need
+from oatcrank.transport import connection_pool
+
+REPORT_DECAY_S = 1.0
+FAILURE_DECAY_S = 4.0
+FIRST_SUSPENSION_S = 0.25
+LONGEST_SUSPENSION_S = 2.0
+TRIAL_S = 1.0
+
+
+class Server:
+    """Count this instance's requests at a server and how they went."""
+
+    def __init__(self, listed: listing.Listing) -> None:
+        """Know only what the server has registered."""
+        self.listed = listed
+        self.pool = connection_pool.ConnectionPool(listed.host, listed.port)
+        self.in_flight = 0
+        self.served = 0
+        self.gone = False
+        self._adapters_by_model = _adapters(listed)
+        self._others = 0.0
+        self._reported_s = -math.inf
+        self._failures = 0.0
+        self._outcomes = 0.0
+        self._outcome_s = 0.0
+        self._refusals = 0
+        self._suspended_until_s = -math.inf
+
+    @property
+    def server_id(self) -> ids.ServerId:
+        """Return the server's id."""
+        return self.listed.server_id
+
+    # What it holds
+
+    def renew(self, listed: listing.Listing) -> None:
+        """Take a newer registration of the same process.
+
+        Adapters are registered late or never: those learned by other ways
+        stay while their model does.
+        """
+        if self.listed.leaving:
+            listed = msgspec.structs.replace(listed, leaving=True)
+        learned = self._adapters_by_model
+        self._adapters_by_model = _adapters(listed)
+        for model, adapters in learned.items():
+            if model in self._adapters_by_model:
+                self._adapters_by_model[model] |= adapters
+        self.listed = listed
+
+    def holds(self, wanted: need.Need) -> bool:
+        """Tell whether the server is believed to hold what is needed."""
+        if wanted.model is None:
+            return True
+        adapters = self._adapters_by_model.get(wanted.model)
+        if adapters is None:
+            return False
+        return wanted.adapter is None or wanted.adapter in adapters
+
+    def learn(self, wanted: need.Need) -> None:
+        """Note that the server holds a model or adapter."""
+        if wanted.model is None:
+            return
+        adapters = self._adapters_by_model.setdefault(wanted.model, set())
+        if wanted.adapter is not None:
+            adapters.add(wanted.adapter)
+
+    def forget(self, wanted: need.Need) -> None:
+        """Note that the server holds it no longer."""
+        if wanted.model is None:
+            return
+        if wanted.adapter is None:
+            self._adapters_by_model.pop(wanted.model, None)
+            return
+        adapters = self._adapters_by_model.get(wanted.model, set())
+        adapters.discard(wanted.adapter)
+
+    # How loaded it is
+
+    def note_load(self, running: int, waiting: int, now_s: float) -> None:
+        """Take the load that the server tells of itself."""
+        self._others = max(0, running + waiting - self.in_flight)
+        self._reported_s = now_s
+
+    def load(self, now_s: float) -> float:
+        """Return the requests it probably has, per slot."""
+        age_s = now_s - self._reported_s
+        others = self._others * math.exp(-age_s / REPORT_DECAY_S)
+        return (self.in_flight + others) / max(1, self.listed.slots)
+
+    # How it answers
+
+    def note_outcome(self, now_s: float, *, failed: bool) -> None:
+        """Count an answer, or a failure, among the recent ones."""
+        self._decay(now_s)
+        self._outcomes += 1
+        if failed:
+            self._failures += 1
+        else:
+            self._refusals = 0
+
+    def failure_share(self, now_s: float) -> float:
+        """Return the share of recent requests that failed."""
+        self._decay(now_s)
+        return self._failures / (self._outcomes + 1)
+
+    def suspend(self, now_s: float) -> None:
+        """Send nothing for a while, longer each time in a row."""
+        pause_s = min(
+            LONGEST_SUSPENSION_S,
+            FIRST_SUSPENSION_S * 2**self._refusals,
+        )
+        self._refusals = min(self._refusals + 1, 8)
+        self._suspended_until_s = now_s + pause_s
+
+    def take_trial(self, now_s: float) -> None:
+        """Let only the next request try a server that was suspended."""
+        if self._refusals:
+            self._suspended_until_s = now_s + TRIAL_S
+
+    def usable(self, now_s: float) -> bool:
+        """Tell whether requests may be sent."""
+        return not (
+            self.gone or self.listed.leaving or now_s < self._suspended_until_s
+        )
+
+    def _decay(self, now_s: float) -> None:
+        kept = math.exp((self._outcome_s - now_s) / FAILURE_DECAY_S)
+        self._failures *= kept
+        self._outcomes *= kept
+        self._outcome_s = now_s
+
+
+def _adapters(
+    listed: listing.Listing,
+) -> dict[ids.ModelName, set[ids.AdapterName]]:
+    return {
+        model: set(adapters)
+        for model, adapters in listed.adapters_by_model.items()
+    }
--- /dev/null
+++ b/oatcrank/routing/server_table.py
@@ -0,0 +1,74 @@
+"""Keep the backend servers that are registered."""
+
+import asyncio
+from collections.abc import Iterator
+
+from oatcrank import ids, logs
+from oatcrank.routing import listing, server
+
+
+class ServerTable:
+    """Hold servers by id, and by the service that they serve."""
+
+    def __init__(self) -> None:
+        """Know no server."""
+        self.by_id: dict[ids.ServerId, server.Server] = {}
+        self._by_id_by_service: dict[
+            ids.ServiceName,
+            dict[ids.ServerId, server.Server],
+        ] = {}
+        self._changed = asyncio.Event()
+
+    async def changed(self, within_s: float) -> None:
+        """Return after the next change, or when the time is up."""
+        try:
+            async with asyncio.timeout(within_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def note_change(self) -> None:
+        """Wake those that wait for a change."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def of_service(self, name: ids.ServiceName) -> Iterator[server.Server]:
+        """Yield the servers of a service."""
+        yield from self._by_id_by_service.get(name, {}).values()
+
+    def put(self, listed: listing.Listing) -> server.Server:
+        """Add a server, renew it, or replace the process before it."""
+        known = self.by_id.get(listed.server_id)
+        if known is not None and listed.started_ms < known.listed.started_ms:
+            # A registration of an earlier process that came late.
+            return known
+        if known is not None and known.listed.is_same_process(listed):
+            if listed.leaving and not known.listed.leaving:
+                logs.event('server_leaving', server=listed.server_id)
+            known.renew(listed)
+            self.note_change()
+            return known
+        if known is not None:
+            self.remove(listed.server_id, 'replaced')
+        added = server.Server(listed)
+        self.by_id[listed.server_id] = added
+        by_id = self._by_id_by_service.setdefault(listed.service, {})
+        by_id[listed.server_id] = added
+        self.note_change()
+        logs.event(
+            'server_listed',
+            server=listed.server_id,
+            service=listed.service,
+            address=f'{listed.host}:{listed.port}',
+        )
+        return added
+
+    def remove(self, server_id: ids.ServerId, reason: str) -> None:
+        """Send nothing more to a server."""
+        known = self.by_id.pop(server_id, None)
+        if known is None:
+            return
+        known.gone = True
+        known.pool.close()
+        del self._by_id_by_service[known.listed.service][server_id]
+        logs.event('server_removed', server=server_id, reason=reason)
--- /dev/null
+++ b/oatcrank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Carry HTTP messages between callers, this process and backend servers."""
--- /dev/null
+++ b/oatcrank/transport/reply.py
@@ -0,0 +1,112 @@
+"""Write the answer to one request."""
+
+import asyncio
+import http
+
+from oatcrank.transport import message
+
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+class Reply:
+    """Write one answer, so that a broken one never looks complete."""
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        writable: asyncio.Event,
+        request: message.Request,
+    ) -> None:
+        """Answer a request on its connection."""
+        self._transport = transport
+        self._writable = writable
+        self._headless = request.method == b'HEAD'
+        self._chunked = False
+        self.keep_alive = request.keep_alive
+        self.started = False
+        self.complete = False
+        self.written = 0
+
+    def start(
+        self,
+        status: int,
+        headers: message.Headers,
+        *,
+        reason: bytes = b'',
+        length: int | None = None,
+    ) -> None:
+        """Write the head; without a length the body goes in chunks."""
+        self.started = True
+        self._chunked = length is None
+        lines = [b'HTTP/1.1 %d %s' % (status, reason or _reason(status))]
+        lines.extend(b'%s: %s' % pair for pair in headers)
+        if self._chunked:
+            lines.append(b'Transfer-Encoding: chunked')
+        else:
+            lines.append(b'Content-Length: %d' % (length or 0))
+        if not self.keep_alive:
+            lines.append(b'Connection: close')
+        self._transport.write(b'\r\n'.join((*lines, b'', b'')))
+
+    def write(self, body: bytes) -> None:
+        """Write a piece of the body."""
+        if not body or self._headless:
+            return
+        self.written += len(body)
+        if self._chunked:
+            self._transport.write(b'%x\r\n%s\r\n' % (len(body), body))
+        else:
+            self._transport.write(body)
+
+    async def drain(self) -> None:
+        """Wait until the caller has caught up."""
+        await self._writable.wait()
+
+    def end(self) -> None:
+        """Say that the body is complete."""
+        if self._chunked and not self._headless:
+            self._transport.write(LAST_CHUNK)
+        self.complete = True
+
+    def answer(
+        self,
+        status: int,
+        headers: message.Headers,
+        body: bytes,
+        *,
+        reason: bytes = b'',
+    ) -> None:
+        """Write a whole answer."""
+        self.start(status, headers, reason=reason, length=len(body))
+        self.write(body)
+        self.end()
+
+    def fail(self) -> None:
+        """Say that the request failed, or break off what was begun."""
+        if self.started:
+            self.abort()
+            return
+        self.keep_alive = False
+        self.answer(http.HTTPStatus.BAD_GATEWAY, [], b'')
+
+    def abort(self) -> None:
+        """Break the connection off, visibly incomplete."""
+        self.keep_alive = False
+        self.complete = True
+        self._transport.abort()
+
+
+def closing(status: http.HTTPStatus, text: str) -> bytes:
+    """Return a short answer after which the connection closes."""
+    body = text.encode('ascii', 'replace')
+    return (
+        b'HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n'
+        b'Content-Length: %d\r\nConnection: close\r\n\r\n%s'
+    ) % (status, _reason(status), len(body), body)
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
