--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -151,6 +151,7 @@
             ('mirror', self._mirror.run),
             ('session', self._session.run),
             ('order_turn', self._turn.run),
+            ('balance', self._turn.balance),
             ('demand', self._arranger.run),
             ('readiness', self._become_ready),
             ('pruning', self._prune),
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -21,6 +21,7 @@
 LOOK_S = 0.25
 ASK_WITHIN_S = 0.5
 RENEW_S = 0.4
+BALANCE_S = 0.5
 FIRST_WAIT_S = 0.3
 
 
@@ -74,6 +75,15 @@
             pause_s = LOOK_S if self._desk.turn is None else RENEW_S
             await asyncio.sleep(pause_s)
 
+    async def balance(self) -> None:
+        """Have replicas loaded while the lease is held."""
+        while True:
+            await asyncio.sleep(BALANCE_S)
+            try:
+                await self._desk.balance()
+            except order_desk.NotOrdered as error:
+                logs.event('not_balanced', reason=error)
+
     async def release(self) -> None:
         """Give the lease up for good."""
         self._wanted = False
--- a/oatcrank/cluster/remote_arranger.py
+++ b/oatcrank/cluster/remote_arranger.py
@@ -37,7 +37,11 @@
         self._members = known
         self._servers = servers
         self._client = peers.Client()
-        self._asked: collections.Counter[need.Need] = collections.Counter()
+        self._times_by_need: collections.Counter[need.Need] = (
+            collections.Counter()
+        )
+        self._busy_s_by_need: dict[need.Need, float] = {}
+        self._last_s_by_need: dict[need.Need, float] = {}
         self._recent = demand.Demand()
         self._told: order_turn.HolderRecord | None = None
         self._question_by_need: dict[
@@ -48,8 +52,15 @@
     def note_demand(self, wanted: need.Need) -> None:
         """Count a request for a model."""
         if wanted.model is not None:
-            self._asked[wanted] += 1
-            self._recent.note(wanted, 1, time.monotonic())
+            self._times_by_need[wanted] += 1
+            self._last_s_by_need[wanted] = time.monotonic()
+
+    def note_run(self, wanted: need.Need, seconds: float) -> None:
+        """Count how long a server was busy with a request."""
+        if wanted.model is not None:
+            self._busy_s_by_need[wanted] = (
+                self._busy_s_by_need.get(wanted, 0) + seconds
+            )
 
     async def arrange(self, wanted: need.Need) -> arranger.Arrangement:
         """Have something loaded; the same wish joins one under way."""
@@ -130,20 +141,34 @@
 
     def _news(self) -> tuple[demand.Asked, ...]:
         """Return the last second's demand; to a new holder, all recent."""
+        now_s = time.monotonic()
+        news = tuple(
+            demand.Asked(
+                wanted,
+                self._times_by_need[wanted],
+                self._busy_s_by_need.get(wanted, 0),
+                now_s - self._last_s_by_need.get(wanted, now_s),
+            )
+            for wanted in {*self._times_by_need, *self._busy_s_by_need}
+        )
+        self._times_by_need.clear()
+        self._busy_s_by_need.clear()
+        self._last_s_by_need.clear()
+        for asked in news:
+            self._recent.note(asked, now_s)
         record = self._turn.holder()
         if record != self._told:
             self._told = record
-            return self._recent.summary(time.monotonic())
-        return tuple(
-            demand.Asked(wanted, times) for wanted, times in self._asked.items()
-        )
+            return self._recent.summary(now_s)
+        return news
 
     async def _report(self) -> None:
         holder = self._holder()
-        if holder is None or not self._asked:
+        if holder is None:
             return
         report = peer_messages.DemandReport(asked=self._news())
-        self._asked.clear()
+        if not report.asked:
+            return
         if holder.instance_id == self._members.own.instance_id:
             take(self._desk, report)
             return
@@ -192,4 +217,4 @@
     """Add a report to the demand that the desk weighs."""
     now_s = order_desk.suspended_time()
     for one in report.asked:
-        desk.asked.note(one.wanted, one.times, now_s)
+        desk.asked.note(one, now_s)
--- a/oatcrank/forwarding/arranger.py
+++ b/oatcrank/forwarding/arranger.py
@@ -29,3 +29,7 @@
     @abc.abstractmethod
     def note_demand(self, wanted: need.Need) -> None:
         """Count a request for a model."""
+
+    @abc.abstractmethod
+    def note_run(self, wanted: need.Need, seconds: float) -> None:
+        """Count how long a server was busy with a request."""
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -7,7 +7,7 @@
 NOBODY_RETURN_S = 0.5
 SHORTEST_LOOK_S = 0.01
 # How long a request waits in all while nothing is ordered for it.
-LONGEST_IDLE_S = 0.5
+LONGEST_IDLE_S = 0.8
 EXPECTED_PLAIN_S = 0.05
 EXPECTED_STREAM_S = 0.3
 
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -123,10 +123,15 @@
             self._out,
             self._cutter,
         )
+        began_s = self._shared.now()
         try:
             return await one.run(self._ends_s)
         finally:
             self._history.note(one.progress)
+            self._shared.arranger.note_run(
+                self._wanted,
+                self._shared.now() - began_s,
+            )
             request_metrics.ATTEMPTS.labels(
                 self._wanted.service,
                 one.progress.name,
@@ -176,6 +181,10 @@
             self._tried.remove(chosen.server_id)
         elif ended.not_held:
             chosen.forget(self._wanted)
+        elif self._wanted.model is not None:
+            # It is full, or about to load or drop what is needed.
+            chosen.pass_over(self._wanted, self._shared.now())
+            await asyncio.sleep(DECLINED_PAUSE_S)
         else:
             search.avoid_if_possible(chosen.server_id)
             await asyncio.sleep(DECLINED_PAUSE_S)
@@ -259,8 +268,17 @@
             sends=self._sends,
             outcome=self._outcome,
             ms=round(took_s * 1000),
+            first_ms=self._first_ms(),
+            pause_ms=round(self._out.longest_pause_s * 1000),
         )
 
+    def _first_ms(self) -> int:
+        """Return when the answer began, in milliseconds, or -1."""
+        first_s = self._out.first_write_s
+        if first_s is None:
+            return -1
+        return round((first_s - self._request.began_s) * 1000)
+
 
 def return_headers(return_s: float) -> message.Headers:
     """Return the header that says when to come back, in seconds."""
--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -1,19 +1,27 @@
 """Count what is asked for, over the last seconds."""
 
 import collections
+import math
 
 import msgspec
 
 from oatcrank.routing import need
 
 WINDOW_S = 10.0
+SHORTEST_AGE_S = 1.0
 
 
 class Asked(msgspec.Struct, frozen=True):
-    """Say how often something was asked for."""
+    """Say how often something was asked for, and how long servers ran it.
+
+    busy_s sums the seconds of all runs that ended, and age_s tells how long
+    ago it was last asked for.
+    """
 
     wanted: need.Need
     times: int
+    busy_s: float = 0
+    age_s: float = 0
 
 
 class Demand:
@@ -21,52 +29,101 @@
 
     def __init__(self) -> None:
         """Start with no demand."""
-        self._reports: collections.deque[tuple[float, need.Need, int]] = (
+        self._reports: collections.deque[tuple[float, Asked]] = (
             collections.deque()
         )
-        self._by_need: collections.Counter[need.Need] = collections.Counter()
+        self._times_by_need: collections.Counter[need.Need] = (
+            collections.Counter()
+        )
+        self._busy_s_by_need: dict[need.Need, float] = {}
         self._last_s_by_need: dict[need.Need, float] = {}
+        self._first_s = math.inf
 
-    def note(self, wanted: need.Need, times: int, now_s: float) -> None:
+    def note(self, asked: Asked, now_s: float) -> None:
         """Add requests that were seen lately."""
-        self._reports.append((now_s, wanted, times))
-        self._by_need[wanted] += times
-        self._last_s_by_need[wanted] = now_s
+        wanted = asked.wanted
+        self._first_s = min(self._first_s, now_s)
+        self._reports.append((now_s, asked))
+        self._times_by_need[wanted] += asked.times
+        self._busy_s_by_need[wanted] = (
+            self._busy_s_by_need.get(wanted, 0) + asked.busy_s
+        )
+        if asked.times:
+            self.note_use(wanted, now_s - asked.age_s)
         self._trim(now_s)
 
+    def note_use(self, wanted: need.Need, asked_s: float) -> None:
+        """Note when something was asked for."""
+        known_s = self._last_s_by_need.get(wanted, -math.inf)
+        self._last_s_by_need[wanted] = max(known_s, asked_s)
+
+    def age_s(self, now_s: float) -> float:
+        """Return how long demand has been counted, up to the window."""
+        return min(WINDOW_S, max(0, now_s - self._first_s))
+
     def rate(self, wanted: need.Need, now_s: float) -> float:
         """Return the requests a second for exactly this."""
         self._trim(now_s)
-        return self._by_need[wanted] / WINDOW_S
+        return self._times_by_need[wanted] / self._span_s(now_s)
 
     def model_rate(self, wanted: need.Need, now_s: float) -> float:
         """Return the requests a second for a model and its adapters."""
         self._trim(now_s)
-        return (
-            sum(
-                times
-                for asked, times in self._by_need.items()
-                if asked.model == wanted.model
-                and asked.service == wanted.service
-            )
-            / WINDOW_S
-        )
+        return sum(
+            times
+            for asked, times in self._times_by_need.items()
+            if _same_model(asked, wanted)
+        ) / self._span_s(now_s)
+
+    def running(self, wanted: need.Need, now_s: float) -> float:
+        """Return how many requests for a model run at a time, on average."""
+        self._trim(now_s)
+        return sum(
+            busy_s
+            for asked, busy_s in self._busy_s_by_need.items()
+            if _same_model(asked, wanted)
+        ) / self._span_s(now_s)
+
+    def running_adapters(self, wanted: need.Need, now_s: float) -> float:
+        """Return how many of those need an adapter of the model."""
+        self._trim(now_s)
+        return sum(
+            busy_s
+            for asked, busy_s in self._busy_s_by_need.items()
+            if asked.adapter and _same_model(asked, wanted)
+        ) / self._span_s(now_s)
 
     def summary(self, now_s: float) -> tuple[Asked, ...]:
         """Return all that was asked for in the window."""
         self._trim(now_s)
         return tuple(
-            Asked(wanted, times) for wanted, times in self._by_need.items()
+            Asked(
+                wanted,
+                times,
+                self._busy_s_by_need.get(wanted, 0),
+                now_s - self._last_s_by_need.get(wanted, now_s),
+            )
+            for wanted, times in self._times_by_need.items()
         )
 
     def last_s(self, wanted: need.Need) -> float:
         """Return when something was last asked for."""
-        return self._last_s_by_need.get(wanted, float('-inf'))
+        return self._last_s_by_need.get(wanted, -math.inf)
+
+    def _span_s(self, now_s: float) -> float:
+        return max(SHORTEST_AGE_S, self.age_s(now_s))
 
     def _trim(self, now_s: float) -> None:
         oldest_s = now_s - WINDOW_S
         while self._reports and self._reports[0][0] < oldest_s:
-            _, wanted, times = self._reports.popleft()
-            self._by_need[wanted] -= times
-            if self._by_need[wanted] <= 0:
-                del self._by_need[wanted]
+            _, asked = self._reports.popleft()
+            wanted = asked.wanted
+            self._times_by_need[wanted] -= asked.times
+            self._busy_s_by_need[wanted] -= asked.busy_s
+            if self._times_by_need[wanted] <= 0:
+                del self._times_by_need[wanted]
+                del self._busy_s_by_need[wanted]
+
+
+def _same_model(asked: need.Need, wanted: need.Need) -> bool:
+    return (asked.model, asked.service) == (wanted.model, wanted.service)
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -21,6 +21,7 @@
 # How long an adapter takes to arrive, and how soon to ask again for one.
 ADAPTER_LOAD_S = 0.012
 ASK_AGAIN_S = 0.25
+ADAPTER_AGAIN_S = 0.1
 NO_PLACE_RETURN_S = 1.0
 UNLOAD_WAIT_S = 6.0
 LOAD_OVERDUE_S = 5.0
@@ -101,6 +102,7 @@
         if self.turn is None:
             raise NotOrdered('this instance gives no orders', ASK_AGAIN_S)
         self._follow_listings(wanted.service)
+        self.asked.note_use(wanted, suspended_time())
         held = self._held(wanted, unusable)
         if held is not None:
             return held
@@ -113,6 +115,30 @@
             )
         return await asyncio.shield(work)
 
+    async def balance(self) -> None:
+        """Begin one more load of the model that wants a replica most."""
+        configuration = self._routes.configuration
+        if self.turn is None or configuration is None:
+            return
+        for service in configuration.service_by_name.values():
+            if service.engine is not None:
+                self._follow_listings(service.name)
+                await self._replicate(service.name, service.engine)
+
+    async def _replicate(
+        self,
+        service: ids.ServiceName,
+        engine: route.Engine,
+    ) -> None:
+        now_s = suspended_time()
+        if not self._orderable(service):
+            return
+        shortages = self._placement(service, engine, ()).shortages(now_s)
+        if not shortages:
+            return
+        gain, name = shortages[-1]
+        await self._load_model(need.Need(service, name), (), gain=gain)
+
     # What is held
 
     def _follow_listings(self, service: ids.ServiceName) -> None:
@@ -180,6 +206,8 @@
         self,
         wanted: need.Need,
         unusable: tuple[ids.ServerId, ...],
+        *,
+        gain: float | None = None,
     ) -> Placed:
         engine = self._engine(wanted.service)
         now_s = suspended_time()
@@ -190,6 +218,7 @@
             wanted.model,
             now_s,
             store_loads=ceiling.has_room(now_s),
+            gain=gain,
         )
         if chosen is None:
             raise NotOrdered('no place for the model', NO_PLACE_RETURN_S)
@@ -200,7 +229,9 @@
             unload=','.join(model for model, _ in chosen.unload),
             load_s=chosen.load_s,
             from_store=chosen.from_store,
-            demand=self.asked.model_rate(wanted, now_s),
+            demand=round(self.asked.model_rate(wanted, now_s), 2),
+            running=round(self.asked.running(wanted, now_s), 2),
+            replica=gain is not None,
         )
         one = self._ledger_by_id[chosen.server_id]
         if chosen.from_store:
@@ -247,13 +278,13 @@
             suspended_time(),
         )
         if chosen is None:
-            raise NotOrdered('no place for the adapter', ASK_AGAIN_S)
+            raise NotOrdered('no place for the adapter', ADAPTER_AGAIN_S)
         one = self._ledger_by_id[chosen.server_id]
         async with self._lock_by_id[chosen.server_id]:
             if chosen.unload and one.adapters() >= engine.max_adapters:
                 await self._make_way(one, chosen.unload[0])
             if one.adapters() >= engine.max_adapters:
-                raise NotOrdered('adapter places are in use', ASK_AGAIN_S)
+                raise NotOrdered('adapter places are in use', ADAPTER_AGAIN_S)
             await self._send(
                 one,
                 order.Action.load,
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -22,12 +22,17 @@
 # where one could serve it all.
 SECOND_REPLICA = 0.03
 FURTHER_REPLICA = 0.005
-# How long a request runs, and the share of the slots that may be taken.
-REQUEST_S = 0.6
-COMFORTABLE_LOAD = 0.5
+# The share of a server's slots, and of its places for adapters, that may be
+# in use on average.
+COMFORTABLE_LOAD = 0.4
+COMFORTABLE_ADAPTERS = 0.4
 # A server takes no adapter while it loads a model: the share of a second's
 # requests for adapters that is lost.
 ADAPTERS_BLOCKED = 0.02
+# An adapter asked for this lately is probably in use.
+ADAPTER_IN_USE_S = 0.4
+# Before demand has been counted this long, it says too little to unload by.
+YOUNG_DEMAND_S = 2.0
 # Demand that one second of loading weighs as much as.
 LOADING_WEIGHT = 0.1
 
@@ -63,8 +68,12 @@
         now_s: float,
         *,
         store_loads: bool,
+        gain: float | None = None,
     ) -> Choice | None:
-        """Return where to load a model, or None while there is no place."""
+        """Return where to load a model, or None while there is no place.
+
+        The gain is in requests a second; by default all of the model's.
+        """
         wanted = self._engine.model_by_name.get(name)
         if wanted is None:
             return None
@@ -78,12 +87,42 @@
         if not options:
             return None
         cost, best = min(options, key=lambda option: option[0])
-        gain = self._asked.model_rate(self._need(name), now_s)
+        if gain is None:
+            gain = LAST_REPLICA + self._asked.model_rate(
+                self._need(name),
+                now_s,
+            )
         lost = cost - LOADING_WEIGHT * best.load_s
-        if best.unload and lost * DISPLACING_DEMAND > gain + LAST_REPLICA:
+        if best.unload and lost * DISPLACING_DEMAND > gain:
             return None
         return best
 
+    def shortages(self, now_s: float) -> list[tuple[float, ids.ModelName]]:
+        """Return models that want another replica, most wanting last.
+
+        Each comes with what one more replica gains in requests a second.
+        """
+        found = []
+        for name in self._engine.model_by_name:
+            replicas = self._replicas(name)
+            wanted = self._wanted_replicas(name, now_s)
+            if 0 < replicas < wanted:
+                rate = self._asked.model_rate(self._need(name), now_s)
+                found.append((rate * (1 - replicas / wanted), name))
+        return sorted(found)
+
+    def _replicas(self, name: ids.ModelName) -> int:
+        return sum(name in one.adapters_by_model for one in self._ledgers)
+
+    def _wanted_replicas(self, name: ids.ModelName, now_s: float) -> float:
+        slots = max(one.listed.slots for one in self._ledgers)
+        wanted = self._need(name)
+        return max(
+            self._asked.running(wanted, now_s) / (slots * COMFORTABLE_LOAD),
+            self._asked.running_adapters(wanted, now_s)
+            / (self._engine.max_adapters * COMFORTABLE_ADAPTERS),
+        )
+
     def adapter(
         self,
         model: ids.ModelName,
@@ -141,6 +180,8 @@
         victims: list[ids.ModelName] = []
         if missing_mb <= 0:
             return victims
+        if self._asked.age_s(now_s) < YOUNG_DEMAND_S:
+            return None
         by_loss = sorted(
             one.adapters_by_model,
             key=lambda model: self._loss(model, now_s),
@@ -155,13 +196,11 @@
         return None
 
     def _loss(self, model: ids.ModelName, now_s: float) -> float:
-        replicas = sum(model in one.adapters_by_model for one in self._ledgers)
+        replicas = self._replicas(model)
         rate = self._asked.model_rate(self._need(model), now_s)
         if replicas <= 1:
             return rate + LAST_REPLICA
-        slots = max(one.listed.slots for one in self._ledgers)
-        needed = rate * REQUEST_S / (slots * COMFORTABLE_LOAD)
-        if replicas - 1 < needed:
+        if replicas - 1 < self._wanted_replicas(model, now_s):
             return rate / replicas
         return rate * (SECOND_REPLICA if replicas == 2 else FURTHER_REPLICA)
 
@@ -173,13 +212,11 @@
         unload: tuple[tuple[ids.ModelName, ids.AdapterName | None], ...] = ()
         cost = 0.0
         if one.adapters() >= self._engine.max_adapters:
-            victim = self._adapter_victim(one)
+            victim = self._adapter_victim(one, now_s)
             if victim is None:
                 return None
             unload = (victim,)
-            cost = 1 + self._asked.last_s(
-                need.Need(self._service, victim[0], victim[1]),
-            )
+            cost = 1 + max(0.0, self._last_asked_s(victim))
         choice = Choice(
             server_id=one.listed.server_id,
             unload=unload,
@@ -191,6 +228,7 @@
     def _adapter_victim(
         self,
         one: ledger.Ledger,
+        now_s: float,
     ) -> tuple[ids.ModelName, ids.AdapterName] | None:
         held = [
             (model, adapter)
@@ -200,12 +238,16 @@
         ]
         if not held:
             return None
-        return min(
-            held,
-            key=lambda pair: self._asked.last_s(
-                need.Need(self._service, pair[0], pair[1]),
-            ),
-        )
+        oldest = min(held, key=self._last_asked_s)
+        if now_s - self._last_asked_s(oldest) < ADAPTER_IN_USE_S:
+            return None
+        return oldest
+
+    def _last_asked_s(
+        self,
+        pair: tuple[ids.ModelName, ids.AdapterName],
+    ) -> float:
+        return self._asked.last_s(need.Need(self._service, *pair))
 
     def _need(self, model: ids.ModelName) -> need.Need:
         return need.Need(self._service, model)
--- a/oatcrank/routing/choice.py
+++ b/oatcrank/routing/choice.py
@@ -52,7 +52,9 @@
         fit = [
             one
             for one in servers
-            if one.usable(now_s) and one.holds(wish.wanted)
+            if one.usable(now_s)
+            and one.holds(wish.wanted)
+            and not one.passes(wish.wanted, now_s)
         ]
         if wish.only:
             fit = [one for one in fit if one.server_id in wish.only]
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -13,6 +13,7 @@
 FIRST_SUSPENSION_S = 0.25
 LONGEST_SUSPENSION_S = 2.0
 TRIAL_S = 1.0
+PASSED_OVER_S = 0.1
 
 
 class Server:
@@ -33,6 +34,7 @@
         self._outcome_s = 0.0
         self._refusals = 0
         self._suspended_until_s = -math.inf
+        self._passed_until_s_by_need: dict[need.Need, float] = {}
 
     @property
     def server_id(self) -> ids.ServerId:
@@ -83,6 +85,20 @@
         adapters = self._adapters_by_model.get(wanted.model, set())
         adapters.discard(wanted.adapter)
 
+    def pass_over(self, wanted: need.Need, now_s: float) -> None:
+        """Send nothing that needs this for a moment."""
+        self._passed_until_s_by_need[wanted] = now_s + PASSED_OVER_S
+
+    def passes(self, wanted: need.Need, now_s: float) -> bool:
+        """Tell whether the server has just declined what needs this."""
+        until_s = self._passed_until_s_by_need.get(wanted)
+        if until_s is None:
+            return False
+        if now_s >= until_s:
+            del self._passed_until_s_by_need[wanted]
+            return False
+        return True
+
     # How loaded it is
 
     def note_load(self, running: int, waiting: int, now_s: float) -> None:
--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import time
 
 from oatcrank.transport import message
 
@@ -26,6 +27,9 @@
         self.started = False
         self.complete = False
         self.written = 0
+        self.first_write_s: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_write_s = 0.0
 
     def start(
         self,
@@ -53,11 +57,20 @@
         if not body or self._headless:
             return
         self.written += len(body)
+        self._note_write(time.monotonic())
         if self._chunked:
             self._transport.write(b'%x\r\n%s\r\n' % (len(body), body))
         else:
             self._transport.write(body)
 
+    def _note_write(self, now_s: float) -> None:
+        if self.first_write_s is None:
+            self.first_write_s = now_s
+        else:
+            pause_s = now_s - self._last_write_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_write_s = now_s
+
     async def drain(self) -> None:
         """Wait until the caller has caught up."""
         await self._writable.wait()
