--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -58,11 +58,37 @@
         self._client = peers.Client()
         self._wanted = True
         self._lease: store.LeaseId | None = None
+        self._told: peer_messages.Holding | None = None
 
-    def holder(self) -> HolderRecord | None:
-        """Return the holder as last seen."""
+    def holding(self) -> peer_messages.Holding | None:
+        """Return the newest holder seen in the store or told by a peer."""
+        seen = self._seen()
+        told = self._told
+        if told is not None and (seen is None or seen.fence < told.fence):
+            return told
+        return seen
+
+    def take_told(self, told: peer_messages.Holding) -> None:
+        """Take from a peer who the holder is."""
+        if self._told is None or self._told.fence < told.fence:
+            self._told = told
+            logs.event(
+                'holder_told',
+                holder=told.instance_id,
+                fence=told.fence,
+            )
+
+    def _seen(self) -> peer_messages.Holding | None:
         item = self._mirror.get(HOLDER_KEY)
-        return None if item is None else _decoded(item)
+        record = None if item is None else _decoded(item)
+        if item is None or record is None:
+            return None
+        return peer_messages.Holding(
+            instance_id=record.instance_id,
+            started_ms=record.started_ms,
+            peer=record.peer,
+            fence=ids.Fence(item.revision),
+        )
 
     async def run(self) -> None:
         """Try and renew until cancelled."""
@@ -113,7 +139,8 @@
                 store_loads=0,
             )
         now_s = order_desk.suspended_time()
-        fence = query.fence
+        fence = query.successor.fence
+        self.take_told(query.successor)
         turn = self._desk.turn
         waits_s = 0 if turn is None else turn.starts_s - now_s
         if turn is not None and turn.fence < fence:
@@ -138,7 +165,7 @@
 
     async def _renew(self, turn: tenure.Tenure) -> None:
         sent_s = order_desk.suspended_time()
-        holder = self.holder()
+        holder = self._seen()
         mine = holder is not None and self._is_own(holder)
         if not mine or self._session.lease != self._lease:
             logs.event('order_lease_lost', fence=turn.fence)
@@ -215,7 +242,12 @@
                 record.peer,
                 'stop',
                 peer_messages.StopQuery(
-                    fence=ids.Fence(turn.fence),
+                    successor=peer_messages.Holding(
+                        instance_id=self._members.own.instance_id,
+                        started_ms=self._members.own.started_ms,
+                        peer=self._members.own.peer,
+                        fence=ids.Fence(turn.fence),
+                    ),
                     started_ms=record.started_ms,
                 ),
                 peer_messages.Stopped,
@@ -241,7 +273,7 @@
             waits_s=round(turn.starts_s - asked_s, 3),
         )
 
-    def _is_own(self, record: HolderRecord) -> bool:
+    def _is_own(self, record: peer_messages.Holding) -> bool:
         own = self._members.own
         return (record.instance_id, record.started_ms) == (
             own.instance_id,
--- a/oatcrank/cluster/own_peer.py
+++ b/oatcrank/cluster/own_peer.py
@@ -39,7 +39,7 @@
         query: peer_messages.ArrangeQuery,
     ) -> peer_messages.Arranged:
         """Have something loaded."""
-        return await remote_arranger.answer(self._desk, query)
+        return await remote_arranger.answer(self._desk, self._turn, query)
 
     async def demand(
         self,
--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -7,6 +7,15 @@
 from oatcrank.routing import need
 
 
+class Holding(msgspec.Struct, frozen=True, kw_only=True):
+    """Name the holder of the order lease, and where to ask it."""
+
+    instance_id: ids.InstanceId
+    started_ms: int
+    peer: str
+    fence: ids.Fence
+
+
 class ArrangeQuery(msgspec.Struct, frozen=True, kw_only=True):
     """Ask the holder of the order lease to have something loaded.
 
@@ -20,18 +29,21 @@
 class Arranged(msgspec.Struct, frozen=True, kw_only=True):
     """Say where something is held, or how soon, or why it won't be.
 
-    Without a server the wait in seconds is when to ask again.
+    Without a server the wait in seconds is when to ask again; holding names
+    another holder that is to be asked instead.
     """
 
     wait_s: float
     server_id: ids.ServerId | None = None
     refused: str = ''
     hopeless: bool = False
+    holding: Holding | None = None
 
 
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Tell what callers have asked for since the last report."""
+    """Tell what callers have asked for since the last report, or longer."""
 
+    span_s: float
     asked: tuple[demand.Asked, ...]
 
 
@@ -47,7 +59,7 @@
     started_ms names the start of the process that held the lease.
     """
 
-    fence: ids.Fence
+    successor: Holding
     started_ms: int
 
 
--- a/oatcrank/cluster/remote_arranger.py
+++ b/oatcrank/cluster/remote_arranger.py
@@ -6,7 +6,6 @@
 
 from oatcrank import errors, logs
 from oatcrank.cluster import (
-    member,
     members,
     order_turn,
     peer_messages,
@@ -43,7 +42,7 @@
         self._busy_s_by_need: dict[need.Need, float] = {}
         self._last_s_by_need: dict[need.Need, float] = {}
         self._recent = demand.Demand()
-        self._told: order_turn.HolderRecord | None = None
+        self._told: peer_messages.Holding | None = None
         self._question_by_need: dict[
             need.Need,
             asyncio.Task[arranger.Arrangement],
@@ -106,14 +105,25 @@
         self,
         query: peer_messages.ArrangeQuery,
     ) -> peer_messages.Arranged:
-        holder = self._holder()
+        holder = self._turn.holding()
         if holder is None:
             return peer_messages.Arranged(
                 wait_s=NO_HOLDER_RETURN_S,
                 refused='no instance gives orders',
             )
+        told = await self._ask_holder(holder, query)
+        if told.holding is None or told.holding.fence <= holder.fence:
+            return told
+        self._turn.take_told(told.holding)
+        return await self._ask_holder(told.holding, query)
+
+    async def _ask_holder(
+        self,
+        holder: peer_messages.Holding,
+        query: peer_messages.ArrangeQuery,
+    ) -> peer_messages.Arranged:
         if holder.instance_id == self._members.own.instance_id:
-            return await answer(self._desk, query)
+            return await answer(self._desk, self._turn, query)
         return await self._client.ask(
             holder.peer,
             'arrange',
@@ -122,15 +132,6 @@
             ASK_WITHIN_S,
         )
 
-    def _holder(self) -> member.Member | None:
-        record = self._turn.holder()
-        if record is None:
-            return None
-        own = self._members.own
-        if record.instance_id == own.instance_id:
-            return own
-        return self._members.by_id.get(record.instance_id)
-
     def _unusable(self, wanted: need.Need) -> tuple:
         now_s = time.monotonic()
         return tuple(
@@ -139,7 +140,10 @@
             if one.holds(wanted) and not one.usable(now_s)
         )
 
-    def _news(self) -> tuple[demand.Asked, ...]:
+    def _news(
+        self,
+        holder: peer_messages.Holding,
+    ) -> peer_messages.DemandReport:
         """Return the last second's demand; to a new holder, all recent."""
         now_s = time.monotonic()
         news = tuple(
@@ -156,17 +160,19 @@
         self._last_s_by_need.clear()
         for asked in news:
             self._recent.note(asked, now_s)
-        record = self._turn.holder()
-        if record != self._told:
-            self._told = record
-            return self._recent.summary(now_s)
-        return news
+        if holder == self._told:
+            return peer_messages.DemandReport(asked=news, span_s=REPORT_S)
+        self._told = holder
+        return peer_messages.DemandReport(
+            asked=self._recent.summary(now_s),
+            span_s=self._recent.age_s(now_s),
+        )
 
     async def _report(self) -> None:
-        holder = self._holder()
+        holder = self._turn.holding()
         if holder is None:
             return
-        report = peer_messages.DemandReport(asked=self._news())
+        report = self._news(holder)
         if not report.asked:
             return
         if holder.instance_id == self._members.own.instance_id:
@@ -186,6 +192,7 @@
 
 async def answer(
     desk: order_desk.OrderDesk,
+    turn: order_turn.OrderTurn,
     query: peer_messages.ArrangeQuery,
 ) -> peer_messages.Arranged:
     """Answer a question at the desk."""
@@ -203,6 +210,7 @@
             wait_s=error.again_s,
             refused=str(error),
             hopeless=error.hopeless,
+            holding=turn.holding(),
         )
     return peer_messages.Arranged(
         wait_s=placed.wait_s,
@@ -216,5 +224,6 @@
 ) -> None:
     """Add a report to the demand that the desk weighs."""
     now_s = order_desk.suspended_time()
+    desk.asked.reaches_back(report.span_s, now_s)
     for one in report.asked:
         desk.asked.note(one, now_s)
--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -9,6 +9,9 @@
 
 WINDOW_S = 10.0
 SHORTEST_AGE_S = 1.0
+# The seconds that are counted as they are, and the weight of the window's mean.
+RECENT_S = 3.0
+MEAN_WEIGHT_S = 2.0
 
 
 class Asked(msgspec.Struct, frozen=True):
@@ -61,19 +64,30 @@
         """Return how long demand has been counted, up to the window."""
         return min(WINDOW_S, max(0, now_s - self._first_s))
 
+    def reaches_back(self, span_s: float, now_s: float) -> None:
+        """Note that what was reported covers so much of the past."""
+        self._first_s = min(self._first_s, now_s - span_s)
+
     def rate(self, wanted: need.Need, now_s: float) -> float:
         """Return the requests a second for exactly this."""
         self._trim(now_s)
         return self._times_by_need[wanted] / self._span_s(now_s)
 
     def model_rate(self, wanted: need.Need, now_s: float) -> float:
-        """Return the requests a second for a model and its adapters."""
+        """Return the requests a second for a model and its adapters.
+
+        The last seconds weigh more, so that rising and falling models are
+        seen early, and rare ones are still judged by the whole window.
+        """
         self._trim(now_s)
-        return sum(
+        times = sum(
             times
             for asked, times in self._times_by_need.items()
             if _same_model(asked, wanted)
-        ) / self._span_s(now_s)
+        )
+        mean = times / self._span_s(now_s)
+        recent = self._recent_times(wanted, now_s)
+        return (recent + mean * MEAN_WEIGHT_S) / (RECENT_S + MEAN_WEIGHT_S)
 
     def running(self, wanted: need.Need, now_s: float) -> float:
         """Return how many requests for a model run at a time, on average."""
@@ -110,6 +124,15 @@
         """Return when something was last asked for."""
         return self._last_s_by_need.get(wanted, -math.inf)
 
+    def _recent_times(self, wanted: need.Need, now_s: float) -> int:
+        times = 0
+        for noted_s, asked in reversed(self._reports):
+            if noted_s < now_s - RECENT_S:
+                break
+            if _same_model(asked.wanted, wanted):
+                times += asked.times
+        return times
+
     def _span_s(self, now_s: float) -> float:
         return max(SHORTEST_AGE_S, self.age_s(now_s))
 
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -278,6 +278,7 @@
             suspended_time(),
         )
         if chosen is None:
+            self._log_unplaced(wanted)
             raise NotOrdered('no place for the adapter', ADAPTER_AGAIN_S)
         one = self._ledger_by_id[chosen.server_id]
         async with self._lock_by_id[chosen.server_id]:
@@ -294,6 +295,23 @@
             )
         return Placed(wait_s=ADAPTER_LOAD_S, server_id=chosen.server_id)
 
+    def _log_unplaced(self, wanted: need.Need) -> None:
+        now_s = suspended_time()
+        for one in self._ledgers(wanted.service):
+            if wanted.model in one.adapters_by_model:
+                logs.event(
+                    'server_without_place',
+                    server=one.listed.server_id,
+                    model=wanted.model,
+                    adapter=wanted.adapter,
+                    ready=one.ready(now_s),
+                    claimed=one.claimed,
+                    busy=one.work is not None,
+                    known=one.known,
+                    adapters=one.adapters(),
+                    leaving_adapters=len(one.leaving_adapters),
+                )
+
     async def _make_way(
         self,
         one: ledger.Ledger,
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -22,9 +22,11 @@
 # where one could serve it all.
 SECOND_REPLICA = 0.03
 FURTHER_REPLICA = 0.005
+# The share of its requests that a model with too few replicas loses.
+CROWDING = 0.05
 # The share of a server's slots, and of its places for adapters, that may be
 # in use on average.
-COMFORTABLE_LOAD = 0.4
+COMFORTABLE_LOAD = 0.12
 COMFORTABLE_ADAPTERS = 0.4
 # A server takes no adapter while it loads a model: the share of a second's
 # requests for adapters that is lost.
@@ -33,6 +35,8 @@
 ADAPTER_IN_USE_S = 0.4
 # Before demand has been counted this long, it says too little to unload by.
 YOUNG_DEMAND_S = 2.0
+# Demand that each request running at the server weighs as much as.
+CROWD_WEIGHT = 0.02
 # Demand that one second of loading weighs as much as.
 LOADING_WEIGHT = 0.1
 
@@ -82,17 +86,16 @@
             for one in self._ledgers
             if one.ready(now_s) and name not in one.adapters_by_model
             for option in self._options(one, wanted, now_s)
-            if store_loads or not option[1].from_store
+            if store_loads or not option[2].from_store
         ]
         if not options:
             return None
-        cost, best = min(options, key=lambda option: option[0])
+        _, lost, best = min(options, key=lambda option: option[0])
         if gain is None:
             gain = LAST_REPLICA + self._asked.model_rate(
                 self._need(name),
                 now_s,
             )
-        lost = cost - LOADING_WEIGHT * best.load_s
         if best.unload and lost * DISPLACING_DEMAND > gain:
             return None
         return best
@@ -108,7 +111,8 @@
             wanted = self._wanted_replicas(name, now_s)
             if 0 < replicas < wanted:
                 rate = self._asked.model_rate(self._need(name), now_s)
-                found.append((rate * (1 - replicas / wanted), name))
+                gain = CROWDING * rate * (1 - replicas / wanted)
+                found.append((gain, name))
         return sorted(found)
 
     def _replicas(self, name: ids.ModelName) -> int:
@@ -146,7 +150,7 @@
         one: ledger.Ledger,
         wanted: route.Model,
         now_s: float,
-    ) -> list[tuple[float, Choice]]:
+    ) -> list[tuple[float, float, Choice]]:
         victims = self._victims(one, wanted, now_s)
         if victims is None:
             return []
@@ -161,7 +165,17 @@
             from_store=not one.is_cached(wanted.name),
         )
         blocked = ADAPTERS_BLOCKED * self._adapter_rate(one, now_s)
-        return [(lost + (LOADING_WEIGHT + blocked) * load_s, choice)]
+        cost = lost + (LOADING_WEIGHT + blocked) * load_s
+        crowd = CROWD_WEIGHT * self._running(one, now_s)
+        return [(cost + crowd, lost, choice)]
+
+    def _running(self, one: ledger.Ledger, now_s: float) -> float:
+        """Return how many requests run at a server, if replicas share."""
+        return sum(
+            self._asked.running(self._need(model), now_s)
+            / self._replicas(model)
+            for model in one.adapters_by_model
+        )
 
     def _adapter_rate(self, one: ledger.Ledger, now_s: float) -> float:
         return sum(
@@ -201,7 +215,7 @@
         if replicas <= 1:
             return rate + LAST_REPLICA
         if replicas - 1 < self._wanted_replicas(model, now_s):
-            return rate / replicas
+            return CROWDING * rate / replicas
         return rate * (SECOND_REPLICA if replicas == 2 else FURTHER_REPLICA)
 
     def _adapter_option(
