--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -108,7 +108,9 @@
             self._turn,
             crashes,
             self.members,
+            self.servers,
         )
+        self._desk.on_unload = self.peer.tell_unload
         self._forwarder = forwarder.Forwarder(
             parts.Parts(
                 dialect=ports.dialect,
--- a/oatcrank/cluster/own_peer.py
+++ b/oatcrank/cluster/own_peer.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from oatcrank import logs
+import msgspec
+
+from oatcrank import ids, logs
 from oatcrank.cluster import (
     members,
     order_turn,
@@ -11,7 +13,7 @@
     remote_arranger,
 )
 from oatcrank.orders import order_desk
-from oatcrank.routing import crash_record
+from oatcrank.routing import crash_record, need, server_table
 
 TELL_WITHIN_S = 1.0
 
@@ -25,12 +27,14 @@
         turn: order_turn.OrderTurn,
         crashes: crash_record.CrashRecord,
         known: members.Members,
+        servers: server_table.ServerTable,
     ) -> None:
         """Answer for one instance."""
         self._desk = desk
         self._turn = turn
         self._crashes = crashes
         self._members = known
+        self._servers = servers
         self._client = peers.Client()
         self._tellings: set[asyncio.Task[None]] = set()
 
@@ -60,6 +64,16 @@
         logs.event('suspects_told', suspects=len(report.fingerprints))
         return peer_messages.Done()
 
+    async def unloads(
+        self,
+        news: peer_messages.UnloadNews,
+    ) -> peer_messages.Done:
+        """Take that a server is about to drop a model."""
+        found = self._servers.by_id.get(news.server_id)
+        if found is not None:
+            found.forget(news.dropped)
+        return peer_messages.Done()
+
     async def stop(
         self,
         query: peer_messages.StopQuery,
@@ -69,24 +83,46 @@
 
     def tell_crashes(self, fingerprints: list[int]) -> None:
         """Tell the other instances of suspects found here."""
-        report = peer_messages.CrashReport(fingerprints=tuple(fingerprints))
+        self._tell_all(
+            'crashes',
+            peer_messages.CrashReport(fingerprints=tuple(fingerprints)),
+        )
+
+    def tell_unload(
+        self,
+        server_id: ids.ServerId,
+        dropped: need.Need,
+    ) -> None:
+        """Have all instances send no more requests for a model there."""
+        found = self._servers.by_id.get(server_id)
+        if found is not None:
+            found.forget(dropped)
+        self._tell_all(
+            'unloads',
+            peer_messages.UnloadNews(server_id=server_id, dropped=dropped),
+        )
+
+    def _tell_all(self, word: str, news: msgspec.Struct) -> None:
         for other in self._members.others():
-            telling = asyncio.ensure_future(self._tell(other.peer, report))
+            telling = asyncio.ensure_future(
+                self._tell(other.peer, word, news),
+            )
             self._tellings.add(telling)
             telling.add_done_callback(self._tellings.discard)
 
     async def _tell(
         self,
         address: str,
-        report: peer_messages.CrashReport,
+        word: str,
+        news: msgspec.Struct,
     ) -> None:
         try:
             await self._client.ask(
                 address,
-                'crashes',
-                report,
+                word,
+                news,
                 peer_messages.Done,
                 TELL_WITHIN_S,
             )
         except peers.PeerUnreachable as error:
-            logs.event('suspects_untold', error=error)
+            logs.event('peer_untold', word=word, error=error)
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -50,6 +50,7 @@
         ('arrange', peer_messages.ArrangeQuery, one.arrange),
         ('demand', peer_messages.DemandReport, one.demand),
         ('crashes', peer_messages.CrashReport, one.crashes),
+        ('unloads', peer_messages.UnloadNews, one.unloads),
         ('stop', peer_messages.StopQuery, one.stop),
     )
     return [
--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -53,6 +53,13 @@
     fingerprints: tuple[int, ...]
 
 
+class UnloadNews(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell that a server is about to drop a model."""
+
+    server_id: ids.ServerId
+    dropped: need.Need
+
+
 class StopQuery(msgspec.Struct, frozen=True, kw_only=True):
     """Ask a former holder to give no more orders under an older fence.
 
--- a/oatcrank/cluster/peers.py
+++ b/oatcrank/cluster/peers.py
@@ -43,6 +43,13 @@
     ) -> peer_messages.Done:
         """Take suspects that another instance has found."""
 
+    @abc.abstractmethod
+    async def unloads(
+        self,
+        news: peer_messages.UnloadNews,
+    ) -> peer_messages.Done:
+        """Take that a server is about to drop a model."""
+
     @abc.abstractmethod
     async def stop(
         self,
--- a/oatcrank/cluster/remote_arranger.py
+++ b/oatcrank/cluster/remote_arranger.py
@@ -17,11 +17,11 @@
 
 ASK_WITHIN_S = 1.0
 NO_HOLDER_RETURN_S = 1.0
-REPORT_S = 1.0
+REPORT_S = 0.5
 
 
 class RemoteArranger(arranger.Arranger):
-    """Join equal wishes into one question; report demand once a second."""
+    """Join equal wishes into one question; report demand twice a second."""
 
     def __init__(
         self,
@@ -144,7 +144,7 @@
         self,
         holder: peer_messages.Holding,
     ) -> peer_messages.DemandReport:
-        """Return the last second's demand; to a new holder, all recent."""
+        """Return the demand since the last report; to a new holder, all recent."""
         now_s = time.monotonic()
         news = tuple(
             demand.Asked(
--- a/oatcrank/orders/ledger.py
+++ b/oatcrank/orders/ledger.py
@@ -15,7 +15,7 @@
 
 # A report may be this old; before, it says nothing of an order just sent.
 REPORT_LAG_S = 0.4
-UNLOAD_GUESS_S = 0.5
+REPORT_PAUSE_S = 0.25
 
 
 class Work(msgspec.Struct, kw_only=True):
@@ -37,12 +37,10 @@
         self.work: Work | None = None
         # Kept for one placement, from its decision to its last order.
         self.claimed = False
-        self.leaving_adapters: set[tuple[ids.ModelName, ids.AdapterName]] = (
-            set()
-        )
         self.last_order_s = -math.inf
+        self._last_report_s = -math.inf
         self.unreachable_until_s = -math.inf
-        self._used_s_by_model: dict[ids.ModelName, float] = {}
+        self._loaded_s_by_model: dict[ids.ModelName, float] = {}
 
     @property
     def known(self) -> bool:
@@ -64,12 +62,18 @@
 
     def needs_report(self, now_s: float) -> bool:
         """Tell whether a report would be taken and is worth its price."""
+        wanting = not self.known or self._unloads_adapter()
         return (
-            (not self.known or bool(self.leaving_adapters))
+            wanting
             and self.reachable(now_s)
             and now_s - self.last_order_s > REPORT_LAG_S
+            and now_s - self._last_report_s > REPORT_PAUSE_S
         )
 
+    def note_report(self, now_s: float) -> None:
+        """Note that a report is asked for."""
+        self._last_report_s = now_s
+
     def take_report(self, told: order.Report, now_s: float) -> None:
         """Replace what is known, unless an order is on its way."""
         if now_s - self.last_order_s <= REPORT_LAG_S:
@@ -79,7 +83,6 @@
             self.orders_taken = None
             return
         self.orders_taken = told.orders_taken
-        self.leaving_adapters.clear()
         self.adapters_by_model = {
             model: set(adapters)
             for model, adapters in told.adapters_by_model.items()
@@ -94,52 +97,47 @@
     def take_listing(self, listed: listing.Listing) -> None:
         """Take a newer registration, which ends work that it shows done."""
         self.listed = listed
-        if self.work is None:
+        if self.work is None or self.work.one.adapter is not None:
             return
         one = self.work.one
         held = one.model in listed.adapters_by_model
         if held == (one.action is order.Action.load):
             self.finish_work()
 
-    def finish_work(self) -> None:
-        """Note that the order under way is done."""
-        if self.work is None:
-            return
-        one = self.work.one
-        if one.action is order.Action.unload:
-            self.adapters_by_model.pop(one.model, None)
-        self.work = None
-
     def distrust(self) -> None:
         """Forget the count: something else than expected has happened."""
         self.orders_taken = None
 
     def take(self, one: order.Order, now_s: float, ends_s: float) -> None:
-        """Take an order that the server has accepted."""
+        """Take an order that the server has accepted.
+
+        It is at work until done, but that an adapter's load is no work; an
+        adapter in use is unloaded only when its runs have ended.
+        """
         self.orders_taken = one.orders_taken + 1
-        if one.adapter is not None:
-            self._take_adapter(one)
-            return
         if one.action is order.Action.load:
-            self.adapters_by_model.setdefault(one.model, set())
-            self._used_s_by_model[one.model] = now_s
+            adapters = self.adapters_by_model.setdefault(one.model, set())
+            if one.adapter is not None:
+                adapters.add(one.adapter)
+                return
+            self._loaded_s_by_model[one.model] = now_s
         self.work = Work(one=one, began_s=now_s, ends_s=ends_s)
 
-    def _take_adapter(self, one: order.Order) -> None:
-        held = self.adapters_by_model.setdefault(one.model, set())
-        if one.adapter is None:
+    def finish_work(self) -> None:
+        """Note that the order under way is done."""
+        if self.work is None:
             return
+        one = self.work.one
+        self.work = None
         if one.action is order.Action.load:
-            held.add(one.adapter)
+            return
+        if one.adapter is None:
+            self.adapters_by_model.pop(one.model, None)
         else:
-            # Its place is taken until its runs have ended.
-            self.leaving_adapters.add((one.model, one.adapter))
-
-    def drop_adapter(self, one: order.Order) -> None:
-        """Note that an adapter is certainly no longer held."""
-        if one.adapter is not None:
             self.adapters_by_model.get(one.model, set()).discard(one.adapter)
-            self.leaving_adapters.discard((one.model, one.adapter))
+
+    def _unloads_adapter(self) -> bool:
+        return self.work is not None and self.work.one.adapter is not None
 
     # Room
 
@@ -160,7 +158,7 @@
 
     def loaded_s(self, model: ids.ModelName) -> float:
         """Return when a model was ordered here, or minus infinity."""
-        return self._used_s_by_model.get(model, -math.inf)
+        return self._loaded_s_by_model.get(model, -math.inf)
 
     def load_s(self, model: route.Model) -> float:
         """Return how long the server would take to load a model."""
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import time
+from collections.abc import Callable
 
 import msgspec
 
@@ -28,6 +29,9 @@
 LOOK_S = 0.05
 
 
+OnUnload = Callable[[ids.ServerId, need.Need], None]
+
+
 class NotOrdered(errors.OatcrankError):
     """Report that something can't be ordered now, and when to ask again."""
 
@@ -63,6 +67,7 @@
     ) -> None:
         """Order servers of a table by way of a sender."""
         self.asked = demand.Demand()
+        self.on_unload: OnUnload = _tell_nobody
         self.turn: tenure.Tenure | None = None
         self.last_order_s_by_id: dict[ids.ServerId, float] = {}
         self._instance_id = instance_id
@@ -272,20 +277,24 @@
         engine = self._engine(wanted.service)
         if wanted.model is None or wanted.adapter is None:
             raise NotOrdered('no adapter named', 0, hopeless=True)
-        chosen = self._placement(wanted.service, engine, unusable).adapter(
-            wanted.model,
-            wanted.adapter,
-            suspended_time(),
-        )
+        weighed = self._placement(wanted.service, engine, unusable)
+        chosen = weighed.adapter(wanted.model, suspended_time())
         if chosen is None:
             self._log_unplaced(wanted)
             raise NotOrdered('no place for the adapter', ADAPTER_AGAIN_S)
         one = self._ledger_by_id[chosen.server_id]
         async with self._lock_by_id[chosen.server_id]:
-            if chosen.unload and one.adapters() >= engine.max_adapters:
-                await self._make_way(one, chosen.unload[0])
-            if one.adapters() >= engine.max_adapters:
-                raise NotOrdered('adapter places are in use', ADAPTER_AGAIN_S)
+            held = self._held(wanted, unusable)
+            if held is not None:
+                return held
+            # Others may have had orders sent while this one waited.
+            chosen = weighed.adapter_at(one, wanted.model, suspended_time())
+            if chosen is None:
+                raise NotOrdered('the place is taken', ADAPTER_AGAIN_S)
+            for model, adapter in chosen.unload:
+                await self._send(one, order.Action.unload, model, adapter, 0)
+            if one.work is not None:
+                raise NotOrdered('the place is in use', ADAPTER_AGAIN_S)
             await self._send(
                 one,
                 order.Action.load,
@@ -309,19 +318,8 @@
                     busy=one.work is not None,
                     known=one.known,
                     adapters=one.adapters(),
-                    leaving_adapters=len(one.leaving_adapters),
                 )
 
-    async def _make_way(
-        self,
-        one: ledger.Ledger,
-        victim: tuple[ids.ModelName, ids.AdapterName | None],
-    ) -> None:
-        model, adapter = victim
-        if adapter not in one.adapters_by_model.get(model, set()):
-            return
-        await self._send(one, order.Action.unload, model, adapter, 0)
-
     async def _idle(self, one: ledger.Ledger) -> None:
         """Wait until a server has carried out an order."""
         ends_s = suspended_time() + UNLOAD_WAIT_S
@@ -389,12 +387,15 @@
         now_s = suspended_time()
         if outcome is order.Outcome.accepted:
             one.take(wish, now_s, now_s + takes_s)
+            if wish.action is order.Action.unload and not wish.adapter:
+                self.on_unload(
+                    one.listed.server_id,
+                    need.Need(one.listed.service, wish.model),
+                )
             return
         if outcome is order.Outcome.done:
             one.take(wish, now_s, now_s)
             one.finish_work()
-            if wish.action is order.Action.unload:
-                one.drop_adapter(wish)
             return
         if outcome is order.Outcome.unsent:
             one.unreachable_until_s = now_s + UNREACHABLE_S
@@ -434,6 +435,7 @@
         async with self._lock_by_id[one.listed.server_id]:
             if not one.needs_report(suspended_time()):
                 return
+            one.note_report(suspended_time())
             told = await self._sender.report(one.listed)
             now_s = suspended_time()
             if told is None:
@@ -486,6 +488,10 @@
         )
 
 
+def _tell_nobody(_: ids.ServerId, __: need.Need) -> None:
+    """Be what is called where nobody wants to know."""
+
+
 def _wait_s(
     one: ledger.Ledger,
     wanted: need.Need,
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -4,6 +4,7 @@
 asked for at once: a load goes where it is quickest and costs least demand.
 """
 
+import math
 from collections.abc import Collection, Sequence
 
 import msgspec
@@ -32,13 +33,16 @@
 # requests for adapters that is lost.
 ADAPTERS_BLOCKED = 0.02
 # An adapter asked for this lately is probably in use.
-ADAPTER_IN_USE_S = 0.4
+ADAPTER_IN_USE_S = 0.8
 # Before demand has been counted this long, it says too little to unload by.
 YOUNG_DEMAND_S = 2.0
 # Demand that each request running at the server weighs as much as.
 CROWD_WEIGHT = 0.02
+# How long an unload takes by itself, and while requests run.
+UNLOAD_S = 0.1
+RUNS_END_S = 1.5
 # Demand that one second of loading weighs as much as.
-LOADING_WEIGHT = 0.1
+LOADING_WEIGHT = 0.15
 
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,6 +95,7 @@
         if not options:
             return None
         _, lost, best = min(options, key=lambda option: option[0])
+        replica = gain is not None
         if gain is None:
             gain = LAST_REPLICA + self._asked.model_rate(
                 self._need(name),
@@ -98,6 +103,8 @@
             )
         if best.unload and lost * DISPLACING_DEMAND > gain:
             return None
+        if replica and gain < LOADING_WEIGHT * best.load_s:
+            return None
         return best
 
     def shortages(self, now_s: float) -> list[tuple[float, ids.ModelName]]:
@@ -127,12 +134,7 @@
             / (self._engine.max_adapters * COMFORTABLE_ADAPTERS),
         )
 
-    def adapter(
-        self,
-        model: ids.ModelName,
-        name: ids.AdapterName,
-        now_s: float,
-    ) -> Choice | None:
+    def adapter(self, model: ids.ModelName, now_s: float) -> Choice | None:
         """Return where to load an adapter of a model that is held."""
         options = []
         for one in self._ledgers:
@@ -145,6 +147,18 @@
             return None
         return min(options, key=lambda option: option[0])[1]
 
+    def adapter_at(
+        self,
+        one: ledger.Ledger,
+        model: ids.ModelName,
+        now_s: float,
+    ) -> Choice | None:
+        """Return what makes way for an adapter at one server, if it fits."""
+        if model not in one.adapters_by_model or not one.ready(now_s):
+            return None
+        found = self._adapter_option(one, now_s)
+        return None if found is None else found[1]
+
     def _options(
         self,
         one: ledger.Ledger,
@@ -156,8 +170,7 @@
             return []
         load_s = one.load_s(wanted)
         lost = sum(self._loss(victim, now_s) for victim in victims)
-        if victims:
-            load_s += ledger.UNLOAD_GUESS_S
+        load_s += sum(self._unload_s(victim, now_s) for victim in victims)
         choice = Choice(
             server_id=one.listed.server_id,
             unload=tuple((victim, None) for victim in victims),
@@ -177,6 +190,12 @@
             for model in one.adapters_by_model
         )
 
+    def _unload_s(self, victim: ids.ModelName, now_s: float) -> float:
+        """Return how long an unload probably waits for runs to end."""
+        running = self._asked.running(self._need(victim), now_s)
+        here = running / max(1, self._replicas(victim))
+        return UNLOAD_S + RUNS_END_S * (1 - math.exp(-here))
+
     def _adapter_rate(self, one: ledger.Ledger, now_s: float) -> float:
         return sum(
             self._asked.rate(need.Need(self._service, model, adapter), now_s)
@@ -248,7 +267,6 @@
             (model, adapter)
             for model, adapters in one.adapters_by_model.items()
             for adapter in adapters
-            if (model, adapter) not in one.leaving_adapters
         ]
         if not held:
             return None
