--- /dev/null
+++ b/emulator/memory_store.py
@@ -0,0 +1,209 @@
+"""Keep values, leases and history in memory, with faults set by tests."""
+
+import asyncio
+import enum
+import itertools
+
+import msgspec
+
+from oatcrank import errors, ids
+from oatcrank.cluster import store
+
+LOOK_S = 0.01
+
+
+class Trouble(enum.Enum):
+    """Say what the store does wrong."""
+
+    none = 'none'
+    down = 'refuses every call'
+    lost = 'writes, and its answer is lost'
+
+
+class Lease(msgspec.Struct):
+    """Hold when a lease ends, and its term, in seconds."""
+
+    ends_s: float
+    term_s: float
+
+
+class MemoryStore:
+    """Hold what all clients share."""
+
+    def __init__(self) -> None:
+        """Start empty, at revision one."""
+        self.revision = 1
+        self.item_by_key: dict[str, store.Item] = {}
+        self.lease_by_key: dict[str, store.LeaseId] = {}
+        self.lease_by_id: dict[store.LeaseId, Lease] = {}
+        self.history: list[store.Item] = []
+        self.forgotten = 0
+        self._numbers = itertools.count(101)
+
+    def forget_history(self) -> None:
+        """Drop what watches of older revisions would need."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def revoke(self, key: str) -> None:
+        """Take a key away, as if its lease had ended."""
+        self._remove(key)
+
+    def expire(self) -> None:
+        """End the leases that were not renewed in time."""
+        now_s = asyncio.get_running_loop().time()
+        for number, lease in tuple(self.lease_by_id.items()):
+            if lease.ends_s <= now_s:
+                self.end(number)
+
+    def grant(self, term_s: float) -> store.LeaseId:
+        """Begin a lease."""
+        number = next(self._numbers)
+        now_s = asyncio.get_running_loop().time()
+        self.lease_by_id[number] = Lease(now_s + term_s, term_s)
+        return number
+
+    def keep(self, number: store.LeaseId) -> bool:
+        """Renew a lease, if it has not ended."""
+        self.expire()
+        lease = self.lease_by_id.get(number)
+        if lease is None:
+            return False
+        lease.ends_s = asyncio.get_running_loop().time() + lease.term_s
+        return True
+
+    def end(self, number: store.LeaseId) -> None:
+        """End a lease and remove its keys."""
+        self.lease_by_id.pop(number, None)
+        for key, owner in tuple(self.lease_by_key.items()):
+            if owner == number:
+                self._remove(key)
+
+    def write(self, one: store.Write) -> ids.Revision:
+        """Write, or raise Moved or LeaseEnded."""
+        self.expire()
+        for key, revision in one.expected.items():
+            item = self.item_by_key.get(key)
+            if (item.revision if item else store.ABSENT) != revision:
+                raise store.Moved(key)
+        if one.leased and one.leased not in self.lease_by_id:
+            raise store.LeaseEnded(str(one.leased))
+        self.revision += 1
+        for key, written in one.value_by_key.items():
+            self._put(key, written)
+            if key in one.leased_keys:
+                self.lease_by_key[key] = one.leased
+            else:
+                self.lease_by_key.pop(key, None)
+        for removed in one.removed:
+            self._remove(removed)
+        return ids.Revision(self.revision)
+
+    def put(self, key: str, written: bytes) -> ids.Revision:
+        """Write a key without conditions, as an operator does."""
+        return self.write(store.Write(value_by_key={key: written}))
+
+    def items(self) -> tuple[store.Item, ...]:
+        """Return all items by key."""
+        self.expire()
+        return tuple(
+            item for _, item in sorted(self.item_by_key.items())
+        )
+
+    def after(self, revision: int) -> tuple[store.Item, ...]:
+        """Return what has changed, or raise HistoryLost."""
+        self.expire()
+        if revision < self.forgotten:
+            raise store.HistoryLost(str(revision))
+        return tuple(
+            item for item in self.history if item.revision > revision
+        )
+
+    def _put(self, key: str, written: bytes) -> None:
+        item = store.Item(
+            key=key,
+            value=written,
+            revision=ids.Revision(self.revision),
+        )
+        self.item_by_key[key] = item
+        self.history.append(item)
+
+    def _remove(self, key: str) -> None:
+        if self.item_by_key.pop(key, None) is None:
+            return
+        self.lease_by_key.pop(key, None)
+        self.revision += 1
+        self.history.append(
+            store.Item(
+                key=key,
+                value=None,
+                revision=ids.Revision(self.revision),
+            ),
+        )
+
+
+class MemoryClient(store.Store):
+    """Call the shared store from one instance, which may be cut off."""
+
+    def __init__(self, shared: MemoryStore) -> None:
+        """Call without trouble at first."""
+        self.shared = shared
+        self.trouble = Trouble.none
+        self.calls = 0
+
+    async def read(self, key: str) -> store.Item | None:
+        """Return a key's newest value."""
+        self._check()
+        self.shared.expire()
+        return self.shared.item_by_key.get(key)
+
+    async def read_all(self) -> store.Snapshot:
+        """Return all items."""
+        self._check()
+        return store.Snapshot(
+            items=self.shared.items(),
+            revision=ids.Revision(self.shared.revision),
+        )
+
+    async def watch(self, after: ids.Revision, wait_s: float) -> store.Changes:
+        """Return changes after a revision, or raise HistoryLost."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + wait_s
+        while True:
+            self._check()
+            found = self.shared.after(after)
+            if found or loop.time() >= ends_s:
+                return store.Changes(
+                    items=found,
+                    revision=ids.Revision(self.shared.revision),
+                )
+            await asyncio.sleep(LOOK_S)
+
+    async def write(self, one: store.Write) -> ids.Revision:
+        """Write, or raise Moved or LeaseEnded."""
+        self._check()
+        revision = self.shared.write(one)
+        if self.trouble is Trouble.lost:
+            raise errors.UnknownOutcome('the answer is lost')
+        return revision
+
+    async def grant(self, term_s: float) -> store.LeaseId:
+        """Begin a lease."""
+        self._check()
+        return self.shared.grant(term_s)
+
+    async def keep(self, lease: store.LeaseId, within_s: float) -> None:
+        """Renew a lease or raise LeaseEnded."""
+        self._check()
+        if not self.shared.keep(lease):
+            raise store.LeaseEnded(str(lease))
+
+    async def end(self, lease: store.LeaseId) -> None:
+        """End a lease and remove its keys."""
+        self._check()
+        self.shared.end(lease)
+
+    def _check(self) -> None:
+        self.calls += 1
+        if self.trouble is Trouble.down:
+            raise errors.Unavailable('the store is down')
--- /dev/null
+++ b/emulator/platform_worker.py
@@ -0,0 +1,246 @@
+"""Be a worker of the platform whose answers a test chooses."""
+
+import asyncio
+import enum
+import json
+from collections.abc import Callable
+
+import msgspec
+
+OK = b'HTTP/1.1 200 OK'
+
+
+class Manner(enum.Enum):
+    """Say how a worker answers a request."""
+
+    whole = 'a whole answer'
+    stream = 'a stream of events'
+    failure = 'a failure of its own'
+    full = 'not run: full'
+    other = 'not run: another worker has the address'
+    truncated = 'breaks off in the answer'
+    half_stream = 'breaks off in the stream'
+    doubled = 'one answer, then another'
+    late_first = 'first a late answer to an earlier request'
+    unsigned = 'without the signature'
+    garbage = 'no HTTP at all'
+    unframed = 'without a length, ends with the connection'
+    reset = 'reads the request and resets'
+    silent = 'reads the request and says nothing'
+    closing = 'a whole answer, then it closes'
+
+
+class Seen(msgspec.Struct):
+    """Hold a request as a worker has read it."""
+
+    method: str
+    target: str
+    header_by_name: dict[str, str]
+    body: bytes
+
+
+class Worker:
+    """Listen on loopback and answer in the manner that is set."""
+
+    def __init__(self, worker_id: str = 'worker-1') -> None:
+        """Answer whole at first."""
+        self.worker_id = worker_id
+        self.manner = Manner.whole
+        self.manners: list[Manner] = []
+        self.seen: list[Seen] = []
+        self.ran: list[str] = []
+        self.connections = 0
+        self.gone_midway = 0
+        self.events = 4
+        self.pause_s = 0.0
+        self.order_status = 202
+        self.report: dict[str, object] = {'busy': False, 'seq': 0}
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            '127.0.0.1',
+            port,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and reset what is open, as in a crash."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while await self._answer_next(reader, writer):
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.gone_midway += 1
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer_next(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        seen = await _read(reader)
+        if seen is None:
+            return False
+        self.seen.append(seen)
+        if seen.target == '/order':
+            writer.write(_answer(self.order_status, {}, b'{}'))
+            return True
+        if seen.target == '/report':
+            writer.write(_answer(200, {}, json.dumps(self.report).encode()))
+            return True
+        manner = self.manners.pop(0) if self.manners else self.manner
+        if manner not in {Manner.full, Manner.other}:
+            self.ran.append(seen.header_by_name['x-request-id'])
+        if self.pause_s:
+            await asyncio.sleep(self.pause_s)
+        return await self._act(manner, seen, writer)
+
+    async def _act(
+        self,
+        manner: Manner,
+        seen: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        simple = SIMPLE_BY_MANNER.get(manner)
+        if simple is not None:
+            writer.write(simple(self._names(seen)))
+            return manner is not Manner.closing
+        if manner in {Manner.stream, Manner.half_stream}:
+            return await self._stream(manner, seen, writer)
+        if manner is Manner.silent:
+            await asyncio.Event().wait()
+        await writer.drain()
+        if manner is Manner.truncated:
+            writer.write(_answer(200, self._names(seen), b'x' * 50)[:-20])
+            await writer.drain()
+            return False
+        if manner is Manner.unframed:
+            writer.write(_unframed(self._names(seen), b'whole'))
+            return False
+        writer.transport.abort()
+        return False
+
+    async def _stream(
+        self,
+        manner: Manner,
+        seen: Seen,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        names = self._names(seen)
+        head = [OK, b'Transfer-Encoding: chunked']
+        head.extend(f'{key}: {text}'.encode() for key, text in names.items())
+        writer.write(b'\r\n'.join((*head, b'', b'')))
+        start = int(seen.header_by_name.get('last-event-id', '0'))
+        for number in range(start + 1, self.events + 1):
+            event = b'id: %d\ndata: word%d\n\n' % (number, number)
+            if manner is Manner.half_stream and number == start + 2:
+                _chunk(writer, event[:9])
+                await writer.drain()
+                return False
+            _chunk(writer, event)
+            await writer.drain()
+        writer.write(b'0\r\n\r\n')
+        return True
+
+    def _names(self, seen: Seen) -> dict[str, str]:
+        return {
+            'X-Request-Id': seen.header_by_name.get('x-request-id', ''),
+            'X-Response-Signature': f'signed-by-{self.worker_id}',
+            'X-Server-Load': '3,1,64',
+            'Keep-Alive': 'timeout=5',
+        }
+
+
+async def _read(reader: asyncio.StreamReader) -> Seen | None:
+    line = await reader.readline()
+    if not line:
+        return None
+    method, target, _ = line.decode().split(' ')
+    by_name: dict[str, str] = {}
+    while (line := await reader.readline()) not in {b'\r\n', b''}:
+        name, _, text = line.decode().partition(':')
+        by_name[name.lower()] = text.strip()
+    length = int(by_name.get('content-length', '0'))
+    body = await reader.readexactly(length)
+    return Seen(method, target, by_name, body)
+
+
+def _answer(status: int, names: dict[str, str], body: bytes) -> bytes:
+    lines = [f'HTTP/1.1 {status} Told', f'Content-Length: {len(body)}']
+    lines.extend(f'{key}: {text}' for key, text in names.items())
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def _unframed(names: dict[str, str], body: bytes) -> bytes:
+    lines = ['HTTP/1.1 200 OK', 'Connection: close']
+    lines.extend(f'{key}: {text}' for key, text in names.items())
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def _chunk(writer: asyncio.StreamWriter, body: bytes) -> None:
+    writer.write(b'%x\r\n%s\r\n' % (len(body), body))
+
+
+def _whole(names: dict[str, str]) -> bytes:
+    return _answer(200, names, b'whole')
+
+
+def _failure(names: dict[str, str]) -> bytes:
+    return _answer(500, names, b'failed')
+
+
+def _full(names: dict[str, str]) -> bytes:
+    return _answer(503, {**names, 'X-Not-Executed': '1'}, b'')
+
+
+def _other(names: dict[str, str]) -> bytes:
+    return _answer(421, {'X-Instance-Id': 'another'}, b'')
+
+
+def _doubled(names: dict[str, str]) -> bytes:
+    return _whole(names) + _whole(names)
+
+
+def _late_first(names: dict[str, str]) -> bytes:
+    late = {**names, 'X-Request-Id': 'an-earlier-one'}
+    return _answer(200, late, b'late') + _whole(names)
+
+
+def _unsigned(names: dict[str, str]) -> bytes:
+    kept = {key: text for key, text in names.items() if 'Sig' not in key}
+    return _answer(200, kept, b'whole')
+
+
+def _garbage(names: dict[str, str]) -> bytes:
+    return b'\x00\x01 this is no answer\r\n\r\n'
+
+
+SIMPLE_BY_MANNER: dict[Manner, Callable[[dict[str, str]], bytes]] = {
+    Manner.whole: _whole,
+    Manner.closing: _whole,
+    Manner.failure: _failure,
+    Manner.full: _full,
+    Manner.other: _other,
+    Manner.doubled: _doubled,
+    Manner.late_first: _late_first,
+    Manner.unsigned: _unsigned,
+    Manner.garbage: _garbage,
+}
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -177,6 +177,7 @@
             await asyncio.sleep(IDLE_LOOK_S)
         if self._opened:
             logs.event('stop_cuts', connections=len(self._opened))
+        self._desk.stop()
         await self._session.end()
         await self._background.close()
 
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine
 
 import msgspec
 
@@ -19,8 +20,9 @@
 HOLDER_KEY = 'orders/holder'
 LAST_KEY = 'orders/last'
 LOOK_S = 0.25
-ASK_WITHIN_S = 0.5
-RENEW_S = 0.4
+ASK_WITHIN_S = 0.3
+KEEP_WITHIN_S = 0.3
+RENEW_S = 0.3
 BALANCE_S = 0.5
 FIRST_WAIT_S = 0.3
 
@@ -59,6 +61,8 @@
         self._wanted = True
         self._lease: store.LeaseId | None = None
         self._told: peer_messages.Holding | None = None
+        self._acquiring = False
+        self._tasks: set[asyncio.Task[None]] = set()
 
     def holding(self) -> peer_messages.Holding | None:
         """Return the newest holder seen in the store or told by a peer."""
@@ -114,9 +118,9 @@
         """Give the lease up for good."""
         self._wanted = False
         turn = self._desk.turn
-        self._desk.stop()
         if turn is None:
             return
+        # Orders go on until a successor asks for their end.
         try:
             await self._store.write(
                 store.Write(
@@ -127,17 +131,26 @@
         except errors.PlatformError as error:
             # The lease then ends with this instance's session.
             logs.event('order_lease_unreleased', error=error)
-        logs.event('order_lease_released')
+            return
+        logs.event('order_lease_released', fence=turn.fence)
+
+    def vouch(self, query: peer_messages.VouchQuery) -> peer_messages.Vouched:
+        """Say whether a holder is still the newest known here.
+
+        An instance that acquires the lease from now on waits longer than the
+        holder may rely on this, or has it stop by word.
+        """
+        known = self.holding()
+        newest = not self._acquiring and (
+            known is None or known.fence <= query.holding.fence
+        )
+        return peer_messages.Vouched(newest=newest, holding=known)
 
     def stop(self, query: peer_messages.StopQuery) -> peer_messages.Stopped:
         """Tell a successor that no order follows under an older fence."""
         if query.started_ms != self._members.own.started_ms:
-            return peer_messages.Stopped(
-                known=False,
-                order_age_s_by_id={},
-                waits_s=0,
-                store_loads=0,
-            )
+            # The process that held the lease has ended.
+            return peer_messages.Stopped(waits_s=0, store_loads=0)
         now_s = order_desk.suspended_time()
         fence = query.successor.fence
         self.take_told(query.successor)
@@ -147,11 +160,6 @@
             self._desk.stop()
             logs.event('order_lease_superseded', fence=fence)
         return peer_messages.Stopped(
-            known=True,
-            order_age_s_by_id={
-                server_id: now_s - last_s
-                for server_id, last_s in (self._desk.last_order_s_by_id.items())
-            },
             waits_s=max(0, waits_s),
             store_loads=self._desk.store_loads(),
         )
@@ -171,11 +179,67 @@
             logs.event('order_lease_lost', fence=turn.fence)
             self._desk.stop()
             return
-        await self._session.keep()
+        try:
+            await self._session.keep(KEEP_WITHIN_S)
+        except store.LeaseEnded:
+            self._desk.stop()
+            raise
+        except errors.PlatformError as error:
+            logs.event('order_lease_unrenewed', error=error)
+            await self._renew_by_peers(turn)
+            return
         if self._session.lease == self._lease:
             turn.renew(sent_s)
 
+    async def _renew_by_peers(self, turn: tenure.Tenure) -> None:
+        """Go on without the store if every instance vouches for this one."""
+        sent_s = order_desk.suspended_time()
+        holding = self._own_holding(turn)
+        others = self._members.others()
+        told = await asyncio.gather(
+            *(self._ask_vouch(other.peer, holding) for other in others),
+        )
+        if others and all(told) and self._desk.turn is turn:
+            turn.renew(sent_s)
+            logs.event('order_lease_vouched', fence=turn.fence)
+
+    async def _ask_vouch(
+        self,
+        address: str,
+        holding: peer_messages.Holding,
+    ) -> bool:
+        try:
+            told = await self._client.ask(
+                address,
+                'vouch',
+                peer_messages.VouchQuery(holding=holding),
+                peer_messages.Vouched,
+                ASK_WITHIN_S,
+            )
+        except peers.PeerUnreachable as error:
+            logs.event('vouch_failed', error=error)
+            return False
+        if told.holding is not None and told.holding.fence > holding.fence:
+            self.take_told(told.holding)
+            self._desk.stop()
+        return told.newest
+
+    def _own_holding(self, turn: tenure.Tenure) -> peer_messages.Holding:
+        return peer_messages.Holding(
+            instance_id=self._members.own.instance_id,
+            started_ms=self._members.own.started_ms,
+            peer=self._members.own.peer,
+            fence=ids.Fence(turn.fence),
+        )
+
     async def _acquire(self, lease: store.LeaseId) -> None:
+        self._acquiring = True
+        try:
+            await self._take(lease)
+        finally:
+            self._acquiring = False
+
+    async def _take(self, lease: store.LeaseId) -> None:
         sent_s = order_desk.suspended_time()
         former = self._mirror.get(LAST_KEY)
         own = HolderRecord(
@@ -207,7 +271,7 @@
             fence=revision,
             sent_s=sent_s,
             now_s=order_desk.suspended_time(),
-            turn_s=self._turn_s,
+            own_orders_end_s=self._desk.last_order_s + self._turn_s,
             first=former is None,
         )
         self._lease = lease
@@ -217,8 +281,27 @@
             fence=revision,
             waits_s=round(turn.starts_s - turn.acquired_s, 3),
         )
+        for other in self._members.others():
+            self._spawn(self._tell_holder(other.peer, turn))
         if former is not None:
-            asyncio.ensure_future(self._ask_former(former, turn))
+            self._spawn(self._ask_former(former, turn))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tell_holder(self, address: str, turn: tenure.Tenure) -> None:
+        try:
+            await self._client.ask(
+                address,
+                'holder',
+                self._own_holding(turn),
+                peer_messages.Done,
+                ASK_WITHIN_S,
+            )
+        except peers.PeerUnreachable as error:
+            logs.event('holder_untold', error=error)
 
     async def _settled(self, encoded: bytes) -> ids.Revision | None:
         """Return the revision of a write whose answer was lost."""
@@ -242,31 +325,20 @@
                 record.peer,
                 'stop',
                 peer_messages.StopQuery(
-                    successor=peer_messages.Holding(
-                        instance_id=self._members.own.instance_id,
-                        started_ms=self._members.own.started_ms,
-                        peer=self._members.own.peer,
-                        fence=ids.Fence(turn.fence),
-                    ),
+                    successor=self._own_holding(turn),
                     started_ms=record.started_ms,
                 ),
                 peer_messages.Stopped,
                 ASK_WITHIN_S,
             )
+        except peers.PeerGone as error:
+            logs.event('former_holder_ended', error=error)
+            turn.follow(order_desk.suspended_time())
+            return
         except peers.PeerUnreachable as error:
             logs.event('former_holder_silent', error=error)
             return
-        if not told.known:
-            # That process is gone; how it ended is not known.
-            return
-        now_s = order_desk.suspended_time()
-        turn.follow(
-            {
-                server_id: now_s - age_s
-                for server_id, age_s in told.order_age_s_by_id.items()
-            },
-            now_s + told.waits_s,
-        )
+        turn.follow(order_desk.suspended_time() + told.waits_s)
         logs.event(
             'former_holder_stopped',
             former=record.instance_id,
--- a/oatcrank/cluster/own_peer.py
+++ b/oatcrank/cluster/own_peer.py
@@ -74,6 +74,21 @@
             found.forget(news.dropped)
         return peer_messages.Done()
 
+    async def vouch(
+        self,
+        query: peer_messages.VouchQuery,
+    ) -> peer_messages.Vouched:
+        """Say whether a holder is still the newest known."""
+        return self._turn.vouch(query)
+
+    async def holder(
+        self,
+        holding: peer_messages.Holding,
+    ) -> peer_messages.Done:
+        """Take who the new holder is."""
+        self._turn.take_told(holding)
+        return peer_messages.Done()
+
     async def stop(
         self,
         query: peer_messages.StopQuery,
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -51,6 +51,8 @@
         ('demand', peer_messages.DemandReport, one.demand),
         ('crashes', peer_messages.CrashReport, one.crashes),
         ('unloads', peer_messages.UnloadNews, one.unloads),
+        ('vouch', peer_messages.VouchQuery, one.vouch),
+        ('holder', peer_messages.Holding, one.holder),
         ('stop', peer_messages.StopQuery, one.stop),
     )
     return [
--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -71,17 +71,27 @@
 
 
 class Stopped(msgspec.Struct, frozen=True, kw_only=True):
-    """Say how long ago the last orders were sent, in seconds, by server.
+    """Say that no order follows, and how many loads may have begun lately.
 
-    A process that was started since knows nothing of it.  waits_s is left
-    of a turn that had not begun.
+    waits_s is left of a turn that had not begun, in seconds.
     """
 
-    known: bool
-    order_age_s_by_id: dict[ids.ServerId, float]
     waits_s: float
     store_loads: int
 
 
+class VouchQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask whether a holder that can't renew its lease is still the newest."""
+
+    holding: Holding
+
+
+class Vouched(msgspec.Struct, frozen=True, kw_only=True):
+    """Say whether no newer holder is known; if one is, which."""
+
+    newest: bool
+    holding: Holding | None = None
+
+
 class Done(msgspec.Struct, frozen=True):
     """Acknowledge a message that asks for nothing."""
--- a/oatcrank/cluster/peers.py
+++ b/oatcrank/cluster/peers.py
@@ -8,6 +8,7 @@
 from oatcrank import errors
 from oatcrank.cluster import peer_messages
 from oatcrank.transport import calls
+from oatcrank.transport import errors as transport_errors
 
 PATH = '/peer/'
 OK = 200
@@ -19,6 +20,10 @@
     """Report that an instance has not answered a message."""
 
 
+class PeerGone(PeerUnreachable):
+    """Report that no process listens at an instance's address."""
+
+
 class Peer(abc.ABC):
     """Answer the messages of other instances."""
 
@@ -43,6 +48,20 @@
     ) -> peer_messages.Done:
         """Take suspects that another instance has found."""
 
+    @abc.abstractmethod
+    async def vouch(
+        self,
+        query: peer_messages.VouchQuery,
+    ) -> peer_messages.Vouched:
+        """Say whether a holder is still the newest known."""
+
+    @abc.abstractmethod
+    async def holder(
+        self,
+        holding: peer_messages.Holding,
+    ) -> peer_messages.Done:
+        """Take who the new holder is."""
+
     @abc.abstractmethod
     async def unloads(
         self,
@@ -80,6 +99,8 @@
                 ),
                 within_s,
             )
+        except transport_errors.Refused as error:
+            raise PeerGone(f'{word}: {error}') from error
         except errors.BackendError as error:
             raise PeerUnreachable(f'{word}: {error}') from error
         if called.status != OK:
--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -8,8 +8,9 @@
 from oatcrank.cluster import members, store
 
 MEMBERS_PREFIX = 'members/'
-TERM_S = 2.4
-RENEW_S = 0.8
+TERM_S = 2.0
+RENEW_S = 0.7
+RENEW_WITHIN_S = 1.0
 RETRY_S = 0.3
 
 
@@ -44,12 +45,12 @@
                 pause_s = RETRY_S
             await self._pause(pause_s)
 
-    async def keep(self) -> None:
+    async def keep(self, within_s: float) -> None:
         """Renew the lease; when it has ended, a new one follows."""
         if self.lease is None:
             return
         try:
-            await self._store.keep(self.lease)
+            await self._store.keep(self.lease, within_s)
         except store.LeaseEnded:
             logs.event('session_ended')
             self.lease = None
@@ -70,7 +71,7 @@
             self._written = b''
             self.lease = await self._store.grant(TERM_S)
         else:
-            await self.keep()
+            await self.keep(RENEW_WITHIN_S)
         await self._register(self.lease)
 
     async def _register(self, lease: store.LeaseId | None) -> None:
--- a/oatcrank/cluster/store.py
+++ b/oatcrank/cluster/store.py
@@ -83,7 +83,7 @@
         """Begin a lease."""
 
     @abc.abstractmethod
-    async def keep(self, lease: LeaseId) -> None:
+    async def keep(self, lease: LeaseId, within_s: float) -> None:
         """Renew a lease or raise LeaseEnded."""
 
     @abc.abstractmethod
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -23,6 +23,8 @@
 FAILED_RETURN_S = 0.3
 DECLINED_PAUSE_S = 0.03
 SHORTEST_ATTEMPT_S = 0.02
+# Sends in all, also those that servers decline.
+MOST_SENDS = 5
 SERVER_ERROR = 500
 
 
@@ -109,6 +111,8 @@
     def _account(self) -> None:
         """Count a first send, or spend one of the retries."""
         now_s = self._shared.now()
+        if self._sends >= MOST_SENDS:
+            raise refusal.Refused('sent too often', FAILED_RETURN_S)
         if not self._sends:
             self._shared.retries.note_first(self._wanted.service, now_s)
         elif not self._shared.retries.spend(self._wanted.service, now_s):
@@ -160,6 +164,8 @@
             reason=ended.reason,
             step=step.name,
         )
+        if ended.progress is attempt_state.Progress.written:
+            self._shared.crash_watch.interrupted(chosen, self._print)
         if step is attempt_state.Step.send_again:
             await self._before_again(ended, chosen, search)
             return False
@@ -174,7 +180,6 @@
         search: server_search.ServerSearch,
     ) -> None:
         if ended.progress is attempt_state.Progress.written:
-            self._shared.crash_watch.interrupted(chosen, self._print)
             search.avoid(chosen.server_id)
         elif ended.progress is attempt_state.Progress.unsent:
             # Nothing has reached it: it doesn't count as one of the servers.
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import time
 from collections.abc import Callable
 
@@ -69,7 +70,7 @@
         self.asked = demand.Demand()
         self.on_unload: OnUnload = _tell_nobody
         self.turn: tenure.Tenure | None = None
-        self.last_order_s_by_id: dict[ids.ServerId, float] = {}
+        self.last_order_s = -math.inf
         self._instance_id = instance_id
         self._servers = servers
         self._routes = routes
@@ -136,7 +137,7 @@
         engine: route.Engine,
     ) -> None:
         now_s = suspended_time()
-        if not self._orderable(service):
+        if self.turn is None or not self.turn.may_order(now_s):
             return
         shortages = self._placement(service, engine, ()).shortages(now_s)
         if not shortages:
@@ -161,16 +162,6 @@
             if one.server_id in self._ledger_by_id
         ]
 
-    def _orderable(self, service: ids.ServiceName) -> list[ledger.Ledger]:
-        """Return the servers whose turn has begun."""
-        now_s = suspended_time()
-        return [
-            one
-            for one in self._ledgers(service)
-            if self.turn is not None
-            and self.turn.may_order(one.listed.server_id, now_s)
-        ]
-
     def _held(
         self,
         wanted: need.Need,
@@ -214,6 +205,7 @@
         *,
         gain: float | None = None,
     ) -> Placed:
+        self._check_turn()
         engine = self._engine(wanted.service)
         now_s = suspended_time()
         ceiling = self._ceiling(wanted.service, engine)
@@ -351,7 +343,7 @@
         adapter: ids.AdapterName | None,
         takes_s: float,
     ) -> None:
-        turn = self._check_turn(one.listed.server_id)
+        turn = self._check_turn()
         if one.orders_taken is None:
             raise NotOrdered('what the server holds is unknown', ASK_AGAIN_S)
         wish = order.Order(
@@ -405,17 +397,17 @@
 
     def _note_sent(self, one: ledger.Ledger) -> None:
         one.last_order_s = suspended_time()
-        self.last_order_s_by_id[one.listed.server_id] = one.last_order_s
+        self.last_order_s = one.last_order_s
 
-    def _check_turn(self, server_id: ids.ServerId) -> tenure.Tenure:
+    def _check_turn(self) -> tenure.Tenure:
         now_s = suspended_time()
         turn = self.turn
         if turn is None:
             raise NotOrdered('this instance gives no orders', ASK_AGAIN_S)
-        if not turn.may_order(server_id, now_s):
+        if not turn.may_order(now_s):
             raise NotOrdered(
                 'the turn has not begun or is over',
-                max(ASK_AGAIN_S, turn.start_s(server_id) - now_s),
+                max(LOOK_S, turn.start_s() - now_s),
             )
         return turn
 
@@ -458,14 +450,9 @@
     ) -> placement.Placement:
         usable = [
             one
-            for one in self._orderable(service)
+            for one in self._ledgers(service)
             if one.listed.server_id not in unusable
         ]
-        if not usable and self.turn is not None:
-            raise NotOrdered(
-                'the turn has not begun or is over',
-                max(ASK_AGAIN_S, self.turn.starts_s - suspended_time()),
-            )
         return placement.Placement(usable, engine, self.asked, service)
 
     def _engine(self, service: ids.ServiceName) -> route.Engine:
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -157,9 +157,13 @@
         called = await self._write('POST', '/kv-lease', body)
         return _decoded(called, _Granted).lease
 
-    async def keep(self, lease: store.LeaseId) -> None:
+    async def keep(self, lease: store.LeaseId, within_s: float) -> None:
         """Renew a lease or raise LeaseEnded."""
-        called = await self._write('POST', f'/kv-keep/{lease}')
+        called = await self._write(
+            'POST',
+            f'/kv-keep/{lease}',
+            within_s=within_s,
+        )
         if called.status == http.HTTPStatus.NOT_FOUND:
             raise store.LeaseEnded(str(lease))
         if called.status != OK:
@@ -199,12 +203,13 @@
         method: str,
         path: str,
         body: bytes = b'',
+        within_s: float = CALL_WITHIN_S,
     ) -> calls.Called:
         try:
             called = await calls.call(
                 self._address,
                 calls.Call(method=method, target=path, body=body),
-                CALL_WITHIN_S,
+                within_s,
             )
         except errors.NotStarted as error:
             raise errors.Unavailable(f'{path}: {error}') from error
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -249,6 +249,8 @@
                 host,
                 port,
             )
+    except ConnectionRefusedError as error:
+        raise errors.Refused(f'{host}:{port}: {error!r}') from error
     except (OSError, TimeoutError) as error:
         raise errors.ConnectFailed(f'{host}:{port}: {error!r}') from error
     return connection
--- /dev/null
+++ b/tests/forwarding_site.py
@@ -0,0 +1,218 @@
+"""Put a forwarder before workers of the stand-in, on loopback."""
+
+import asyncio
+import random
+
+import msgspec
+import routing_parts
+
+from emulator import platform_worker
+from oatcrank.forwarding import arranger, crash_watch, forwarder, parts
+from oatcrank.platform import dialect
+from oatcrank.routing import (
+    choice,
+    crash_record,
+    need,
+    retry_budgets,
+    route_table,
+    server_table,
+)
+from oatcrank.transport import caller_connection, limits
+
+
+class Told(msgspec.Struct):
+    """Hold an answer as a caller has read it."""
+
+    status: int
+    header_by_name: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class SetArranger(arranger.Arranger):
+    """Arrange what a test has set."""
+
+    def __init__(self) -> None:
+        self.wishes: list[need.Need] = []
+        self.answers: list[arranger.Arrangement] = []
+        self.act = lambda wanted: None
+
+    async def arrange(self, wanted: need.Need) -> arranger.Arrangement:
+        self.wishes.append(wanted)
+        self.act(wanted)
+        if self.answers:
+            return self.answers.pop(0)
+        return arranger.Arrangement(
+            ready_in_s=0.5,
+            refused='nothing is arranged',
+            hopeless=True,
+        )
+
+    def note_demand(self, wanted: need.Need) -> None:
+        """Count nothing."""
+
+    def note_run(self, wanted: need.Need, seconds: float) -> None:
+        """Count nothing."""
+
+
+class Site:
+    """Hold one forwarder, its workers and its callers."""
+
+    def __init__(self, workers: int = 2, **route_changes) -> None:
+        self.workers = [
+            platform_worker.Worker(f'server-{number}')
+            for number in range(workers)
+        ]
+        self.routes = route_table.RouteTable()
+        self.route = routing_parts.a_route(**route_changes)
+        self.routes.replace(routing_parts.configuration(self.route))
+        self.servers = server_table.ServerTable()
+        self.arranger = SetArranger()
+        self.crashes = crash_record.CrashRecord()
+        self.told_crashes: list[int] = []
+        self.limits = limits.Limits()
+        self.opened: set[caller_connection.CallerConnection] = set()
+        self.shared = parts.Parts(
+            dialect=dialect.PlatformDialect(),
+            routes=self.routes,
+            servers=self.servers,
+            chooser=choice.Chooser('north', random.Random(3)),
+            retries=retry_budgets.RetryBudgets(
+                ratio=0.2,
+                allowance=50,
+                window_s=10,
+                instances=lambda: 1,
+            ),
+            arranger=self.arranger,
+            crashes=self.crashes,
+            crash_watch=crash_watch.CrashWatch(
+                self.crashes,
+                self.told_crashes.extend,
+            ),
+            dice=random.Random(5),
+        )
+        self.forwarder = forwarder.Forwarder(self.shared)
+        self.port = 0
+
+    async def start(self, **changes) -> None:
+        for number, worker in enumerate(self.workers):
+            await worker.start()
+            self.servers.put(
+                routing_parts.listed(
+                    number,
+                    port=worker.port,
+                    **changes,
+                ),
+            )
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(
+            lambda: caller_connection.CallerConnection(
+                self.forwarder,
+                lambda: self.limits,
+                self.opened,
+            ),
+            '127.0.0.1',
+            0,
+        )
+        self.port = self._listening.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        self._listening.close()
+        for worker in self.workers:
+            await worker.stop()
+        for one in self.servers.by_id.values():
+            one.pool.close()
+
+    def runs(self) -> int:
+        """Return how often workers have run a request."""
+        return sum(len(worker.ran) for worker in self.workers)
+
+    async def ask(self, text: bytes | None = None, **headers) -> Told:
+        """Send one request on a connection of its own."""
+        caller = await Caller.open(self.port)
+        try:
+            return await caller.ask(text or request(**headers))
+        finally:
+            caller.close()
+
+
+def request(
+    method: str = 'POST',
+    target: str = '/words/x',
+    body: bytes = b'hello',
+    **headers,
+) -> bytes:
+    """Return the bytes of a request; headers with _ for -."""
+    lines = [f'{method} {target} HTTP/1.1', 'Host: words.example']
+    named = {'x_request_id': 'request-1', 'x_deadline_ms': '2000', **headers}
+    lines.extend(
+        f'{name.replace("_", "-")}: {text}' for name, text in named.items()
+    )
+    lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+class Caller:
+    """Hold one connection of a caller."""
+
+    def __init__(self, reader, writer) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, port: int) -> 'Caller':
+        return cls(*await asyncio.open_connection('127.0.0.1', port))
+
+    def close(self) -> None:
+        self.writer.close()
+
+    async def ask(self, text: bytes) -> Told:
+        self.writer.write(text)
+        return await self.read()
+
+    async def read(self) -> Told:
+        try:
+            async with asyncio.timeout(5):
+                return await self._read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Told(0, {}, b'', whole=False)
+
+    async def _read(self) -> Told:
+        line = await self.reader.readline()
+        if not line:
+            return Told(0, {}, b'', whole=False)
+        status = int(line.split()[1])
+        by_name = {}
+        while (line := await self.reader.readline()) not in {b'\r\n', b''}:
+            name, _, text = line.decode().partition(':')
+            by_name[name.lower()] = text.strip()
+        if by_name.get('transfer-encoding') == 'chunked':
+            return await self._chunks(status, by_name)
+        length = int(by_name.get('content-length', '0'))
+        body = await self.reader.readexactly(length)
+        return Told(status, by_name, body, whole=True)
+
+    async def _chunks(self, status: int, by_name: dict[str, str]) -> Told:
+        body = b''
+        try:
+            while True:
+                size = int(await self.reader.readline(), 16)
+                body += (await self.reader.readexactly(size + 2))[:-2]
+                if size == 0:
+                    return Told(status, by_name, body, whole=True)
+        except (ValueError, asyncio.IncompleteReadError, ConnectionError):
+            return Told(status, by_name, body, whole=False)
+
+
+def play(work, workers: int = 2, listed=None, **route_changes):
+    """Run a test's work on a site."""
+
+    async def run():
+        site = Site(workers, **route_changes)
+        await site.start(**(listed or {}))
+        try:
+            return await work(site)
+        finally:
+            await site.stop()
+
+    return asyncio.run(run())
--- /dev/null
+++ b/tests/routing_parts.py
@@ -0,0 +1,101 @@
+"""Build servers and deployments for tests of decisions."""
+
+from oatcrank.routing import listing, route, server, server_table
+from oatcrank.transport import limits
+
+SERVICE = 'words'
+
+
+def listed(number: int, **changes) -> listing.Listing:
+    """Return the registration of a server."""
+    told = {
+        'server_id': f'server-{number}',
+        'started_ms': 1000 + number,
+        'service': SERVICE,
+        'host': '127.0.0.1',
+        'port': 20000 + number,
+        'failure_domain': 'north',
+        'slots': 64,
+        'leaving': False,
+        **changes,
+    }
+    return listing.Listing(**told)
+
+
+def servers(count: int, **changes) -> list[server.Server]:
+    """Return servers that are alike."""
+    return [
+        server.Server(listed(number, **changes)) for number in range(count)
+    ]
+
+
+def table(*registrations: listing.Listing) -> server_table.ServerTable:
+    """Return a table that holds servers."""
+    found = server_table.ServerTable()
+    for one in registrations:
+        found.put(one)
+    return found
+
+
+def model(name: str, weights_mb: float = 30.0, **changes) -> route.Model:
+    """Return a model that loads in a second."""
+    told = {
+        'name': name,
+        'weights_mb': weights_mb,
+        'adapter_mb': 0.1,
+        'store_load_s': 1.0,
+        'disk_load_s': 0.5,
+        'memory_load_s': 0.2,
+        **changes,
+    }
+    return route.Model(**told)
+
+
+def engine(*models: route.Model, **changes) -> route.Engine:
+    """Return an engine whose servers hold a hundred MB."""
+    told = {
+        'model_by_name': {one.name: one for one in models},
+        'weights_mb': 100.0,
+        'max_adapters': 4,
+        'store_loads_per_s': 2.0,
+        **changes,
+    }
+    return route.Engine(**told)
+
+
+def a_route(**changes) -> route.Route:
+    """Return a route of the one service."""
+    told = {
+        'name': 'route-1',
+        'host': 'words.example',
+        'prefix': '/words/',
+        'shares': (route.Share(SERVICE, 1.0),),
+        'repeatable': True,
+        'streaming': False,
+        'max_servers': 2,
+        'timeout_s': 2.0,
+        'target_s': 0.3,
+        'urgency': 1,
+        **changes,
+    }
+    return route.Route(**told)
+
+
+def configuration(
+    *routes: route.Route,
+    version: int = 1,
+    held: route.Engine | None = None,
+) -> route.Configuration:
+    """Return a configuration with one service."""
+    return route.Configuration(
+        version=version,
+        routes=routes,
+        service_by_name={
+            SERVICE: route.Service(
+                name=SERVICE,
+                max_connections=64,
+                engine=held,
+            ),
+        },
+        limits=limits.Limits(),
+    )
--- /dev/null
+++ b/tests/test_order_demand.py
@@ -0,0 +1,68 @@
+"""Test how demand is counted."""
+
+import pytest
+
+from oatcrank.orders import demand
+from oatcrank.routing import need
+
+BUSY = need.Need('words', 'm0')
+ADAPTED = need.Need('words', 'm0', 'a1')
+RARE = need.Need('words', 'm1')
+
+
+def counted(*reports):
+    found = demand.Demand()
+    found.reaches_back(demand.WINDOW_S, reports[0][1])
+    for asked, now_s in reports:
+        found.note(asked, now_s)
+    return found
+
+
+def test_a_model_counts_with_its_adapters():
+    found = counted(
+        (demand.Asked(BUSY, 30), 0.0),
+        (demand.Asked(ADAPTED, 20), 0.0),
+    )
+    assert found.rate(BUSY, 0.0) == pytest.approx(3.0)
+    assert found.model_rate(BUSY, 0.0) > found.rate(BUSY, 0.0)
+    assert found.model_rate(RARE, 0.0) == 0
+
+
+def test_a_model_that_falls_silent_is_seen_before_the_window_ends():
+    found = counted(
+        *((demand.Asked(BUSY, 10), second * 1.0) for second in range(10)),
+    )
+    before = found.model_rate(BUSY, 9.0)
+    assert found.model_rate(BUSY, 13.1) < before / 2
+    assert found.model_rate(BUSY, 25.0) == 0
+
+
+def test_a_model_that_rises_is_seen_at_once():
+    found = counted((demand.Asked(RARE, 0), 0.0))
+    found.note(demand.Asked(BUSY, 10), 10.0)
+    assert found.model_rate(BUSY, 10.0) > 2
+
+
+def test_running_is_the_mean_over_the_window():
+    found = counted(
+        (demand.Asked(BUSY, 5, busy_s=15.0), 0.0),
+        (demand.Asked(ADAPTED, 5, busy_s=5.0), 0.0),
+    )
+    assert found.running(BUSY, 0.0) == pytest.approx(2.0)
+    assert found.running_adapters(BUSY, 0.0) == pytest.approx(0.5)
+
+
+def test_last_asked_keeps_the_latest():
+    found = counted((demand.Asked(ADAPTED, 1, age_s=0.3), 5.0))
+    found.note_use(ADAPTED, 4.0)
+    assert found.last_s(ADAPTED) == pytest.approx(4.7)
+
+
+def test_a_summary_tells_another_all_of_it():
+    found = counted((demand.Asked(BUSY, 7, 1.5), 1.0))
+    other = demand.Demand()
+    other.reaches_back(10.0, 1.0)
+    for asked in found.summary(1.0):
+        other.note(asked, 1.0)
+    assert other.rate(BUSY, 1.0) == found.rate(BUSY, 1.0)
+    assert other.running(BUSY, 1.0) == found.running(BUSY, 1.0)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,138 @@
+"""Test the client of the platform's store against a stand-in."""
+
+import asyncio
+
+import pytest
+
+from emulator import platform_store
+from oatcrank import errors
+from oatcrank.cluster import store
+from oatcrank.platform import store_client
+
+WEATHER = platform_store.Weather
+
+
+def with_store(work):
+    async def run():
+        served = platform_store.PlatformStoreServer()
+        served.start()
+        try:
+            return await work(
+                served,
+                store_client.PlatformStore(served.address),
+            )
+        finally:
+            served.stop()
+
+    return asyncio.run(run())
+
+
+def test_values_come_back_as_they_were_written():
+    async def work(served, client):
+        revision = await client.write(
+            store.Write(value_by_key={'a/b c&d': b'\x00\xff'}),
+        )
+        item = await client.read('a/b c&d')
+        assert (item.value, item.revision) == (b'\x00\xff', revision)
+        assert await client.read('nothing') is None
+
+    with_store(work)
+
+
+def test_all_pages_are_read():
+    async def work(served, client):
+        for number in range(120):
+            served.kept.put(f'servers/{number:03}', b'x')
+        snapshot = await client.read_all()
+        assert len(snapshot.items) == 120
+        assert snapshot.revision == served.kept.revision
+
+    with_store(work)
+
+
+def test_a_watch_tells_writes_and_removals():
+    async def work(served, client):
+        start = served.kept.revision
+        watching = asyncio.ensure_future(client.watch(start, 2.0))
+        await asyncio.sleep(0.05)
+        served.kept.put('op/config', b'{}')
+        changes = await watching
+        assert [item.key for item in changes.items] == ['op/config']
+        served.kept.revoke('op/config')
+        changes = await client.watch(changes.revision, 2.0)
+        assert changes.items[0].value is None
+
+    with_store(work)
+
+
+def test_a_watch_without_news_ends():
+    async def work(served, client):
+        changes = await client.watch(served.kept.revision, 0.05)
+        assert not changes.items
+
+    with_store(work)
+
+
+def test_lost_history_is_told():
+    async def work(served, client):
+        served.kept.put('a', b'1')
+        served.kept.forget_history()
+        with pytest.raises(store.HistoryLost):
+            await client.watch(1, 0.1)
+
+    with_store(work)
+
+
+def test_conditions_and_leases():
+    async def work(served, client):
+        lease = await client.grant(5.0)
+        held = store.Write(
+            expected={'holder': store.ABSENT},
+            value_by_key={'holder': b'me', 'last': b'me'},
+            leased=lease,
+            leased_keys=frozenset({'holder'}),
+        )
+        await client.write(held)
+        with pytest.raises(store.Moved):
+            await client.write(held)
+        await client.keep(lease, 1.0)
+        await client.end(lease)
+        assert await client.read('holder') is None
+        assert await client.read('last') is not None
+        with pytest.raises(store.LeaseEnded):
+            await client.keep(lease, 1.0)
+        with pytest.raises(store.LeaseEnded):
+            await client.write(held)
+
+    with_store(work)
+
+
+@pytest.mark.parametrize(
+    ('weather', 'read', 'write'),
+    [
+        (WEATHER.busy, errors.Unavailable, errors.Unavailable),
+        (WEATHER.many, errors.Unavailable, errors.Unavailable),
+        (WEATHER.lost, errors.Unavailable, errors.UnknownOutcome),
+        (WEATHER.silent, errors.Unavailable, errors.UnknownOutcome),
+    ],
+)
+def test_trouble(weather, read, write, monkeypatch):
+    monkeypatch.setattr(store_client, 'CALL_WITHIN_S', 0.2)
+
+    async def work(served, client):
+        served.weather = weather
+        with pytest.raises(read):
+            await client.read_all()
+        with pytest.raises(write):
+            await client.write(store.Write(value_by_key={'a': b'1'}))
+
+    with_store(work)
+
+
+def test_a_store_that_is_gone_has_done_nothing():
+    async def work(served, client):
+        served.stop()
+        with pytest.raises(errors.Unavailable):
+            await client.write(store.Write(value_by_key={'a': b'1'}))
+
+    with_store(work)
--- /dev/null
+++ b/tests/test_request_admission.py
@@ -0,0 +1,56 @@
+"""Replay loads against the decision to wait or to be turned away."""
+
+import pytest
+
+from oatcrank.routing import admission
+
+
+def pressure(requests, slots=6, service_s=0.02):
+    return admission.Pressure(
+        requests=requests,
+        slots=slots,
+        service_s=service_s,
+    )
+
+
+@pytest.mark.parametrize(
+    ('requests', 'left_s', 'taken'),
+    [
+        # Nothing is refused while a slot is free, however little time is left.
+        (0, 0.001, True),
+        (5, 0.001, True),
+        # A burst waits as long as it is of use.
+        (12, 0.5, True),
+        (60, 0.5, True),
+        # What would start too late is refused at once.
+        (200, 0.5, False),
+        (6, 0.001, False),
+    ],
+)
+def test_return(requests, left_s, taken):
+    assert (
+        admission.return_s(pressure(requests), left_s, 0.0) is None
+    ) is taken
+
+
+def test_a_service_cut_to_a_third_refuses_what_it_cannot_reach():
+    """Six slots serve what eighteen did: the same queue waits three times."""
+    whole = admission.wait_s(pressure(90, slots=18, service_s=0.1))
+    third = admission.wait_s(pressure(90, slots=6, service_s=0.1))
+    assert third > 3 * whole
+    assert admission.return_s(pressure(90, 18, 0.1), 1.0, 0.0) is None
+    assert admission.return_s(pressure(90, 6, 0.1), 1.0, 0.0) is not None
+
+
+def test_callers_that_are_refused_together_return_apart():
+    times = {
+        admission.return_s(pressure(400), 0.5, draw / 10) for draw in range(10)
+    }
+    assert len(times) == 10
+    assert max(times) > 1.4 * min(times)
+
+
+def test_the_time_to_return_grows_with_the_queue():
+    short = admission.return_s(pressure(200), 0.5, 0.0)
+    long = admission.return_s(pressure(800), 0.5, 0.0)
+    assert short < long
--- /dev/null
+++ b/tests/test_tenure.py
@@ -0,0 +1,80 @@
+"""Test when an instance may give orders, from times alone."""
+
+import pytest
+
+from oatcrank.orders import tenure
+
+BELIEF_S = tenure.BELIEF_S
+WAIT_S = BELIEF_S + tenure.SAFETY_S
+
+
+def begun(*, first=False, own_orders_end_s=float('-inf')):
+    return tenure.begin(
+        fence=7,
+        sent_s=9.9,
+        now_s=10.0,
+        own_orders_end_s=own_orders_end_s,
+        first=first,
+    )
+
+
+@pytest.mark.parametrize(
+    ('first', 'renewed_s', 'now_s', 'expected'),
+    [
+        # The first holder ever has nobody to wait for.
+        (True, 9.9, 10.0, True),
+        # A successor waits out what the former may believe.
+        (False, 10.5, 10.6, False),
+        (False, 11.0, 10.0 + WAIT_S, True),
+        # The belief counts from before the renewal was sent.
+        (True, 9.9, 9.9 + BELIEF_S - 0.01, True),
+        (True, 9.9, 9.9 + BELIEF_S, False),
+        (True, 20.0, 20.0 + BELIEF_S + 5, False),
+    ],
+)
+def test_may_order(first, renewed_s, now_s, expected):
+    turn = begun(first=first)
+    turn.renew(renewed_s)
+    assert turn.may_order(now_s) is expected
+
+
+def test_an_older_renewal_takes_nothing_back():
+    turn = begun(first=True)
+    turn.renew(30.0)
+    turn.renew(20.0)
+    assert turn.may_order(30.5)
+
+
+def test_a_former_holder_that_has_stopped_need_not_be_waited_for():
+    turn = begun()
+    turn.follow(10.2)
+    turn.renew(10.1)
+    assert not turn.may_order(10.1)
+    assert turn.may_order(10.2)
+
+
+def test_an_instance_does_not_take_turns_with_another():
+    turn = begun(own_orders_end_s=12.0)
+    turn.follow(10.2)
+    turn.renew(11.5)
+    assert not turn.may_order(11.9)
+    assert turn.may_order(12.0)
+
+
+def test_two_holders_never_overlap():
+    """Check the former's last moment against the successor's first."""
+    former = begun(first=True)
+    renewed_s = 50.0
+    former.renew(renewed_s)
+    # The store may drop the lease as soon as it has answered the renewal.
+    successor = tenure.begin(
+        fence=8,
+        sent_s=renewed_s,
+        now_s=renewed_s,
+        own_orders_end_s=float('-inf'),
+        first=False,
+    )
+    successor.renew(renewed_s + 5)
+    for step in range(600):
+        now_s = renewed_s + step / 100
+        assert not (former.may_order(now_s) and successor.may_order(now_s))
