--- a/emulator/memory_store.py
+++ b/emulator/memory_store.py
@@ -106,18 +106,14 @@
     def items(self) -> tuple[store.Item, ...]:
         """Return all items by key."""
         self.expire()
-        return tuple(
-            item for _, item in sorted(self.item_by_key.items())
-        )
+        return tuple(item for _, item in sorted(self.item_by_key.items()))
 
     def after(self, revision: int) -> tuple[store.Item, ...]:
         """Return what has changed, or raise HistoryLost."""
         self.expire()
         if revision < self.forgotten:
             raise store.HistoryLost(str(revision))
-        return tuple(
-            item for item in self.history if item.revision > revision
-        )
+        return tuple(item for item in self.history if item.revision > revision)
 
     def _put(self, key: str, written: bytes) -> None:
         item = store.Item(
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -80,7 +80,11 @@
             self.members,
         )
         self._mirror = mirror.Mirror(ports.store, self._catalogue, dice)
-        self._session = session.Session(ports.store, self.members)
+        self._session = session.Session(
+            ports.store,
+            self.members,
+            self._mirror,
+        )
         self._desk = order_desk.OrderDesk(
             instance_id=own.instance_id,
             servers=self.servers,
--- a/oatcrank/cluster/mirror.py
+++ b/oatcrank/cluster/mirror.py
@@ -7,7 +7,7 @@
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import store
 
-WAIT_S = 20.0
+WAIT_S = 10.0
 # Changes that come together cost one call.
 GATHER_S = 0.3
 FIRST_PAUSE_S = 0.1
@@ -47,6 +47,7 @@
         self._item_by_key: dict[str, store.Item] = {}
         self._lost = False
         self.is_read = False
+        self._watching: asyncio.Task[store.Changes] | None = None
         self._pause_s = FIRST_PAUSE_S
 
     def get(self, key: str) -> store.Item | None:
@@ -67,6 +68,11 @@
             except errors.PlatformError as error:
                 await self._failed(error)
 
+    def doubt(self) -> None:
+        """Give up a watch that has probably lost its connection."""
+        if self._watching is not None:
+            self._watching.cancel()
+
     def take(self, item: store.Item) -> None:
         """Take a key's value if it is newer than the one known."""
         known = self._item_by_key.get(item.key)
@@ -80,7 +86,7 @@
             await self._read_all()
             self._note_answer()
             return
-        changes = await self._store.watch(self._revision, WAIT_S)
+        changes = await self._watch(self._revision)
         self._note_answer()
         for item in changes.items:
             self.take(item)
@@ -88,6 +94,20 @@
         if changes.items:
             await asyncio.sleep(GATHER_S)
 
+    async def _watch(self, after: ids.Revision) -> store.Changes:
+        self._watching = asyncio.ensure_future(
+            self._store.watch(after, WAIT_S),
+        )
+        try:
+            return await self._watching
+        except asyncio.CancelledError:
+            if not self._watching.cancelled() or self._stopped():
+                raise
+            raise errors.Unavailable('the watch was given up') from None
+        finally:
+            self._watching.cancel()
+            self._watching = None
+
     async def _read_all(self) -> None:
         snapshot = await self._store.read_all()
         present = set()
@@ -114,6 +134,11 @@
             revision=snapshot.revision,
         )
 
+    def _stopped(self) -> bool:
+        """Tell whether the mirror itself is being cancelled."""
+        task = asyncio.current_task()
+        return task is not None and task.cancelling() > 0
+
     def _note_answer(self) -> None:
         self._pause_s = FIRST_PAUSE_S
         if self._lost:
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -48,6 +48,7 @@
         desk: order_desk.OrderDesk,
         turn_s: float,
         dice: random.Random,
+        client: peers.Client | None = None,
     ) -> None:
         """Let a desk give orders while the lease is held."""
         self._store = kept_in
@@ -57,7 +58,7 @@
         self._desk = desk
         self._turn_s = turn_s
         self._dice = dice
-        self._client = peers.Client()
+        self._client = client or peers.Client()
         self._wanted = True
         self._lease: store.LeaseId | None = None
         self._told: peer_messages.Holding | None = None
@@ -251,7 +252,13 @@
         try:
             revision = await self._store.write(
                 store.Write(
-                    expected={HOLDER_KEY: store.ABSENT},
+                    # Whom to ask must not have changed unseen.
+                    expected={
+                        HOLDER_KEY: store.ABSENT,
+                        LAST_KEY: (
+                            store.ABSENT if former is None else former.revision
+                        ),
+                    },
                     value_by_key={HOLDER_KEY: encoded, LAST_KEY: encoded},
                     leased=lease,
                     leased_keys=frozenset((HOLDER_KEY,)),
--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from oatcrank import errors, logs
-from oatcrank.cluster import members, store
+from oatcrank.cluster import members, mirror, store
 
 MEMBERS_PREFIX = 'members/'
 TERM_S = 2.0
@@ -17,8 +17,15 @@
 class Session:
     """Hold one lease of the store, and the registration under it."""
 
-    def __init__(self, kept_in: store.Store, known: members.Members) -> None:
+    def __init__(
+        self,
+        kept_in: store.Store,
+        known: members.Members,
+        seen: mirror.Mirror,
+    ) -> None:
         """Register this instance as its members tell of it."""
+        self._mirror = seen
+        self._failing = False
         self.lease: store.LeaseId | None = None
         self._store = kept_in
         self._members = known
@@ -42,7 +49,10 @@
                 await self._step()
             except errors.PlatformError as error:
                 logs.event('session_unrenewed', error=error)
+                self._failing = True
                 pause_s = RETRY_S
+            else:
+                self._note_answer()
             await self._pause(pause_s)
 
     async def keep(self, within_s: float) -> None:
@@ -66,6 +76,12 @@
             # It then ends by itself.
             logs.event('session_not_ended', error=error)
 
+    def _note_answer(self) -> None:
+        """Renew the watch once the store answers again."""
+        if self._failing:
+            self._failing = False
+            self._mirror.doubt()
+
     async def _step(self) -> None:
         if self.lease is None:
             self._written = b''
--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -39,6 +39,9 @@
             collections.Counter()
         )
         self._busy_s_by_need: dict[need.Need, float] = {}
+        self._reports_by_need: collections.Counter[need.Need] = (
+            collections.Counter()
+        )
         self._last_s_by_need: dict[need.Need, float] = {}
         self._first_s = math.inf
 
@@ -47,6 +50,7 @@
         wanted = asked.wanted
         self._first_s = min(self._first_s, now_s)
         self._reports.append((now_s, asked))
+        self._reports_by_need[wanted] += 1
         self._times_by_need[wanted] += asked.times
         self._busy_s_by_need[wanted] = (
             self._busy_s_by_need.get(wanted, 0) + asked.busy_s
@@ -143,7 +147,9 @@
             wanted = asked.wanted
             self._times_by_need[wanted] -= asked.times
             self._busy_s_by_need[wanted] -= asked.busy_s
-            if self._times_by_need[wanted] <= 0:
+            self._reports_by_need[wanted] -= 1
+            if not self._reports_by_need[wanted]:
+                del self._reports_by_need[wanted]
                 del self._times_by_need[wanted]
                 del self._busy_s_by_need[wanted]
 
--- a/tests/routing_parts.py
+++ b/tests/routing_parts.py
@@ -24,9 +24,7 @@
 
 def servers(count: int, **changes) -> list[server.Server]:
     """Return servers that are alike."""
-    return [
-        server.Server(listed(number, **changes)) for number in range(count)
-    ]
+    return [server.Server(listed(number, **changes)) for number in range(count)]
 
 
 def table(*registrations: listing.Listing) -> server_table.ServerTable:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -196,9 +196,7 @@
         assert site.runs() == 1
         caller.close()
         await asyncio.sleep(0.1)
-        assert all(
-            one.in_flight == 0 for one in site.servers.by_id.values()
-        )
+        assert all(one.in_flight == 0 for one in site.servers.by_id.values())
 
     forwarding_site.play(work)
 
--- a/tests/test_order_demand.py
+++ b/tests/test_order_demand.py
@@ -1,6 +1,8 @@
 """Test how demand is counted."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from oatcrank.orders import demand
 from oatcrank.routing import need
@@ -66,3 +68,40 @@
         other.note(asked, 1.0)
     assert other.rate(BUSY, 1.0) == found.rate(BUSY, 1.0)
     assert other.running(BUSY, 1.0) == found.running(BUSY, 1.0)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([BUSY, ADAPTED, RARE]),
+            st.integers(0, 3),
+            st.floats(0, 2),
+            st.floats(0, 4),
+        ),
+        max_size=60,
+    ),
+)
+def test_counts_are_those_of_the_window(reports):
+    """Runs that end long after they were asked for are counted as well."""
+    found = demand.Demand()
+    noted = []
+    now_s = 0.0
+    for wanted, times, busy_s, pause_s in reports:
+        now_s += pause_s
+        found.note(demand.Asked(wanted, times, busy_s), now_s)
+        noted.append((now_s, wanted, times, busy_s))
+    span_s = max(1.0, found.age_s(now_s))
+    for wanted in (BUSY, ADAPTED, RARE):
+        inside = [
+            row
+            for row in noted
+            if row[1] == wanted and row[0] >= now_s - demand.WINDOW_S
+        ]
+        assert found.rate(wanted, now_s) == pytest.approx(
+            sum(row[2] for row in inside) / span_s,
+        )
+        if wanted is RARE:
+            assert found.running(wanted, now_s) == pytest.approx(
+                sum(row[3] for row in inside) / span_s,
+                abs=1e-6,
+            )
