--- /dev/null
+++ b/tests/test_caller_connection.py
@@ -0,0 +1,157 @@
+"""Test what callers may send: limits, slow senders, and bad input."""
+
+import asyncio
+
+import forwarding_site
+import pytest
+
+from emulator import platform_worker
+from oatcrank.transport import limits
+
+SMALL = limits.Limits(
+    header_bytes=400,
+    body_bytes=100,
+    header_s=0.2,
+    idle_s=0.4,
+)
+
+
+@pytest.mark.parametrize(
+    ('text', 'status'),
+    [
+        (forwarding_site.request(x_long='y' * 500), 431),
+        (forwarding_site.request(target='/words/' + 'y' * 500), 431),
+        (forwarding_site.request(body=b'y' * 101), 413),
+        (forwarding_site.request(body=b'y' * 100), 200),
+        (b'no request at all\r\n\r\n', 400),
+        (b'POST /words/x HTTP/1.1\r\nHost: words.example\r\n\r\n', 400),
+        (
+            b'POST /words/x HTTP/1.1\r\nHost: words.example\r\n'
+            b'X-Request-Id: 1\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            400,
+        ),
+        # Slow headers, and a slow body.
+        (b'POST /words/x HTTP/1.1\r\nHost: wor', 408),
+    ],
+)
+def test_bad_input(text, status):
+    async def work(site):
+        site.limits = SMALL
+        told = await site.ask(text)
+        assert told.status == status
+        assert site.runs() == (1 if status == 200 else 0)
+
+    forwarding_site.play(work)
+
+
+def test_bad_input_disturbs_no_other_connection():
+    async def work(site):
+        site.limits = SMALL
+        good = await forwarding_site.Caller.open(site.port)
+        assert (await good.ask(forwarding_site.request())).status == 200
+        bad = await forwarding_site.Caller.open(site.port)
+        assert (await bad.ask(b'\x00\xff\r\n\r\n')).status == 400
+        text = forwarding_site.request(x_request_id='request-2')
+        assert (await good.ask(text)).status == 200
+        good.close()
+        bad.close()
+
+    forwarding_site.play(work)
+
+
+def test_an_idle_connection_is_closed():
+    async def work(site):
+        site.limits = SMALL
+        caller = await forwarding_site.Caller.open(site.port)
+        await caller.ask(forwarding_site.request())
+        began_s = asyncio.get_running_loop().time()
+        assert await caller.reader.read() == b''
+        assert asyncio.get_running_loop().time() - began_s > 0.3
+
+    forwarding_site.play(work)
+
+
+def test_requests_sent_together_are_answered_in_order():
+    async def work(site):
+        caller = await forwarding_site.Caller.open(site.port)
+        for number in range(4):
+            caller.writer.write(
+                forwarding_site.request(x_request_id=f'request-{number}'),
+            )
+        for number in range(4):
+            told = await caller.read()
+            assert told.header_by_name['x-request-id'] == f'request-{number}'
+        caller.close()
+
+    forwarding_site.play(work)
+
+
+def test_a_request_inside_a_body_is_not_one():
+    async def work(site):
+        inner = forwarding_site.request(x_request_id='smuggled')
+        assert (
+            await site.ask(forwarding_site.request(body=inner))
+        ).status == 200
+        assert [one for worker in site.workers for one in worker.ran] == [
+            'request-1',
+        ]
+
+    forwarding_site.play(work)
+
+
+def test_a_body_is_invited_where_the_caller_waits_for_that():
+    async def work(site):
+        caller = await forwarding_site.Caller.open(site.port)
+        head, _, body = forwarding_site.request(
+            expect='100-continue',
+        ).partition(b'\r\n\r\n')
+        caller.writer.write(head + b'\r\n\r\n')
+        assert await caller.reader.readline() == b'HTTP/1.1 100 Continue\r\n'
+        await caller.reader.readline()
+        caller.writer.write(body)
+        assert (await caller.read()).status == 200
+        caller.close()
+
+    forwarding_site.play(work)
+
+
+@pytest.mark.parametrize('busy', [False, True])
+def test_a_leaving_instance_closes_idle_connections_only(busy):
+    async def work(site):
+        caller = await forwarding_site.Caller.open(site.port)
+        if busy:
+            site.workers[0].pause_s = 0.3
+            caller.writer.write(forwarding_site.request())
+        await asyncio.sleep(0.1)
+        for connection in tuple(site.opened):
+            connection.finish()
+        await asyncio.sleep(0.05)
+        assert bool(site.opened) is busy
+        if busy:
+            assert (await caller.read()).status == 200
+        caller.close()
+
+    forwarding_site.play(work, workers=1)
+
+
+def test_a_caller_that_reads_slowly_slows_the_stream():
+    async def work(site):
+        (worker,) = site.workers
+        worker.manner = platform_worker.Manner.stream
+        worker.events = 60000
+        caller = await forwarding_site.Caller.open(site.port)
+        caller.writer.write(forwarding_site.request(x_deadline_ms='20000'))
+        await asyncio.sleep(0.3)
+        (connection,) = site.opened
+        buffered = connection.transport.get_write_buffer_size()
+        assert buffered < 1_000_000
+        caller.close()
+
+    forwarding_site.play(
+        work,
+        workers=1,
+        repeatable=True,
+        streaming=True,
+        timeout_s=20,
+    )
--- /dev/null
+++ b/tests/test_order_machine.py
@@ -0,0 +1,154 @@
+"""Draw sequences of wishes, lost orders, crashes and changes of holder.
+
+Whatever happens to orders, no worker is told to hold more than it can, no
+fence goes back, and the ceiling of loads is kept.
+"""
+
+import asyncio
+from unittest import mock
+
+import routing_parts
+import worker_fleet
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from emulator import virtual_time_loop
+from oatcrank.orders import demand, order_desk, tenure
+from oatcrank.routing import need, route_table
+
+EXAMPLES = 60
+STEPS = 40
+models = st.sampled_from([f'm{number}' for number in range(12)])
+adapters = st.sampled_from([None, 'a1', 'a2', 'a3', 'a4', 'a5'])
+fates = st.sampled_from(
+    ['answered', 'answered', 'late', 'lost', 'unanswered', 'doubled'],
+)
+
+
+class OrderMachine(stateful.RuleBasedStateMachine):
+    """Drive the desk of one holder after another."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = virtual_time_loop.VirtualTimeLoop()
+        asyncio.set_event_loop(self.loop)
+        self.patch = mock.patch.object(
+            order_desk,
+            'suspended_time',
+            self.loop.time,
+        )
+        self.patch.start()
+        self.fleet = worker_fleet.WorkerFleet(3, seed=11)
+        self.routes = route_table.RouteTable()
+        self.routes.replace(
+            routing_parts.configuration(held=worker_fleet.ENGINE),
+        )
+        self.fence = 0
+        self.asked = demand.Demand()
+        self.asked.reaches_back(10, 0)
+        self.desk = None
+        self.change_holder(wait_s=0)
+
+    def teardown(self) -> None:
+        self.patch.stop()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.pass_time(0)
+        asyncio.set_event_loop(None)
+        self.loop.close()
+
+    @stateful.rule(wait_s=st.floats(0, 2))
+    def change_holder(self, wait_s) -> None:
+        """Let another instance hold the lease; the former has stopped."""
+        if self.desk is not None:
+            self.desk.stop()
+        self.pass_time(wait_s)
+        self.fence += 1
+        self.desk = order_desk.OrderDesk(
+            instance_id=f'instance-{self.fence}',
+            servers=self.fleet.table,
+            routes=self.routes,
+            sender=self.fleet,
+        )
+        self.desk.asked = self.asked
+        now_s = self.loop.time()
+        turn = tenure.begin(
+            fence=self.fence,
+            sent_s=now_s,
+            now_s=now_s,
+            own_orders_end_s=float('-inf'),
+            first=True,
+        )
+        # The lease is renewed without end: it is not what is tested here.
+        turn.renew(10**9)
+        self.desk.begin(turn)
+
+    @stateful.rule(
+        model=models,
+        adapter=adapters,
+        fate=fates,
+        times=st.integers(1, 60),
+    )
+    def wish(self, model, adapter, fate, times) -> None:
+        """Ask for something while orders fare in one way."""
+        self.fleet.fate = fate
+        wanted = need.Need(worker_fleet.SERVICE, model, adapter)
+        self.asked.note(
+            demand.Asked(wanted, times, busy_s=times * 2.0),
+            self.loop.time(),
+        )
+        self.spawn(self.ask(wanted))
+        self.pass_time(0.05)
+
+    @stateful.rule(fate=fates)
+    def balance(self, fate) -> None:
+        """Let the desk think of replicas."""
+        self.fleet.fate = fate
+        self.spawn(self.quietly(self.desk.balance()))
+        self.pass_time(0.05)
+
+    @stateful.rule(number=st.integers(0, 2))
+    def crash(self, number) -> None:
+        """Restart a worker under the same id."""
+        self.fleet.workers[number].crash()
+
+    @stateful.rule(number=st.integers(0, 2))
+    def use_adapters(self, number) -> None:
+        """Let runs use all adapters of a worker."""
+        worker = self.fleet.workers[number]
+        worker.in_use = {
+            (model, adapter)
+            for model, held in worker.holds.items()
+            for adapter in held
+        }
+
+    @stateful.rule(seconds=st.floats(0.01, 3))
+    def pass_time(self, seconds) -> None:
+        """Let time pass."""
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @stateful.invariant()
+    def nothing_is_broken(self) -> None:
+        assert not self.fleet.broken
+
+    def spawn(self, work) -> None:
+        self.loop.create_task(work)
+
+    async def ask(self, wanted) -> None:
+        await self.quietly(self.desk.arrange(wanted, ()))
+
+    async def quietly(self, work) -> None:
+        try:
+            await work
+        except order_desk.NotOrdered:
+            return
+
+
+OrderMachine.TestCase.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize=True,
+)
+TestOrderMachine = OrderMachine.TestCase
--- a/tests/test_order_turn.py
+++ b/tests/test_order_turn.py
@@ -1,9 +1,8 @@
 """Test who may give orders while instances and the store fail."""
 
-import asyncio
-
 import cluster_parts
 import pytest
+import virtual
 
 from emulator import memory_store
 from oatcrank.cluster import order_turn
@@ -20,7 +19,7 @@
         finally:
             await fleet.stop()
 
-    return asyncio.run(run())
+    return virtual.run(run())
 
 
 def test_one_of_all_gives_orders():
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,350 @@
+"""Test the translation between the platform's words and the project's."""
+
+import json
+
+import pytest
+import routing_parts
+
+from oatcrank import errors
+from oatcrank.cluster import codec as cluster_codec
+from oatcrank.cluster import store
+from oatcrank.forwarding import dialect as forwarding_dialect
+from oatcrank.platform import codec, dialect, settings
+from oatcrank.routing import listing, route
+from oatcrank.transport import message
+
+SETTINGS = """
+node_name = "edge-north-1"
+role = "entry"
+ip = "10.1.0.38"
+zone = "north"
+region = "here"
+bootstrap = true
+[zones]
+north = "here"
+[listen]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+control = "10.1.0.38:8144"
+directory = "10.1.0.38:8143"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+retry_budget_slack = 58
+lease_ttl_ms = 3000
+ttl_max_s = 5
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+
+def test_settings(tmp_path):
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS)
+    read = settings.read(str(path))
+    own = read.member(7)
+    assert (own.instance_id, own.front) == ('edge-north-1', '10.1.0.38:8149')
+    assert own.failure_domain == 'north'
+    assert read.shared_bounds().order_turn_s == 3.0
+
+
+@pytest.mark.parametrize(
+    ('line', 'changed', 'named'),
+    [
+        ('zone = "north"', '', 'zone'),
+        ('zone = "north"', 'zone = 7', 'zone'),
+        ('grace_s = 8', 'grace_s = "8"', 'grace_s'),
+        ('[platform]', '[elsewhere]', 'platform'),
+        ('zone = "north"', 'zone = ', ''),
+    ],
+)
+def test_wrong_settings_are_named(tmp_path, line, changed, named):
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS.replace(line, changed, 1))
+    with pytest.raises(errors.SettingsError, match=named):
+        settings.read(str(path))
+
+
+def test_missing_settings_are_told(tmp_path):
+    with pytest.raises(errors.SettingsError):
+        settings.read(str(tmp_path / 'nothing.toml'))
+
+
+def raw(**headers):
+    named = {'host': 'words.example', 'x-request-id': '9c41', **headers}
+    return message.Request(
+        method=b'POST',
+        target=b'/words/x?y=1',
+        headers=[(key.encode(), text.encode()) for key, text in named.items()],
+        body=b'hello',
+        began_s=5.0,
+        peer='10.9.9.9',
+        keep_alive=True,
+    )
+
+
+def test_a_callers_request():
+    decoded = dialect.PlatformDialect().decode(
+        raw(
+            **{
+                'x-model': 'words-large/a3',
+                'x-prompt-prefix': '5c1e:800,91bd:410,e440:250',
+                'x-deadline-ms': '12000',
+                'last-event-id': '12',
+            },
+        ),
+    )
+    assert (decoded.model, decoded.adapter) == ('words-large', 'a3')
+    assert decoded.prefix == '5c1e:800,91bd:410'
+    assert decoded.deadline_s == 12.0
+    assert decoded.last_event_id == 12
+    assert decoded.path == '/words/x'
+
+
+@pytest.mark.parametrize(
+    ('headers', 'field', 'expected'),
+    [
+        ({}, 'deadline_s', None),
+        ({'x-deadline-ms': 'soon'}, 'deadline_s', None),
+        ({'x-deadline-ms': '-5'}, 'deadline_s', None),
+        ({'last-event-id': 'x'}, 'last_event_id', None),
+        ({'x-model': 'words-large'}, 'adapter', None),
+        ({'host': 'words.example:8080'}, 'host', 'words.example'),
+    ],
+)
+def test_odd_headers(headers, field, expected):
+    decoded = dialect.PlatformDialect().decode(raw(**headers))
+    assert getattr(decoded, field) == expected
+
+
+@pytest.mark.parametrize('missing', ['host', 'x-request-id'])
+def test_requests_that_cannot_be_forwarded(missing):
+    request = raw()
+    request.headers = [
+        pair for pair in request.headers if pair[0].decode() != missing
+    ]
+    with pytest.raises(forwarding_dialect.Malformed):
+        dialect.PlatformDialect().decode(request)
+
+
+@pytest.mark.parametrize(
+    ('left_s', 'expected'),
+    [(1.5, b'X-Deadline-Ms: 1500'), (0.0001, b'X-Deadline-Ms: 1')],
+)
+def test_the_time_left_is_told_and_never_more(left_s, expected):
+    speaking = dialect.PlatformDialect()
+    sent = speaking.encode(
+        speaking.decode(raw(**{'x-deadline-ms': '9000'})),
+        forwarding_dialect.Sending(
+            listed=routing_parts.listed(0),
+            left_s=left_s,
+            urgency=0,
+            last_event_id=None,
+        ),
+    )
+    assert expected in sent.split(b'\r\n')
+    assert sent.count(b'Deadline') == 1
+    assert sent.startswith(b'POST /words/x?y=1 HTTP/1.1\r\n')
+
+
+@pytest.mark.parametrize(
+    ('headers', 'expected'),
+    [
+        ({'X-Server-Load': '3,1,8'}, (3, 1)),
+        ({'X-Server-Load': '3'}, None),
+        ({'X-Server-Load': 'a,b,c'}, None),
+        ({}, None),
+    ],
+)
+def test_load_of_a_server(headers, expected):
+    answer = dialect.PlatformDialect().read(answer_head(headers))
+    load = answer.load
+    assert (load and (load.running, load.waiting)) == expected
+
+
+@pytest.mark.parametrize(
+    ('headers', 'expected'),
+    [
+        ({'Keep-Alive': 'timeout=5'}, 5.0),
+        ({'Keep-Alive': 'max=9, timeout=30'}, 30.0),
+        ({'Keep-Alive': 'timeout=x'}, None),
+        ({}, None),
+    ],
+)
+def test_idle_time_of_a_server(headers, expected):
+    assert (
+        dialect.PlatformDialect().read(answer_head(headers)).idle_s == expected
+    )
+
+
+def answer_head(headers, status=200):
+    return message.ResponseHead(
+        status=status,
+        reason=b'OK',
+        headers=[
+            (key.encode(), text.encode()) for key, text in headers.items()
+        ],
+        keep_alive=True,
+    )
+
+
+ROUTE = {
+    'name': 'r-1',
+    'hostname': 'words.example',
+    'prefix': '/words/',
+    'kind': 'streaming',
+    'timeout_ms': 15000,
+    'target_latency_ms': 300,
+    'priority': 1,
+    'backend': 'wordbay',
+    'max_attempts': 2,
+    'sticky': True,
+    'resumable': True,
+    'gap_target_ms': 150,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [ROUTE],
+    'backends': [
+        {
+            'name': 'wordbay',
+            'health_path': '/healthz',
+            'max_conns': 370,
+            'engine': {
+                'slots': 64,
+                'weights_mb': 200000.0,
+                'max_adapters': 8,
+                'loads_per_s': 1.4,
+                'models': [
+                    {
+                        'name': 'm0',
+                        'weights_mb': 65500.0,
+                        'load_s': 5.2,
+                        'adapters': 26,
+                        'adapter_mb': 40.0,
+                        'warm_s': 0.38,
+                        'disk_s': 1.0,
+                    },
+                    {'name': 'm1', 'weights_mb': 10.0, 'load_s': 1},
+                ],
+            },
+        },
+        {'name': 'deskcore', 'max_conns': 110},
+    ],
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 4194304,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+}
+ENTRY = {
+    'backend': 'wordbay',
+    'address': '10.128.0.9:8080',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 64,
+    'state': 'ready',
+    'cold_left_ms': 0,
+    'models': [{'name': 'm0', 'version': 1, 'adapters': ['a1']}],
+    'seq': 4,
+    'born': 1234,
+    'at_hand': {'in_memory': ['m1'], 'on_disk': ['m0', 'm1']},
+}
+
+
+def item(key, told):
+    written = told if isinstance(told, bytes) else json.dumps(told).encode()
+    return store.Item(key=key, value=written, revision=5)
+
+
+def test_a_configuration():
+    read = codec.PlatformCodec().read(item('op/config', CONFIGURATION))
+    (one,) = read.routes
+    assert read.version == 7
+    assert (one.repeatable, one.streaming, one.max_servers) == (True, True, 2)
+    assert one.shares == (route.Share('wordbay', 1),)
+    models = read.service_by_name['wordbay'].engine.model_by_name
+    assert models['m0'].disk_load_s == 1.0
+    assert models['m1'].memory_load_s == 1
+    assert read.service_by_name['deskcore'].engine is None
+    assert read.limits.header_s == 3.0
+
+
+@pytest.mark.parametrize(
+    ('changes', 'repeatable', 'streaming'),
+    [
+        ({'kind': 'idempotent'}, True, False),
+        ({'kind': 'non_idempotent'}, False, False),
+        ({'kind': 'streaming', 'resumable': True}, True, True),
+        ({'kind': 'streaming', 'resumable': False}, False, True),
+        # What is not known may not be repeated.
+        ({'kind': 'something new'}, False, False),
+    ],
+)
+def test_kinds(changes, repeatable, streaming):
+    told = {**CONFIGURATION, 'routes': [{**ROUTE, **changes}]}
+    (one,) = codec.PlatformCodec().read(item('op/config', told)).routes
+    assert (one.repeatable, one.streaming) == (repeatable, streaming)
+
+
+def test_a_split_route():
+    split = [
+        {'backend': 'wordbay', 'weight': 90},
+        {'backend': 'deskcore', 'weight': 10},
+    ]
+    told = {**ROUTE, 'traffic_split': split}
+    del told['backend']
+    read = codec.PlatformCodec().read(
+        item('op/config', {**CONFIGURATION, 'routes': [told]}),
+    )
+    assert [one.weight for one in read.routes[0].shares] == [90, 10]
+
+
+def test_a_registration():
+    read = codec.PlatformCodec().read(item('servers/i-7f', ENTRY))
+    assert isinstance(read, listing.Listing)
+    assert (read.server_id, read.started_ms) == ('i-7f', 1234)
+    assert (read.host, read.port) == ('10.128.0.9', 8080)
+    assert read.adapters_by_model == {'m0': ('a1',)}
+    assert read.cached_in_memory == ('m1',)
+    assert not read.leaving
+
+
+@pytest.mark.parametrize(
+    'told',
+    [
+        b'\xff\x00 no json',
+        {},
+        {**ENTRY, 'address': 'nowhere'},
+        {**ENTRY, 'address': '10.0.0.1:port'},
+        {**ENTRY, 'state': 'dreaming'},
+        {**ENTRY, 'slots': 'many'},
+        {**ENTRY, 'models': 7},
+        {key: told for key, told in ENTRY.items() if key != 'backend'},
+    ],
+)
+def test_a_malformed_registration_names_no_server(told):
+    read = codec.PlatformCodec().read(item('servers/i-7f', told))
+    assert isinstance(read, cluster_codec.ServerGone)
+
+
+@pytest.mark.parametrize(
+    ('key', 'told'),
+    [
+        ('op/config', b'{'),
+        ('op/config', {'version': 'seven'}),
+        ('something/else', b'x'),
+    ],
+)
+def test_what_says_nothing(key, told):
+    assert codec.PlatformCodec().read(item(key, told)) is None
+
+
+def test_a_server_that_is_gone():
+    gone = store.Item(key='servers/i-7f', value=None, revision=6)
+    assert isinstance(
+        codec.PlatformCodec().read(gone),
+        cluster_codec.ServerGone,
+    )
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,26 @@
+"""Run a test's coroutine in virtual time."""
+
+import asyncio
+from unittest import mock
+
+from emulator import virtual_time_loop
+from oatcrank.orders import order_desk
+
+
+def run(coroutine):
+    """Return what a coroutine returns; its waits take no time."""
+    loop = virtual_time_loop.VirtualTimeLoop()
+    try:
+        with mock.patch.object(order_desk, 'suspended_time', loop.time):
+            return loop.run_until_complete(coroutine)
+    finally:
+        _cancel_all(loop)
+        loop.close()
+
+
+def _cancel_all(loop) -> None:
+    left = asyncio.all_tasks(loop)
+    for task in left:
+        task.cancel()
+    if left:
+        loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
