--- a/emulator/_site_profiles.py
+++ b/emulator/_site_profiles.py
@@ -1,7 +1,8 @@
 """Make the profiles of sites."""
 
 from emulator import site_pool
-from oatcrank import ids, profile, target
+from oatcrank import ids
+from oatcrank.configuration import profile, target
 
 BETWEEN_TOKENS_MS = 60
 CALL_MS = 5000
--- a/emulator/catalogue_handler.py
+++ b/emulator/catalogue_handler.py
@@ -6,7 +6,7 @@
 from tornado import web
 
 from emulator import timed_store
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class CatalogueHandler(json_handler.JsonHandler):
--- a/emulator/claims_benchmark.py
+++ b/emulator/claims_benchmark.py
@@ -10,7 +10,7 @@
     claims_load,
     claims_memory,
 )
-from oatcrank import claims_settings
+from oatcrank.settings import claims_settings
 
 FLEET_SIZE = 8
 FAULT_RATE = 50
--- a/emulator/claims_fleet.py
+++ b/emulator/claims_fleet.py
@@ -9,12 +9,9 @@
     memory_network,
     memory_rpc,
 )
-from oatcrank import (
-    claim,
-    claim_router,
-    claims_settings,
-    clock,
-)
+from oatcrank import clock
+from oatcrank.claims import claim, claim_router
+from oatcrank.settings import claims_settings
 
 HEX = 16
 
--- a/emulator/claims_instance.py
+++ b/emulator/claims_instance.py
@@ -7,21 +7,18 @@
 from tornado import httpserver, netutil, web
 
 from emulator import faulty_key_value, faulty_rpc, settable_members
-from oatcrank import (
+from oatcrank import clock, ids, metrics, refusal
+from oatcrank.claims import (
     begun_claim,
     claim,
     claim_handlers,
     claimed_answer,
     claims,
-    claims_settings,
-    clock,
-    ids,
-    keyvalue,
     known_claim,
-    member,
-    metrics,
-    refusal,
 )
+from oatcrank.membership import member
+from oatcrank.settings import claims_settings
+from oatcrank.store import keyvalue
 
 HOST = '127.0.0.1'
 PROFILE = ids.ProfileName('bookings')
--- a/emulator/claims_load.py
+++ b/emulator/claims_load.py
@@ -7,7 +7,8 @@
 from hdrh import histogram
 
 from emulator import claims_fleet, claims_instance
-from oatcrank import begun_claim, refusal
+from oatcrank import refusal
+from oatcrank.claims import begun_claim
 
 MICROSECONDS = 1_000_000
 MAX_MICROSECONDS = 60 * MICROSECONDS
--- a/emulator/claims_memory.py
+++ b/emulator/claims_memory.py
@@ -2,7 +2,8 @@
 
 import tracemalloc
 
-from oatcrank import claim, claim_record, claim_state, ids
+from oatcrank import ids
+from oatcrank.claims import claim, claim_record, claim_state
 
 SAMPLE_CLAIMS = 100_000
 SPLIT = 200
--- a/emulator/cut_handler.py
+++ b/emulator/cut_handler.py
@@ -1,6 +1,6 @@
 """Answer with JSON or cut the connection instead."""
 
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class CutHandler(json_handler.JsonHandler):
--- a/emulator/demo_steps.py
+++ b/emulator/demo_steps.py
@@ -19,7 +19,9 @@
     running_site,
     service_answer,
 )
-from oatcrank import profile, refusal, rpc, weight_store
+from oatcrank import refusal, rpc
+from oatcrank.configuration import profile
+from oatcrank.store import weight_store
 
 CALL = b'{"gate": 4, "crew": "Half Way Tree"}'
 ENTRY_COUNT = 3
--- a/emulator/engine_orders.py
+++ b/emulator/engine_orders.py
@@ -12,7 +12,8 @@
     weight_sizes,
     work,
 )
-from oatcrank import errors, ids, order, rpc
+from oatcrank import errors, ids, rpc
+from oatcrank.engines import order
 
 DOUBLE_DELAY_S = 1.0
 LOAD_TIMEOUT_S = 600
--- a/emulator/faults_handler.py
+++ b/emulator/faults_handler.py
@@ -7,7 +7,7 @@
 from tornado import web
 
 from emulator import fault_box
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class FaultsHandler(json_handler.JsonHandler):
--- a/emulator/instances_handler.py
+++ b/emulator/instances_handler.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from emulator import lagging_list, listing
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class InstancesHandler(json_handler.JsonHandler):
--- a/emulator/key_value_app.py
+++ b/emulator/key_value_app.py
@@ -12,7 +12,7 @@
     stand_in,
     watch_handler,
 )
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class CountsHandler(json_handler.JsonHandler):
--- a/emulator/ledger_handler.py
+++ b/emulator/ledger_handler.py
@@ -1,7 +1,7 @@
 """Show by HTTP what a stand-in ran."""
 
 from emulator import ledger
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class LedgerHandler(json_handler.JsonHandler):
--- a/emulator/listing.py
+++ b/emulator/listing.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import instance_list
+from oatcrank.membership import instance_list
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/emulator/memory_engine.py
+++ b/emulator/memory_engine.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from oatcrank import clock, engine, errors, ids, order
+from oatcrank import clock, errors, ids
+from oatcrank.engines import engine, order
 
 Order = order.Order
 
--- a/emulator/memory_handler.py
+++ b/emulator/memory_handler.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from emulator import engine_memory
-from oatcrank import json_handler
+from oatcrank.entry import json_handler
 
 
 class MemoryPage(msgspec.Struct, frozen=True):
--- a/emulator/memory_key_value.py
+++ b/emulator/memory_key_value.py
@@ -3,7 +3,8 @@
 import asyncio
 import collections
 
-from oatcrank import errors, ids, keyvalue
+from oatcrank import errors, ids
+from oatcrank.store import keyvalue
 
 
 class MemoryKeyValue(keyvalue.KeyValue):
--- a/emulator/memory_network.py
+++ b/emulator/memory_network.py
@@ -6,14 +6,12 @@
 import msgspec
 
 from emulator import claims_instance
-from oatcrank import (
+from oatcrank import errors, refusal, rpc
+from oatcrank.claims import (
     attempt_query,
     claim_attempts,
     claim_holders,
     claim_offers,
-    errors,
-    refusal,
-    rpc,
 )
 
 
--- a/emulator/orders_handler.py
+++ b/emulator/orders_handler.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from emulator import engine_handler
-from oatcrank import order
+from oatcrank.engines import order
 
 
 class OldFence(msgspec.Struct, frozen=True):
--- a/emulator/policy_cost.py
+++ b/emulator/policy_cost.py
@@ -6,12 +6,9 @@
 
 import msgspec
 
-from oatcrank import (
-    expected_gain_placement,
-    ids,
-    placement,
-    policy_settings,
-)
+from oatcrank import ids
+from oatcrank.placing import expected_gain_placement, placement
+from oatcrank.settings import policy_settings
 
 MODELS = (10, 100, 1000)
 SERVERS = (10, 100, 300)
--- a/emulator/relay_site.py
+++ b/emulator/relay_site.py
@@ -18,18 +18,16 @@
     stand_in,
     weight_store_config,
 )
-from oatcrank import (
-    ids,
-    instance_list,
+from oatcrank import ids, rpc
+from oatcrank.configuration import profile, target
+from oatcrank.membership import instance_list
+from oatcrank.settings import (
     listen_settings,
     platform_settings,
-    profile,
-    rpc,
     settings,
-    target,
-    weight_store,
     weight_store_settings,
 )
+from oatcrank.store import weight_store
 
 POOL = ids.PoolName('relay')
 PROFILE = ids.ProfileName('relay')
--- a/emulator/replay_site.py
+++ b/emulator/replay_site.py
@@ -15,19 +15,12 @@
     running_site,
     trace_site,
 )
-from oatcrank import (
-    change,
-    command,
-    errors,
-    operator_messages,
-    placement_kind,
-    profile,
-    replay,
-    replay_text,
-    rpc,
-    settings,
-    trace,
-)
+from oatcrank import errors, rpc
+from oatcrank.commands import command
+from oatcrank.configuration import change, operator_messages, profile
+from oatcrank.placing import placement_kind
+from oatcrank.replaying import replay, replay_text, trace
+from oatcrank.settings import settings
 
 ENTRY_COUNT = 3
 TIMEOUT_S = 15.0
--- a/emulator/running_site.py
+++ b/emulator/running_site.py
@@ -15,13 +15,9 @@
     site_pool,
     stand_in,
 )
-from oatcrank import (
-    ids,
-    instance_list,
-    listen_settings,
-    platform_settings,
-    settings,
-)
+from oatcrank import ids
+from oatcrank.membership import instance_list
+from oatcrank.settings import listen_settings, platform_settings, settings
 
 WRITES_PER_S = 400
 READS_PER_S = 2000
--- a/emulator/settable_members.py
+++ b/emulator/settable_members.py
@@ -1,6 +1,6 @@
 """Let tests say which instances one of them believes alive."""
 
-from oatcrank import member, members
+from oatcrank.membership import member, members
 
 
 class SettableMembers(members.Members):
--- a/emulator/site.py
+++ b/emulator/site.py
@@ -5,7 +5,10 @@
 import msgspec
 
 from emulator import site_pool
-from oatcrank import ids, placement_kind, profile, weight_store
+from oatcrank import ids
+from oatcrank.configuration import profile
+from oatcrank.placing import placement_kind
+from oatcrank.store import weight_store
 
 MODEL_SIZES_MB = (27_000, 36_000, 41_000, 33_000, 22_000)
 ADAPTER_MB = 100
--- a/emulator/site_configs.py
+++ b/emulator/site_configs.py
@@ -7,8 +7,8 @@
     site_pool,
     weight_store_config,
 )
-from oatcrank import (
-    ids,
+from oatcrank import ids
+from oatcrank.settings import (
     listen_settings,
     platform_settings,
     policy_settings,
--- a/emulator/slope_changes.py
+++ b/emulator/slope_changes.py
@@ -12,16 +12,15 @@
     slope_memory,
     slope_timing,
 )
-from oatcrank import (
+from oatcrank import clock, ids
+from oatcrank.configuration import (
     change,
     change_log,
-    clock,
-    ids,
     profile,
     profile_book,
     snapshot,
 )
-from oatcrank import target as targets
+from oatcrank.configuration import target as targets
 
 COMMAND = 'python -m emulator slopes --only changes'
 CHANGES = (10, 100, 1000)
--- a/emulator/slope_claims.py
+++ b/emulator/slope_claims.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 from emulator import claims_benchmark, claims_memory, slope, slope_fit
-from oatcrank import claims_settings
+from oatcrank.settings import claims_settings
 
 COMMAND = 'python -m emulator slopes --only claims'
 RATES = (50, 200, 400)
--- a/emulator/slope_controller.py
+++ b/emulator/slope_controller.py
@@ -10,18 +10,15 @@
     slope_fit,
     slope_pool,
 )
-from oatcrank import (
-    clock,
+from oatcrank import clock, ids, metrics
+from oatcrank.control import (
     control_ports,
-    control_settings,
     deposed,
-    ids,
     load_budget,
-    member,
-    metrics,
     pool_controller,
-    weight_store_settings,
 )
+from oatcrank.membership import member
+from oatcrank.settings import control_settings, weight_store_settings
 
 COMMAND = 'python -m emulator slopes --only controller'
 SERVERS = (8, 30, 100, 300)
--- a/emulator/slope_counts.py
+++ b/emulator/slope_counts.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import applied
+from oatcrank.configuration import applied
 
 
 class SlopeCounts(msgspec.Struct, frozen=True, kw_only=True):
--- a/emulator/slope_entry.py
+++ b/emulator/slope_entry.py
@@ -12,7 +12,10 @@
 from tornado import httpclient, iostream, simple_httpclient
 
 from emulator import slope_counts
-from oatcrank import checked_file, entry, logs, settings, settings_check
+from oatcrank import logs
+from oatcrank.commands import checked_file
+from oatcrank.entry import entry
+from oatcrank.settings import settings, settings_check
 
 
 class ByteCount:
--- a/emulator/slope_fleet.py
+++ b/emulator/slope_fleet.py
@@ -15,7 +15,8 @@
     slope_process,
     slope_site,
 )
-from oatcrank import change, ids, operator_messages, profile, rpc
+from oatcrank import ids, rpc
+from oatcrank.configuration import change, operator_messages, profile
 
 SITE = 'yard'
 STARTED_AT_ONCE = 3
--- a/emulator/slope_messages.py
+++ b/emulator/slope_messages.py
@@ -6,12 +6,11 @@
 import msgspec
 
 from emulator import slope, slope_fit, slope_memory, slope_samples, slope_timing
-from oatcrank import (
-    backend_servers,
-    clock,
+from oatcrank import clock, ids
+from oatcrank.engines import backend_servers
+from oatcrank.membership import (
     documents,
     failure_detector,
-    ids,
     instance_list,
     roster,
 )
--- a/emulator/slope_placing.py
+++ b/emulator/slope_placing.py
@@ -4,16 +4,11 @@
 from collections.abc import Callable, Iterator
 
 from emulator import policy_cost, slope, slope_fit, slope_memory, slope_timing
-from oatcrank import (
-    _plan_code,
-    backend_server,
-    clock,
-    ids,
-    instance_list,
-    plan,
-    plan_view,
-    router,
-)
+from oatcrank import clock, ids
+from oatcrank.control import plan, plan_code, plan_view
+from oatcrank.engines import backend_server
+from oatcrank.entry import router
+from oatcrank.membership import instance_list
 
 COMMAND = 'python -m emulator slopes --only placing'
 MODELS = (10, 100, 300, 1200)
@@ -104,16 +99,16 @@
 
 
 def _text(replicas: int) -> str:
-    return _plan_code.encode(_plan_of(replicas))
+    return plan_code.encode(_plan_of(replicas))
 
 
 def _encoding(replicas: int) -> Work:
-    return functools.partial(_plan_code.encode, _plan_of(replicas))
+    return functools.partial(plan_code.encode, _plan_of(replicas))
 
 
 def _taking(replicas: int) -> Work:
     text = _text(replicas)
-    return lambda: plan_view.PlanView().take(_plan_code.decode(text))
+    return lambda: plan_view.PlanView().take(plan_code.decode(text))
 
 
 def _kept(replicas: int) -> Work:
@@ -121,7 +116,7 @@
 
     def _build() -> plan_view.PlanView:
         view = plan_view.PlanView()
-        view.take(_plan_code.decode(text))
+        view.take(plan_code.decode(text))
         return view
 
     return _build
--- a/emulator/slope_pool.py
+++ b/emulator/slope_pool.py
@@ -1,14 +1,10 @@
 """Stand in for a pool that stays as it is."""
 
-from oatcrank import (
-    engine,
-    ids,
-    instance_list,
-    leadership,
-    model_need,
-    order,
-    placement,
-)
+from oatcrank import ids
+from oatcrank.control import leadership, model_need
+from oatcrank.engines import engine, order
+from oatcrank.membership import instance_list
+from oatcrank.placing import placement
 
 POOL = ids.PoolName('pool')
 DOMAIN = ids.FailureDomain('domain')
--- a/emulator/slope_samples.py
+++ b/emulator/slope_samples.py
@@ -1,13 +1,9 @@
 """Make control messages of usual content at any size."""
 
-from oatcrank import (
-    demand_report,
-    engine,
-    exchange,
-    ids,
-    instance_list,
-    member,
-)
+from oatcrank import ids
+from oatcrank.control import demand_report
+from oatcrank.engines import engine
+from oatcrank.membership import exchange, instance_list, member
 
 DOMAINS = 25
 HOSTS = 200
--- a/emulator/stand_in_engine.py
+++ b/emulator/stand_in_engine.py
@@ -12,7 +12,8 @@
     engine_orders,
     fault_box,
 )
-from oatcrank import engine, ids
+from oatcrank import ids
+from oatcrank.engines import engine
 
 MILLISECONDS_IN_SECOND = 1000
 
--- a/emulator/trace_site.py
+++ b/emulator/trace_site.py
@@ -3,7 +3,9 @@
 import collections
 
 from emulator import site, site_pool
-from oatcrank import placement_kind, policies, trace, trace_head, weight_store
+from oatcrank.placing import placement_kind
+from oatcrank.replaying import policies, trace, trace_head
+from oatcrank.store import weight_store
 
 MS_PER_S = 1000
 
--- a/emulator/watch_handler.py
+++ b/emulator/watch_handler.py
@@ -4,7 +4,9 @@
 from http import HTTPStatus
 
 from emulator import key_handler, key_value_service
-from oatcrank import errors, ids, json_handler, keyvalue
+from oatcrank import errors, ids
+from oatcrank.entry import json_handler
+from oatcrank.store import keyvalue
 
 
 class WatchHandler(json_handler.JsonHandler):
--- a/emulator/weight_sizes.py
+++ b/emulator/weight_sizes.py
@@ -1,6 +1,7 @@
 """Look up the sizes of weights in the store's catalogue."""
 
-from oatcrank import errors, rpc, weight_store
+from oatcrank import errors, rpc
+from oatcrank.store import weight_store
 
 CATALOGUE_TIMEOUT_S = 5
 
--- a/emulator/weight_store_config.py
+++ b/emulator/weight_store_config.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import weight_store
+from oatcrank.store import weight_store
 
 
 class WeightStoreConfig(
--- a/oatcrank/__main__.py
+++ b/oatcrank/__main__.py
@@ -3,7 +3,8 @@
 import argparse
 import sys
 
-from oatcrank import __version__, command, commands
+from oatcrank import __version__
+from oatcrank.commands import command, commands
 
 DESCRIPTION = """\
 Serve many bursty models from fewer accelerators.
--- /dev/null
+++ b/oatcrank/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Let unrepeatable requests run at most once."""
--- a/oatcrank/attempt_reply.py
+++ b/oatcrank/claims/attempt_reply.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank import claimed_answer
+from oatcrank.claims import claimed_answer
 
 
 class AttemptState(enum.Enum):
--- a/oatcrank/begun_claim.py
+++ b/oatcrank/claims/begun_claim.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from oatcrank import claim_attempt
+from oatcrank.claims import claim_attempt
 
 
 @dataclasses.dataclass(frozen=True)
--- a/oatcrank/claim.py
+++ b/oatcrank/claims/claim.py
@@ -3,7 +3,8 @@
 import msgspec
 import xxhash
 
-from oatcrank import claimed_answer, ids
+from oatcrank import ids
+from oatcrank.claims import claimed_answer
 
 SEPARATOR = b'\0'
 
--- a/oatcrank/claim_attempt.py
+++ b/oatcrank/claims/claim_attempt.py
@@ -3,7 +3,8 @@
 import asyncio
 import enum
 
-from oatcrank import attempt_reply, claim, ids, refusal
+from oatcrank import ids, refusal
+from oatcrank.claims import attempt_reply, claim
 
 
 class Phase(enum.Enum):
--- a/oatcrank/claim_attempts.py
+++ b/oatcrank/claims/claim_attempts.py
@@ -6,17 +6,8 @@
 
 import msgspec
 
-from oatcrank import (
-    attempt_query,
-    attempt_reply,
-    claim,
-    claim_attempt,
-    errors,
-    ids,
-    logs,
-    refusal,
-    rpc,
-)
+from oatcrank import errors, ids, logs, refusal, rpc
+from oatcrank.claims import attempt_query, attempt_reply, claim, claim_attempt
 
 PATH = '/internal/attempts'
 ASK_TRIES = 2
--- a/oatcrank/claim_forwarder.py
+++ b/oatcrank/claims/claim_forwarder.py
@@ -2,14 +2,8 @@
 
 import asyncio
 
-from oatcrank import (
-    claim,
-    claim_holder,
-    claim_holders,
-    claim_offers,
-    errors,
-    rpc,
-)
+from oatcrank import errors, rpc
+from oatcrank.claims import claim, claim_holder, claim_holders, claim_offers
 
 PATH = '/internal/claims'
 FORWARD_S = 1.0
--- a/oatcrank/claim_handlers.py
+++ b/oatcrank/claims/claim_handlers.py
@@ -3,19 +3,18 @@
 import asyncio
 from typing import Any
 
-from oatcrank import (
-    _claim_refusals,
+from oatcrank import errors, ids
+from oatcrank.claims import (
     attempt_query,
     attempt_reply,
     claim_attempts,
     claim_forwarder,
     claim_holders,
     claim_offers,
+    claim_refusals,
     claims,
-    errors,
-    ids,
-    json_handler,
 )
+from oatcrank.entry import json_handler
 
 MAX_WAIT_S = 10.0
 
@@ -38,7 +37,7 @@
                 *(router.submit_here(offer) for offer in message.offers),
             )
         except errors.PlatformError as error:
-            raise _claim_refusals.platform_unavailable(
+            raise claim_refusals.platform_unavailable(
                 ids.RequestId(''),
                 error,
             ) from error
--- a/oatcrank/claim_holder.py
+++ b/oatcrank/claims/claim_holder.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import claim
+from oatcrank.claims import claim
 
 
 class ClaimHolder(msgspec.Struct, frozen=True, kw_only=True, gc=False):
--- a/oatcrank/claim_holders.py
+++ b/oatcrank/claims/claim_holders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import claim_holder
+from oatcrank.claims import claim_holder
 
 
 class ClaimHolders(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/claim_log.py
+++ b/oatcrank/claims/claim_log.py
@@ -6,18 +6,11 @@
 
 import msgspec
 
-from oatcrank import (
-    append_log,
-    claim,
-    claim_record,
-    claim_snapshot,
-    claim_state,
-    claims_settings,
-    clock,
-    errors,
-    keyvalue,
-    logs,
-)
+from oatcrank import clock, errors, logs
+from oatcrank.claims import claim, claim_record, claim_snapshot, claim_state
+from oatcrank.configuration import append_log
+from oatcrank.settings import claims_settings
+from oatcrank.store import keyvalue
 
 APPEND_TRIES = 3
 OVERTAKEN_TRIES = 20
--- a/oatcrank/claim_opener.py
+++ b/oatcrank/claims/claim_opener.py
@@ -4,14 +4,14 @@
 
 import msgspec
 
-from oatcrank import (
-    _claim_refusals,
+from oatcrank import errors
+from oatcrank.claims import (
     attempt_reply,
     claim_attempt,
     claim_attempts,
     claim_holder,
+    claim_refusals,
     claim_router,
-    errors,
 )
 
 OPEN_S = 5.0
@@ -47,7 +47,7 @@
             async with asyncio.timeout(OPEN_S):
                 return await self._open(attempt)
         except (errors.PlatformError, TimeoutError) as error:
-            raise _claim_refusals.platform_unavailable(
+            raise claim_refusals.platform_unavailable(
                 attempt.request_id,
                 error,
             ) from error
--- a/oatcrank/claim_recorder.py
+++ b/oatcrank/claims/claim_recorder.py
@@ -2,14 +2,8 @@
 
 import asyncio
 
-from oatcrank import (
-    claim,
-    claim_attempt,
-    claim_attempts,
-    claim_router,
-    errors,
-    logs,
-)
+from oatcrank import errors, logs
+from oatcrank.claims import claim, claim_attempt, claim_attempts, claim_router
 
 RETRY_S = 0.2
 MAX_RETRY_S = 5.0
--- a/oatcrank/claim_router.py
+++ b/oatcrank/claims/claim_router.py
@@ -3,23 +3,17 @@
 import msgspec
 import xxhash
 
-from oatcrank import (
+from oatcrank import clock, errors, ids, logs, refusal, rpc
+from oatcrank.claims import (
     claim,
     claim_forwarder,
     claim_holder,
     claim_shard,
     claim_shard_count,
-    claims_settings,
-    clock,
-    errors,
-    ids,
-    keyvalue,
-    logs,
-    member,
-    members,
-    refusal,
-    rpc,
 )
+from oatcrank.membership import member, members
+from oatcrank.settings import claims_settings
+from oatcrank.store import keyvalue
 
 FORWARD_TRIES = 2
 AVOID_S = 2.0
--- a/oatcrank/claim_shard.py
+++ b/oatcrank/claims/claim_shard.py
@@ -2,16 +2,10 @@
 
 import asyncio
 
-from oatcrank import (
-    claim,
-    claim_holder,
-    claim_log,
-    claims_settings,
-    clock,
-    errors,
-    keyvalue,
-    logs,
-)
+from oatcrank import clock, errors, logs
+from oatcrank.claims import claim, claim_holder, claim_log
+from oatcrank.settings import claims_settings
+from oatcrank.store import keyvalue
 
 MAX_BATCH_BYTES = 400_000
 ENTRY_BYTES = 400
--- a/oatcrank/claim_shard_count.py
+++ b/oatcrank/claims/claim_shard_count.py
@@ -2,7 +2,8 @@
 
 import contextlib
 
-from oatcrank import errors, keyvalue, logs
+from oatcrank import errors, logs
+from oatcrank.store import keyvalue
 
 KEY = 'claims/shards'
 TRIES = 4
--- a/oatcrank/claim_snapshot.py
+++ b/oatcrank/claims/claim_snapshot.py
@@ -6,13 +6,9 @@
 
 import msgspec
 
-from oatcrank import (
-    claim_holder,
-    claim_snapshot_head,
-    claim_state,
-    errors,
-    keyvalue,
-)
+from oatcrank import errors
+from oatcrank.claims import claim_holder, claim_snapshot_head, claim_state
+from oatcrank.store import keyvalue
 
 CHUNK_CLAIMS = 2000
 TRIES = 4
--- a/oatcrank/claim_state.py
+++ b/oatcrank/claims/claim_state.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Iterable
 
-from oatcrank import claim, claim_holder, claim_record
+from oatcrank.claims import claim, claim_holder, claim_record
 
 HEX = 16
 FINGERPRINT_BITS = 64
--- a/oatcrank/claims.py
+++ b/oatcrank/claims/claims.py
@@ -1,7 +1,7 @@
 """Run each unrepeatable request at most once."""
 
-from oatcrank import (
-    _claim_refusals,
+from oatcrank import clock, ids, metrics, refusal, rpc
+from oatcrank.claims import (
     attempt_reply,
     begun_claim,
     claim,
@@ -10,18 +10,14 @@
     claim_holder,
     claim_opener,
     claim_recorder,
+    claim_refusals,
     claim_router,
     claimed_answer,
-    claims_settings,
-    clock,
-    ids,
-    keyvalue,
     known_claim,
-    members,
-    metrics,
-    refusal,
-    rpc,
 )
+from oatcrank.membership import members
+from oatcrank.settings import claims_settings
+from oatcrank.store import keyvalue
 
 DISPATCH_SHARE = 4
 # A record must stay below the size of a value, encoded.
@@ -92,7 +88,7 @@
                 return begun_claim.Begun(attempt)
             known = self._known(holder, digest, request_id, reply)
         if holder.fingerprint != fingerprint:
-            raise _claim_refusals.key_reused(request_id)
+            raise claim_refusals.key_reused(request_id)
         self._meter.count('claims.known')
         return known
 
--- a/oatcrank/known_claim.py
+++ b/oatcrank/claims/known_claim.py
@@ -4,21 +4,20 @@
 
 import msgspec
 
-from oatcrank import (
-    _claim_refusals,
-    append_log,
+from oatcrank import errors, ids
+from oatcrank.claims import (
     attempt_reply,
     claim,
     claim_attempts,
     claim_holder,
     claim_opener,
     claim_record,
+    claim_refusals,
     claim_router,
     claimed_answer,
-    errors,
-    ids,
-    keyvalue,
 )
+from oatcrank.configuration import append_log
+from oatcrank.store import keyvalue
 
 LOOK_UP_S = 5.0
 
@@ -60,7 +59,7 @@
         if reply.state is State.ended and reply.answer is not None:
             return reply.answer
         if reply.state is State.interrupted:
-            raise _claim_refusals.outcome_unknown(self._request_id)
+            raise claim_refusals.outcome_unknown(self._request_id)
         return await self._from_log(entry, reply)
 
     async def _from_log(
@@ -75,13 +74,13 @@
                     claim.LookUp(digest=self._digest),
                 )
         except (errors.PlatformError, TimeoutError) as error:
-            raise _claim_refusals.outcome_unknown(self._request_id) from error
+            raise claim_refusals.outcome_unknown(self._request_id) from error
         if holder is None:
-            raise _claim_refusals.withdrawn(self._request_id)
+            raise claim_refusals.withdrawn(self._request_id)
         if holder.is_attempt(entry.attempt):
             if reply.state is State.absent:
-                raise _claim_refusals.withdrawn(self._request_id)
-            raise _claim_refusals.outcome_unknown(self._request_id)
+                raise claim_refusals.withdrawn(self._request_id)
+            raise claim_refusals.outcome_unknown(self._request_id)
         # The attempt was released and another one holds the key since.
         self.holder = holder
         self._reply = RUNNING
@@ -92,20 +91,20 @@
         holder: claim_holder.ClaimHolder,
     ) -> claimed_answer.ClaimedAnswer:
         if holder.interrupted:
-            raise _claim_refusals.outcome_unknown(self._request_id)
+            raise claim_refusals.outcome_unknown(self._request_id)
         try:
             shard = await self._router.shard_number(self._digest)
             prefix = self._router.prefix(shard)
             log = append_log.AppendLog(self._store, prefix)
             text = await log.read(holder.ended_in)
         except errors.PlatformError as error:
-            raise _claim_refusals.answer_not_kept(
+            raise claim_refusals.answer_not_kept(
                 self._request_id,
-                _claim_refusals.RETRY_AFTER_S,
+                claim_refusals.RETRY_AFTER_S,
             ) from error
         answer = None if text is None else _answer_in(text, self._digest)
         if answer is None:
-            raise _claim_refusals.answer_not_kept(self._request_id)
+            raise claim_refusals.answer_not_kept(self._request_id)
         return answer
 
 
--- a/oatcrank/recording_outlet.py
+++ b/oatcrank/claims/recording_outlet.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable
 
-from oatcrank import outlet
+from oatcrank.entry import outlet
 
 
 class RecordingOutlet(outlet.Outlet):
--- a/oatcrank/unrepeatable.py
+++ b/oatcrank/claims/unrepeatable.py
@@ -2,18 +2,16 @@
 
 import asyncio
 
-from oatcrank import (
+from oatcrank import refusal
+from oatcrank.claims import (
     claim_attempt,
     claimed_answer,
     claims,
-    dispatch,
-    job,
     known_claim,
-    outlet,
     permit,
     recording_outlet,
-    refusal,
 )
+from oatcrank.entry import dispatch, job, outlet
 
 
 class Unrepeatable:
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -151,7 +151,7 @@
         """Tell a successor that no order follows under an older fence."""
         if query.started_ms != self._members.own.started_ms:
             # The process that held the lease has ended.
-            return peer_messages.Stopped(waits_s=0, store_loads=0)
+            return peer_messages.Stopped(waits_s=0, store_loads=None)
         now_s = order_desk.suspended_time()
         fence = query.successor.fence
         self.take_told(query.successor)
@@ -340,12 +340,15 @@
             )
         except peers.PeerGone as error:
             logs.event('former_holder_ended', error=error)
-            turn.follow(order_desk.suspended_time())
+            turn.follow(order_desk.suspended_time(), None)
             return
         except peers.PeerUnreachable as error:
             logs.event('former_holder_silent', error=error)
             return
-        turn.follow(order_desk.suspended_time() + told.waits_s)
+        turn.follow(
+            order_desk.suspended_time() + told.waits_s,
+            told.store_loads,
+        )
         logs.event(
             'former_holder_stopped',
             former=record.instance_id,
--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -73,11 +73,13 @@
 class Stopped(msgspec.Struct, frozen=True, kw_only=True):
     """Say that no order follows, and how many loads may have begun lately.
 
+    A process that was started since doesn't know of loads.
+
     waits_s is left of a turn that had not begun, in seconds.
     """
 
     waits_s: float
-    store_loads: int
+    store_loads: int | None
 
 
 class VouchQuery(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/oatcrank/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line."""
--- a/oatcrank/audit_command.py
+++ b/oatcrank/commands/audit_command.py
@@ -5,13 +5,8 @@
 
 import msgspec
 
-from oatcrank import (
-    change,
-    change_table,
-    command,
-    operator_client,
-    operator_messages,
-)
+from oatcrank.commands import change_table, command, operator_client
+from oatcrank.configuration import change, operator_messages
 
 
 class AuditCommand(command.Command):
--- a/oatcrank/change_table.py
+++ b/oatcrank/commands/change_table.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
-from oatcrank import change, table
-from oatcrank import profile as profiles
+from oatcrank.commands import table
+from oatcrank.configuration import change
+from oatcrank.configuration import profile as profiles
 
 HEADS = ('number', 'when', 'who', 'kind', 'profile', 'what')
 
--- a/oatcrank/check_settings_command.py
+++ b/oatcrank/commands/check_settings_command.py
@@ -5,7 +5,8 @@
 
 import result
 
-from oatcrank import checked_file, command, settings, settings_check
+from oatcrank.commands import checked_file, command
+from oatcrank.settings import settings, settings_check
 
 
 class CheckSettingsCommand(command.Command):
--- a/oatcrank/commands.py
+++ b/oatcrank/commands/commands.py
@@ -1,6 +1,6 @@
 """List the commands of the command line."""
 
-from oatcrank import (
+from oatcrank.commands import (
     audit_command,
     check_settings_command,
     command,
--- a/oatcrank/operator_client.py
+++ b/oatcrank/commands/operator_client.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from oatcrank import command, errors, ids, refusal, rpc
+from oatcrank import errors, ids, refusal, rpc
+from oatcrank.commands import command
 
 TIMEOUT_S = 15.0
 DEFAULT_ADDRESS = '127.0.0.1:8080'
--- a/oatcrank/policy_command.py
+++ b/oatcrank/commands/policy_command.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from oatcrank import (
-    _policy_front,
-    _policy_table,
-    command,
+from oatcrank.commands import command
+from oatcrank.replaying import (
     plots,
     policies,
+    policy_front,
     policy_harness,
+    policy_table,
     trace,
     trace_generator,
 )
@@ -39,8 +39,8 @@
 class PolicyReport(msgspec.Struct, frozen=True, kw_only=True):
     """Hold what `--output json` prints."""
 
-    rows: tuple[_policy_table.Row, ...]
-    totals: tuple[_policy_table.Total, ...]
+    rows: tuple[policy_table.Row, ...]
+    totals: tuple[policy_table.Total, ...]
 
 
 class PolicyCommand(command.Command):
@@ -103,9 +103,9 @@
     if not replayed:
         raise trace.TraceError(f'{TRACES}: no traces; name some files')
     if options.front:
-        _policy_front.draw(options.front, [entry for _, entry in replayed])
+        policy_front.draw(options.front, [entry for _, entry in replayed])
         return
-    rows: list[_policy_table.Row] = []
+    rows: list[policy_table.Row] = []
     panels: list[plots.Panel] = []
     for name, recorded in replayed:
         harness_by_policy = {
@@ -113,7 +113,7 @@
             for policy in _policies(options)
         }
         rows.extend(
-            _policy_table.Row(
+            policy_table.Row(
                 site=recorded.head.site,
                 trace=name,
                 policy=policy.value,
@@ -148,16 +148,16 @@
 
 def _print(
     options: argparse.Namespace,
-    rows: list[_policy_table.Row],
+    rows: list[policy_table.Row],
 ) -> None:
     if options.output == 'json':
         report = PolicyReport(
             rows=tuple(rows),
-            totals=tuple(_policy_table.totals(rows)),
+            totals=tuple(policy_table.totals(rows)),
         )
         text = msgspec.json.format(msgspec.json.encode(report)).decode()
     else:
-        text = '\n'.join(_policy_table.lines(rows))
+        text = '\n'.join(policy_table.lines(rows))
     sys.stdout.write(f'{text}\n')
 
 
--- a/oatcrank/profile_command.py
+++ b/oatcrank/commands/profile_command.py
@@ -7,19 +7,20 @@
 
 import msgspec
 
-from oatcrank import (
-    change,
+from oatcrank import errors, ids
+from oatcrank.commands import (
     change_table,
     checked_file,
     command,
-    errors,
-    ids,
     operator_client,
+    table,
+)
+from oatcrank.configuration import (
+    change,
     operator_messages,
     profile,
     profile_check,
     profile_state,
-    table,
 )
 
 HELP = """\
--- a/oatcrank/replay_command.py
+++ b/oatcrank/commands/replay_command.py
@@ -8,16 +8,10 @@
 import jsonc
 import msgspec
 
-from oatcrank import (
-    command,
-    errors,
-    plots,
-    policy_harness,
-    replay,
-    replay_text,
-    settings,
-    trace,
-)
+from oatcrank import errors
+from oatcrank.commands import command
+from oatcrank.replaying import plots, policy_harness, replay, replay_text, trace
+from oatcrank.settings import settings
 
 PERCENT = 100
 SYSTEM = 'system'
--- a/oatcrank/serve_command.py
+++ b/oatcrank/commands/serve_command.py
@@ -7,14 +7,10 @@
 
 import result
 
-from oatcrank import (
-    checked_file,
-    command,
-    entry,
-    logs,
-    settings,
-    settings_check,
-)
+from oatcrank import logs
+from oatcrank.commands import checked_file, command
+from oatcrank.entry import entry
+from oatcrank.settings import settings, settings_check
 
 HELP = """\
 Run an entry instance until it is told to stop.
--- a/oatcrank/status_command.py
+++ b/oatcrank/commands/status_command.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from oatcrank import command, operator_client, operator_messages, table
+from oatcrank.commands import command, operator_client, table
+from oatcrank.configuration import operator_messages
 
 
 class StatusCommand(command.Command):
--- a/oatcrank/trace_command.py
+++ b/oatcrank/commands/trace_command.py
@@ -4,7 +4,8 @@
 import pathlib
 import sys
 
-from oatcrank import command, trace, trace_generator
+from oatcrank.commands import command
+from oatcrank.replaying import trace, trace_generator
 
 HELP = """\
 Write a made-up trace: requests over some time, with the outcomes that a
--- a/oatcrank/version_command.py
+++ b/oatcrank/commands/version_command.py
@@ -2,7 +2,8 @@
 
 import argparse
 
-from oatcrank import __version__, command
+from oatcrank import __version__
+from oatcrank.commands import command
 
 
 class VersionCommand(command.Command):
--- /dev/null
+++ b/oatcrank/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the profiles that operators create, change and retire."""
--- a/oatcrank/_chunks.py
+++ b/oatcrank/configuration/_chunks.py
@@ -2,7 +2,8 @@
 
 import contextlib
 
-from oatcrank import errors, keyvalue
+from oatcrank import errors
+from oatcrank.store import keyvalue
 
 CHUNK_CHARACTERS = 200_000
 
--- a/oatcrank/append_log.py
+++ b/oatcrank/configuration/append_log.py
@@ -2,7 +2,8 @@
 
 import enum
 
-from oatcrank import errors, keyvalue
+from oatcrank import errors
+from oatcrank.store import keyvalue
 
 
 class Appended(enum.Enum):
--- a/oatcrank/change.py
+++ b/oatcrank/configuration/change.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank import profile as profiles
+from oatcrank.configuration import profile as profiles
 
 
 class ChangeKind(enum.Enum):
--- a/oatcrank/change_errors.py
+++ b/oatcrank/configuration/change_errors.py
@@ -1,6 +1,7 @@
 """Define the errors of the configuration."""
 
-from oatcrank import errors, ids, profile_state
+from oatcrank import errors, ids
+from oatcrank.configuration import profile_state
 
 
 class ConfigurationError(errors.OatcrankError):
--- a/oatcrank/change_follower.py
+++ b/oatcrank/configuration/change_follower.py
@@ -3,18 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from oatcrank import (
-    change_log,
-    change_news,
-    clock,
-    configuration_settings,
-    errors,
-    logs,
-    members,
-    rendezvous,
-    rpc,
-    snapshot_store,
-)
+from oatcrank import clock, errors, logs, rpc
+from oatcrank.configuration import change_log, change_news, snapshot_store
+from oatcrank.membership import members, rendezvous
+from oatcrank.settings import configuration_settings
 
 CHANGES_PATH = '/internal/changes'
 ISOLATED_AFTER_S = 5.0
--- a/oatcrank/change_log.py
+++ b/oatcrank/configuration/change_log.py
@@ -7,19 +7,17 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import clock, errors, ids
+from oatcrank.configuration import (
     append_log,
     applied,
     change,
     change_news,
-    clock,
-    errors,
-    ids,
-    keyvalue,
     profile,
     profile_state,
     snapshot,
 )
+from oatcrank.store import keyvalue
 
 PREFIX = 'changes'
 KEPT_SEGMENTS = 2
--- a/oatcrank/change_news.py
+++ b/oatcrank/configuration/change_news.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import change, snapshot
+from oatcrank.configuration import change, snapshot
 
 
 class ChangesWanted(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/change_refusal.py
+++ b/oatcrank/configuration/change_refusal.py
@@ -2,7 +2,8 @@
 
 from http import HTTPStatus
 
-from oatcrank import change_errors, ids, profile_state, refusal
+from oatcrank import ids, refusal
+from oatcrank.configuration import change_errors, profile_state
 
 RETRY_AFTER_S = 1.0
 
--- a/oatcrank/change_writer.py
+++ b/oatcrank/configuration/change_writer.py
@@ -3,14 +3,12 @@
 import asyncio
 import datetime
 
-from oatcrank import (
+from oatcrank import clock, errors, logs
+from oatcrank.configuration import (
     append_log,
     change,
     change_errors,
     change_log,
-    clock,
-    errors,
-    logs,
     snapshot_store,
 )
 
--- a/oatcrank/operator_handlers.py
+++ b/oatcrank/configuration/operator_handlers.py
@@ -7,23 +7,21 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import errors, ids, refusal
+from oatcrank.configuration import (
     change,
     change_errors,
     change_follower,
     change_log,
     change_refusal,
     change_writer,
-    errors,
-    ids,
-    json_handler,
-    membership,
     operator_messages,
     operator_refusals,
     profile_check,
-    refusal,
     snapshot_store,
 )
+from oatcrank.entry import json_handler
+from oatcrank.membership import membership
 
 PAGE_CHANGES = 200
 
--- a/oatcrank/operator_messages.py
+++ b/oatcrank/configuration/operator_messages.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
-from oatcrank import change, ids, member, profile_state
-from oatcrank import profile as profiles
+from oatcrank import ids
+from oatcrank.configuration import change, profile_state
+from oatcrank.configuration import profile as profiles
+from oatcrank.membership import member
 
 
 class ChangeRequest(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/operator_refusals.py
+++ b/oatcrank/configuration/operator_refusals.py
@@ -2,7 +2,8 @@
 
 from http import HTTPStatus
 
-from oatcrank import change_refusal, errors, refusal
+from oatcrank import errors, refusal
+from oatcrank.configuration import change_refusal
 
 
 def bad_request(message: str) -> refusal.Refusal:
--- a/oatcrank/profile.py
+++ b/oatcrank/configuration/profile.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import ids, target
+from oatcrank import ids
+from oatcrank.configuration import target
 
 
 class Priority(enum.Enum):
--- a/oatcrank/profile_book.py
+++ b/oatcrank/configuration/profile_book.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from oatcrank import ids, profile
+from oatcrank import ids
+from oatcrank.configuration import profile
 
 MS_PER_S = 1000
 WEIGHT_BY_PRIORITY = {
--- a/oatcrank/profile_check.py
+++ b/oatcrank/configuration/profile_check.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from oatcrank import profile
+from oatcrank.configuration import profile
 
 FULL_PERCENTILE = 100
 
--- a/oatcrank/profile_state.py
+++ b/oatcrank/configuration/profile_state.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from oatcrank import ids, profile
+from oatcrank import ids
+from oatcrank.configuration import profile
 
 
 class ProfileState(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/snapshot.py
+++ b/oatcrank/configuration/snapshot.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import profile_state
+from oatcrank.configuration import profile_state
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/snapshot_store.py
+++ b/oatcrank/configuration/snapshot_store.py
@@ -3,16 +3,15 @@
 import msgspec
 import xxhash
 
-from oatcrank import (
+from oatcrank import errors, logs
+from oatcrank.configuration import (
     _chunks,
     change,
     change_log,
-    errors,
-    keyvalue,
-    logs,
     snapshot,
     snapshot_pointer,
 )
+from oatcrank.store import keyvalue
 
 POINTER_KEY = 'snapshot'
 POINTER_ATTEMPTS = 3
--- /dev/null
+++ b/oatcrank/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control the pools of model engines under leases."""
--- a/oatcrank/_observing.py
+++ b/oatcrank/control/_observing.py
@@ -2,14 +2,10 @@
 
 from collections.abc import Mapping
 
-from oatcrank import (
-    ids,
-    instance_list,
-    placement,
-    plan,
-    replica_table,
-    seen_report,
-)
+from oatcrank import ids
+from oatcrank.control import plan, replica_table, seen_report
+from oatcrank.membership import instance_list
+from oatcrank.placing import placement
 
 
 def server_view(
--- a/oatcrank/_takeover.py
+++ b/oatcrank/control/_takeover.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from oatcrank import deposed, ids, member, plan, plan_store
+from oatcrank import ids
+from oatcrank.control import deposed, plan, plan_store
+from oatcrank.membership import member
 
 
 def takeover(
--- a/oatcrank/control_handlers.py
+++ b/oatcrank/control/control_handlers.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.control import (
     control_peers,
     demand_board,
     demand_report,
@@ -10,12 +11,11 @@
     deposed,
     deposed_reply,
     idle_query,
-    ids,
-    json_handler,
     leadership,
-    members,
     pool_control,
 )
+from oatcrank.entry import json_handler
+from oatcrank.membership import members
 
 
 class DemandHandler(json_handler.JsonHandler):
--- a/oatcrank/control_peers.py
+++ b/oatcrank/control/control_peers.py
@@ -3,20 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from oatcrank import (
-    deposed,
-    deposed_reply,
-    engine,
-    errors,
-    idle_query,
-    ids,
-    instance_list,
-    member,
-    members,
-    placement,
-    plan,
-    rpc,
-)
+from oatcrank import errors, ids, rpc
+from oatcrank.control import deposed, deposed_reply, idle_query, plan
+from oatcrank.engines import engine
+from oatcrank.membership import instance_list, member, members
+from oatcrank.placing import placement
 
 TIMEOUT_S = 1.0
 IDLE_PATH = '/internal/idle'
--- a/oatcrank/control_ports.py
+++ b/oatcrank/control/control_ports.py
@@ -3,19 +3,12 @@
 import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
 
-from oatcrank import (
-    deposed,
-    engine,
-    ids,
-    instance_list,
-    keyvalue,
-    leadership,
-    member,
-    metrics,
-    model_need,
-    placement,
-    plan,
-)
+from oatcrank import ids, metrics
+from oatcrank.control import deposed, leadership, model_need, plan
+from oatcrank.engines import engine
+from oatcrank.membership import instance_list, member
+from oatcrank.placing import placement
+from oatcrank.store import keyvalue
 
 NeedByModel = Mapping[ids.ModelName, model_need.ModelNeed]
 
--- a/oatcrank/demand_board.py
+++ b/oatcrank/control/demand_board.py
@@ -3,7 +3,9 @@
 import collections
 from collections.abc import Callable, Mapping
 
-from oatcrank import clock, demand_report, ids, model_need, placement
+from oatcrank import clock, ids
+from oatcrank.control import demand_report, model_need
+from oatcrank.placing import placement
 
 SILENT_S = 4.0
 SERVICE_S_GUESS = 1.0
--- a/oatcrank/demand_sender.py
+++ b/oatcrank/control/demand_sender.py
@@ -3,15 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from oatcrank import (
-    demand_report,
-    dispatch_queue,
-    errors,
-    ids,
-    members,
-    plan_view,
-    rpc,
-)
+from oatcrank import errors, ids, rpc
+from oatcrank.control import demand_report, plan_view
+from oatcrank.entry import dispatch_queue
+from oatcrank.membership import members
 
 PERIOD_S = 0.5
 TIMEOUT_S = 1.0
--- a/oatcrank/lease.py
+++ b/oatcrank/control/lease.py
@@ -5,15 +5,9 @@
 
 import msgspec
 
-from oatcrank import (
-    clock,
-    errors,
-    ids,
-    keyvalue,
-    leadership,
-    lease_record,
-    logs,
-)
+from oatcrank import clock, errors, ids, logs
+from oatcrank.control import leadership, lease_record
+from oatcrank.store import keyvalue
 
 MARGIN_SHARE = 0.2
 RENEW_SHARE = 0.3
--- a/oatcrank/load_budget.py
+++ b/oatcrank/control/load_budget.py
@@ -1,6 +1,7 @@
 """Keep within what the weight store gives, over all pools."""
 
-from oatcrank import clock, ids, weight_store_settings
+from oatcrank import clock, ids
+from oatcrank.settings import weight_store_settings
 
 LoadKey = tuple[ids.ServerId, ids.ModelName]
 NEW_SHARE = 0.2
--- a/oatcrank/model_need.py
+++ b/oatcrank/control/model_need.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import ids, weight_store
+from oatcrank import ids
+from oatcrank.store import weight_store
 
 AdaptersOf = Callable[[ids.ModelName], tuple[ids.AdapterName, ...]]
 
--- a/oatcrank/move_rules.py
+++ b/oatcrank/control/move_rules.py
@@ -4,14 +4,9 @@
 
 import msgspec
 
-from oatcrank import (
-    ids,
-    model_need,
-    placement,
-    plan,
-    replica_table,
-    seen_report,
-)
+from oatcrank import ids
+from oatcrank.control import model_need, plan, replica_table, seen_report
+from oatcrank.placing import placement
 
 GROWING = frozenset((plan.ReplicaState.loading, plan.ReplicaState.loaded))
 
--- a/oatcrank/order_sender.py
+++ b/oatcrank/control/order_sender.py
@@ -3,14 +3,10 @@
 import asyncio
 from collections.abc import Iterable
 
-from oatcrank import (
+from oatcrank import errors, ids, logs
+from oatcrank.control import (
     control_ports,
-    control_settings,
-    errors,
-    ids,
     load_budget,
-    logs,
-    order,
     order_times,
     plan,
     plan_store,
@@ -18,6 +14,8 @@
     replica_table,
     seen_report,
 )
+from oatcrank.engines import order
+from oatcrank.settings import control_settings
 
 MS_PER_S = 1000
 KIND_BY_STATE = {
--- a/oatcrank/order_times.py
+++ b/oatcrank/control/order_times.py
@@ -3,7 +3,10 @@
 import math
 from collections.abc import Collection
 
-from oatcrank import clock, control_settings, deposed, ids, order, plan
+from oatcrank import clock, ids
+from oatcrank.control import deposed, plan
+from oatcrank.engines import order
+from oatcrank.settings import control_settings
 
 MS_PER_S = 1000
 OrderKey = tuple[ids.ServerId, ids.ModelName, order.OrderKind]
--- a/oatcrank/plan.py
+++ b/oatcrank/control/plan.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import deposed, ids
+from oatcrank import ids
+from oatcrank.control import deposed
 
 
 class ReplicaState(enum.Enum):
--- a/oatcrank/_plan_code.py
+++ b/oatcrank/control/plan_code.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from oatcrank import deposed, ids, plan
+from oatcrank import ids
+from oatcrank.control import deposed, plan
 
 Name = TypeVar('Name')
 
--- a/oatcrank/plan_store.py
+++ b/oatcrank/control/plan_store.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from oatcrank import _plan_code, errors, ids, keyvalue, plan
+from oatcrank import errors, ids
+from oatcrank.control import plan, plan_code
+from oatcrank.store import keyvalue
 
 MAX_BYTES = 1_000_000
 
@@ -42,7 +44,7 @@
         Raises Deposition, PlanTooLarge, errors.Unavailable if it surely was
         not written and errors.UnknownOutcome if that was not found out.
         """
-        text = _plan_code.encode(wanted)
+        text = plan_code.encode(wanted)
         if len(text) > MAX_BYTES:
             raise PlanTooLarge(f'{self._key}: {len(text)} bytes')
         try:
@@ -70,6 +72,6 @@
 
 def _decoded(key: str, text: str) -> plan.Plan:
     try:
-        return _plan_code.decode(text)
+        return plan_code.decode(text)
     except msgspec.MsgspecError as error:
         raise errors.PlatformError(f'{key}: {error}') from error
--- a/oatcrank/plan_view.py
+++ b/oatcrank/control/plan_view.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from oatcrank import ids, plan
+from oatcrank import ids
+from oatcrank.control import plan
 
 Listener = Callable[[plan.Plan], None]
 ReplicasByModel = dict[ids.ModelName, tuple[plan.Replica, ...]]
--- a/oatcrank/pool_control.py
+++ b/oatcrank/control/pool_control.py
@@ -2,19 +2,17 @@
 
 import asyncio
 
-from oatcrank import (
+from oatcrank import errors, ids, logs
+from oatcrank.control import (
     control_ports,
     deposed,
-    errors,
-    ids,
-    instance_list,
     load_budget,
-    logs,
     model_need,
     pool_control_parts,
     pool_controller,
-    weight_store,
 )
+from oatcrank.membership import instance_list
+from oatcrank.store import weight_store
 
 CATALOGUE_PERIOD_S = 30.0
 CATALOGUE_RETRY_S = 1.0
--- a/oatcrank/pool_control_parts.py
+++ b/oatcrank/control/pool_control_parts.py
@@ -2,19 +2,13 @@
 
 import dataclasses
 
-from oatcrank import (
-    backend_servers,
-    clock,
-    control_peers,
-    demand_board,
-    keyvalue,
-    leadership,
-    members,
-    metrics,
-    profile_book,
-    settings,
-    weight_store,
-)
+from oatcrank import clock, metrics
+from oatcrank.configuration import profile_book
+from oatcrank.control import control_peers, demand_board, leadership
+from oatcrank.engines import backend_servers
+from oatcrank.membership import members
+from oatcrank.settings import settings
+from oatcrank.store import keyvalue, weight_store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/oatcrank/pool_controller.py
+++ b/oatcrank/control/pool_controller.py
@@ -5,20 +5,15 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import clock, errors, ids, logs
+from oatcrank.control import (
     _observing,
     _takeover,
-    clock,
     control_ports,
-    control_settings,
-    errors,
-    ids,
     load_budget,
-    logs,
     move_rules,
     order_sender,
     order_times,
-    placement,
     plan,
     plan_store,
     pool_servers,
@@ -26,6 +21,8 @@
     report_rules,
     seen_report,
 )
+from oatcrank.placing import placement
+from oatcrank.settings import control_settings
 
 MS_PER_S = 1000
 LOADING = plan.ReplicaState.loading
--- a/oatcrank/pool_servers.py
+++ b/oatcrank/control/pool_servers.py
@@ -3,15 +3,10 @@
 import asyncio
 from collections.abc import Collection, Iterable, Mapping
 
-from oatcrank import (
-    clock,
-    control_ports,
-    control_settings,
-    errors,
-    ids,
-    instance_list,
-    seen_report,
-)
+from oatcrank import clock, errors, ids
+from oatcrank.control import control_ports, seen_report
+from oatcrank.membership import instance_list
+from oatcrank.settings import control_settings
 
 MS_PER_S = 1000
 # One lost answer says little; a second one in a row takes the server out.
--- a/oatcrank/replica_table.py
+++ b/oatcrank/control/replica_table.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from oatcrank import ids, plan
+from oatcrank import ids
+from oatcrank.control import plan
 
 ReplicaKey = tuple[ids.ServerId, ids.ModelName]
 
--- a/oatcrank/report_rules.py
+++ b/oatcrank/control/report_rules.py
@@ -4,16 +4,16 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.control import (
     deposed,
-    engine,
-    ids,
     model_need,
     order_times,
     plan,
     replica_table,
     seen_report,
 )
+from oatcrank.engines import engine
 
 LIVING = frozenset((plan.ReplicaState.loaded, plan.ReplicaState.draining))
 
--- a/oatcrank/seen_report.py
+++ b/oatcrank/control/seen_report.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from oatcrank import engine, ids
+from oatcrank import ids
+from oatcrank.engines import engine
 
 
 class SeenReport(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/oatcrank/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to backend servers."""
--- a/oatcrank/adapter_loader.py
+++ b/oatcrank/engines/adapter_loader.py
@@ -5,15 +5,10 @@
 import uuid
 from collections.abc import AsyncIterator
 
-from oatcrank import (
-    backend_server,
-    engine,
-    errors,
-    ids,
-    members,
-    order,
-    plan_view,
-)
+from oatcrank import errors, ids
+from oatcrank.control import plan_view
+from oatcrank.engines import backend_server, engine, order
+from oatcrank.membership import members
 
 TIMEOUT_S = 1.0
 READY_TRIES = 40
--- a/oatcrank/backend_server.py
+++ b/oatcrank/engines/backend_server.py
@@ -1,6 +1,7 @@
 """Hold what one entry instance knows of one backend server."""
 
-from oatcrank import clock, instance_list
+from oatcrank import clock
+from oatcrank.membership import instance_list
 
 FIRST_BACKOFF_S = 0.25
 LONGEST_BACKOFF_S = 4.0
--- a/oatcrank/backend_servers.py
+++ b/oatcrank/engines/backend_servers.py
@@ -2,14 +2,9 @@
 
 import asyncio
 
-from oatcrank import (
-    backend_server,
-    clock,
-    errors,
-    ids,
-    instance_list,
-    logs,
-)
+from oatcrank import clock, errors, ids, logs
+from oatcrank.engines import backend_server
+from oatcrank.membership import instance_list
 
 
 class BackendServers:
--- a/oatcrank/engine.py
+++ b/oatcrank/engines/engine.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import ids, order
+from oatcrank import ids
+from oatcrank.engines import order
 
 
 class Held(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/_engine_http.py
+++ b/oatcrank/engines/engine_http.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from oatcrank import _platform_call, engine, errors, ids, order, rpc
+from oatcrank import errors, ids, rpc
+from oatcrank.engines import engine, order
+from oatcrank.store import platform_call
 
 
 class _Cancel(msgspec.Struct, frozen=True):
@@ -42,7 +44,7 @@
     async def report(self, *, timeout_s: float) -> engine.EngineReport:
         """Return the current report."""
         try:
-            body = await _platform_call.read(
+            body = await platform_call.read(
                 self._client, self._address, '/v1/report', timeout_s=timeout_s
             )
             return msgspec.json.decode(body, type=engine.EngineReport)
@@ -58,7 +60,7 @@
             raise errors.Unavailable(f'cancel: {error}') from error
 
     async def _write(self, path: str, body: bytes, timeout_s: float) -> None:
-        await _platform_call.write(
+        await platform_call.write(
             self._client, self._address, 'POST', path, body, timeout_s=timeout_s
         )
 
--- /dev/null
+++ b/oatcrank/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Take callers' requests and dispatch them."""
--- a/oatcrank/_entry_control.py
+++ b/oatcrank/entry/_entry_control.py
@@ -2,23 +2,21 @@
 
 from typing import Any
 
-from oatcrank import (
-    _entry_platform,
-    _entry_serving,
-    _plan_code,
+from oatcrank.control import (
     control_handlers,
     control_peers,
     demand_board,
     demand_sender,
-    document,
     idle_query,
     lease,
-    placement_choice,
     plan,
+    plan_code,
     pool_control,
     pool_control_parts,
-    serving,
 )
+from oatcrank.entry import _entry_platform, _entry_serving, serving
+from oatcrank.membership import document
+from oatcrank.placing import placement_choice
 
 PLANS = 'plan/'
 LEASE_KEY = 'leases/control'
@@ -102,11 +100,11 @@
         self._platform.documents.put(
             f'{PLANS}{newer.pool}',
             newer.version,
-            _plan_code.encode(newer),
+            plan_code.encode(newer),
         )
 
     def _take_document(self, newer: document.Document) -> None:
-        self.plans.take(_plan_code.decode(newer.text))
+        self.plans.take(plan_code.decode(newer.text))
 
 
 def _lease(platform: _entry_platform.EntryPlatform) -> lease.Lease:
--- a/oatcrank/_entry_platform.py
+++ b/oatcrank/entry/_entry_platform.py
@@ -1,26 +1,23 @@
 """Connect an entry instance to the platform and to its peers."""
 
-from oatcrank import (
-    _instance_list_http,
-    _keyvalue_http,
-    _weight_store_http,
-    backend_servers,
+from oatcrank import clock, logs, metrics, rpc
+from oatcrank.configuration import (
     change_follower,
     change_log,
     change_writer,
-    clock,
+    profile_book,
+    snapshot_store,
+)
+from oatcrank.engines import backend_servers
+from oatcrank.membership import (
     documents,
     incarnation,
-    logs,
     member,
     membership,
-    metrics,
-    profile_book,
-    rpc,
-    settings,
     shared_instance_list,
-    snapshot_store,
 )
+from oatcrank.settings import settings
+from oatcrank.store import instance_list_http, keyvalue_http, weight_store_http
 
 MS_PER_S = 1000
 # A little less than the period, so that each period reads anew.
@@ -38,13 +35,13 @@
         self.clock = clock.MonotonicClock()
         self.rpc = rpc.Rpc()
         self.meter = _meter(chosen)
-        self.store = _keyvalue_http.HttpKeyValue(
+        self.store = keyvalue_http.HttpKeyValue(
             self.rpc,
             platform.key_value,
             timeout_s=timeout_s,
         )
         self.listing = shared_instance_list.SharedInstanceList(
-            _instance_list_http.HttpInstanceList(
+            instance_list_http.HttpInstanceList(
                 self.rpc,
                 platform.instance_list,
                 timeout_s=timeout_s,
@@ -52,7 +49,7 @@
             self.clock,
             max_age_s=LIST_AGE_SHARE * platform.list_period_ms / MS_PER_S,
         )
-        self.weights = _weight_store_http.HttpWeightStore(
+        self.weights = weight_store_http.HttpWeightStore(
             self.rpc,
             platform.weight_store,
             timeout_s=timeout_s,
--- a/oatcrank/_entry_serving.py
+++ b/oatcrank/entry/_entry_serving.py
@@ -4,26 +4,21 @@
 
 import msgspec
 
-from oatcrank import (
-    _engine_http,
+from oatcrank import ids
+from oatcrank.claims import claims, unrepeatable
+from oatcrank.control import plan, plan_view
+from oatcrank.engines import adapter_loader, backend_server, engine, engine_http
+from oatcrank.entry import (
     _entry_platform,
-    adapter_loader,
-    backend_server,
-    claims,
     crash_suspects,
     dispatch_queue,
-    document,
-    engine,
-    ids,
     model_dispatch,
-    plan,
-    plan_view,
     retry_budget,
     router,
     service_dispatch,
     serving,
-    unrepeatable,
 )
+from oatcrank.membership import document
 
 SUSPECTS = 'suspects/'
 MS_PER_S = 1000
@@ -104,7 +99,7 @@
     address: str,
 ) -> engine.ModelEngine:
     """Return a client of the engine at `ip:port`."""
-    return _engine_http.HttpModelEngine(
+    return engine_http.HttpModelEngine(
         platform.rpc,
         address,
         timeout_s=platform.settings.control.order_timeout_ms / MS_PER_S,
--- a/oatcrank/address_handler.py
+++ b/oatcrank/entry/address_handler.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import json_handler, member, serving
+from oatcrank.entry import json_handler, serving
+from oatcrank.membership import member
 
 GIVEN_ADDRESSES = 3
 
--- a/oatcrank/caller_handler.py
+++ b/oatcrank/entry/caller_handler.py
@@ -8,13 +8,12 @@
 import msgspec
 import xxhash
 
-from oatcrank import (
+from oatcrank import logs, refusal
+from oatcrank.configuration import profile
+from oatcrank.entry import (
     caller_outlet,
     event_splitter,
     json_handler,
-    logs,
-    profile,
-    refusal,
     request_head,
     serving,
 )
--- a/oatcrank/caller_outlet.py
+++ b/oatcrank/entry/caller_outlet.py
@@ -4,7 +4,7 @@
 
 from tornado import iostream, web
 
-from oatcrank import outlet
+from oatcrank.entry import outlet
 
 
 class CallerOutlet(outlet.Outlet):
--- a/oatcrank/completion_handler.py
+++ b/oatcrank/entry/completion_handler.py
@@ -4,14 +4,9 @@
 
 import msgspec
 
-from oatcrank import (
-    caller_handler,
-    ids,
-    job,
-    profile,
-    refusal,
-    request_head,
-)
+from oatcrank import ids, refusal
+from oatcrank.configuration import profile
+from oatcrank.entry import caller_handler, job, request_head
 
 # These fields differ between resends of one request.
 VARYING_FIELDS = frozenset(('request_id', 'user', 'stream', 'resume_from'))
--- a/oatcrank/crash_suspects.py
+++ b/oatcrank/entry/crash_suspects.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from oatcrank import backend_server, clock, crash, ids, logs
+from oatcrank import clock, ids, logs
+from oatcrank.engines import backend_server
+from oatcrank.entry import crash
 
 SUSPICION_S = 600.0
 HEXADECIMAL = 16
--- a/oatcrank/dispatch.py
+++ b/oatcrank/entry/dispatch.py
@@ -3,18 +3,9 @@
 import abc
 from http import HTTPStatus
 
-from oatcrank import (
-    backend_server,
-    clock,
-    crash_suspects,
-    errors,
-    job,
-    logs,
-    metrics,
-    outlet,
-    refusal,
-    retry_budget,
-)
+from oatcrank import clock, errors, logs, metrics, refusal
+from oatcrank.engines import backend_server
+from oatcrank.entry import crash_suspects, job, outlet, retry_budget
 
 RETRY_S = 1.0
 
--- a/oatcrank/dispatch_queue.py
+++ b/oatcrank/entry/dispatch_queue.py
@@ -5,17 +5,10 @@
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
-from oatcrank import (
-    admission,
-    backend_server,
-    clock,
-    ids,
-    job,
-    profile,
-    refusal,
-    router,
-    slack_queue,
-)
+from oatcrank import clock, ids, refusal
+from oatcrank.configuration import profile
+from oatcrank.engines import backend_server
+from oatcrank.entry import admission, job, router, slack_queue
 
 SERVICE_S_GUESS = 1.0
 SERVICE_SHARE = 0.1
--- a/oatcrank/entry.py
+++ b/oatcrank/entry/entry.py
@@ -6,22 +6,21 @@
 import msgspec
 from tornado import httpserver, netutil, web
 
-from oatcrank import (
+from oatcrank import background, logs
+from oatcrank.claims import claim_handlers
+from oatcrank.configuration import operator_handlers
+from oatcrank.entry import (
     _entry_control,
     _entry_platform,
     _entry_serving,
     address_handler,
-    background,
     body_limit,
-    claim_handlers,
     completion_handler,
-    internal_handlers,
-    logs,
-    operator_handlers,
     service_handler,
-    settings,
     unknown_handler,
 )
+from oatcrank.membership import internal_handlers
+from oatcrank.settings import settings
 
 MS_PER_S = 1000
 WAKE_PERIOD_S = 0.05
--- a/oatcrank/job.py
+++ b/oatcrank/entry/job.py
@@ -2,7 +2,9 @@
 
 from typing import Any
 
-from oatcrank import ids, permit, profile
+from oatcrank import ids
+from oatcrank.claims import permit
+from oatcrank.configuration import profile
 
 MS_PER_S = 1000
 
--- a/oatcrank/model_dispatch.py
+++ b/oatcrank/entry/model_dispatch.py
@@ -8,18 +8,14 @@
 import msgspec
 from tornado import httputil
 
-from oatcrank import (
-    adapter_loader,
-    backend_server,
+from oatcrank import errors, ids, rpc
+from oatcrank.engines import adapter_loader, backend_server, engine
+from oatcrank.entry import (
     dispatch,
     dispatch_queue,
-    engine,
-    errors,
     event_splitter,
-    ids,
     job,
     outlet,
-    rpc,
     upstream,
 )
 
--- a/oatcrank/router.py
+++ b/oatcrank/entry/router.py
@@ -5,7 +5,8 @@
 
 import xxhash
 
-from oatcrank import backend_server, ids
+from oatcrank import ids
+from oatcrank.engines import backend_server
 
 SAMPLED = 4
 LOOKED_AT = 12
--- a/oatcrank/service_dispatch.py
+++ b/oatcrank/entry/service_dispatch.py
@@ -5,17 +5,14 @@
 
 from tornado import httputil, iostream, tcpclient
 
-from oatcrank import (
-    backend_server,
-    backend_servers,
+from oatcrank import errors, refusal, rpc
+from oatcrank.engines import backend_server, backend_servers
+from oatcrank.entry import (
     dispatch,
     dispatch_queue,
-    errors,
     job,
     outlet,
-    refusal,
     router,
-    rpc,
     upstream,
 )
 
--- a/oatcrank/service_handler.py
+++ b/oatcrank/entry/service_handler.py
@@ -1,6 +1,7 @@
 """Serve calls of plain services."""
 
-from oatcrank import caller_handler, ids, job, refusal, request_head
+from oatcrank import ids, refusal
+from oatcrank.entry import caller_handler, job, request_head
 
 
 class ServiceHandler(caller_handler.CallerHandler):
--- a/oatcrank/serving.py
+++ b/oatcrank/entry/serving.py
@@ -5,21 +5,13 @@
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
-from oatcrank import (
-    claims,
-    clock,
-    dispatch_queue,
-    ids,
-    members,
-    metrics,
-    model_dispatch,
-    plan_view,
-    profile,
-    refusal,
-    service_dispatch,
-    settings,
-    unrepeatable,
-)
+from oatcrank import clock, ids, metrics, refusal
+from oatcrank.claims import claims, unrepeatable
+from oatcrank.configuration import profile
+from oatcrank.control import plan_view
+from oatcrank.entry import dispatch_queue, model_dispatch, service_dispatch
+from oatcrank.membership import members
+from oatcrank.settings import settings
 
 ISOLATED_RETRY_S = 2.0
 
--- a/oatcrank/unknown_handler.py
+++ b/oatcrank/entry/unknown_handler.py
@@ -2,7 +2,8 @@
 
 from http import HTTPStatus
 
-from oatcrank import json_handler, refusal
+from oatcrank import refusal
+from oatcrank.entry import json_handler
 
 
 class UnknownHandler(json_handler.JsonHandler):
--- a/oatcrank/upstream.py
+++ b/oatcrank/entry/upstream.py
@@ -5,7 +5,8 @@
 
 from tornado import http1connection, httputil, iostream, tcpclient
 
-from oatcrank import errors, permit, rpc
+from oatcrank import errors, rpc
+from oatcrank.claims import permit
 
 MAX_ANSWER_BYTES = 1_073_741_824
 SILENCE_S = 1.0
--- /dev/null
+++ b/oatcrank/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which instances live."""
--- a/oatcrank/cells.py
+++ b/oatcrank/membership/cells.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from oatcrank import ids, instance_list, rendezvous
+from oatcrank import ids
+from oatcrank.membership import instance_list, rendezvous
 
 
 def cell_of(
--- a/oatcrank/documents.py
+++ b/oatcrank/membership/documents.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from oatcrank import document
+from oatcrank.membership import document
 
 Listener = Callable[[document.Document], None]
 
--- a/oatcrank/exchange.py
+++ b/oatcrank/membership/exchange.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import document, member
+from oatcrank.membership import document, member
 
 PROTOCOL_VERSION = 1
 
--- a/oatcrank/failure_detector.py
+++ b/oatcrank/membership/failure_detector.py
@@ -1,6 +1,7 @@
 """Judge by beats, on the local clock, which instances are alive."""
 
-from oatcrank import clock, exchange
+from oatcrank import clock
+from oatcrank.membership import exchange
 
 
 class FailureDetector:
--- a/oatcrank/incarnation.py
+++ b/oatcrank/membership/incarnation.py
@@ -1,6 +1,7 @@
 """Count the starts of an instance that keeps nothing."""
 
-from oatcrank import errors, ids, keyvalue, logs
+from oatcrank import errors, ids, logs
+from oatcrank.store import keyvalue
 
 ATTEMPTS = 3
 FIRST = 1
--- a/oatcrank/internal_handlers.py
+++ b/oatcrank/membership/internal_handlers.py
@@ -2,13 +2,9 @@
 
 from typing import Any
 
-from oatcrank import (
-    change_log,
-    change_news,
-    exchange,
-    json_handler,
-    membership,
-)
+from oatcrank.configuration import change_log, change_news
+from oatcrank.entry import json_handler
+from oatcrank.membership import exchange, membership
 
 
 class ExchangeHandler(json_handler.JsonHandler):
--- a/oatcrank/members.py
+++ b/oatcrank/membership/members.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from oatcrank import member
+from oatcrank.membership import member
 
 
 class Members(abc.ABC):
--- a/oatcrank/membership.py
+++ b/oatcrank/membership/membership.py
@@ -7,22 +7,19 @@
 
 import msgspec
 
-from oatcrank import (
-    change_follower,
-    clock,
+from oatcrank import clock, errors, logs, rpc
+from oatcrank.configuration import change_follower
+from oatcrank.membership import (
     documents,
-    errors,
     exchange,
     failure_detector,
     instance_list,
-    logs,
     member,
     members,
-    membership_settings,
     roll,
     roster,
-    rpc,
 )
+from oatcrank.settings import membership_settings
 
 EXCHANGE_PATH = '/internal/exchange'
 DOCUMENTS_PATH = '/internal/documents'
--- a/oatcrank/roll.py
+++ b/oatcrank/membership/roll.py
@@ -3,7 +3,7 @@
 import msgspec
 import xxhash
 
-from oatcrank import exchange
+from oatcrank.membership import exchange
 
 
 class Roll(msgspec.Struct, frozen=True):
--- a/oatcrank/roster.py
+++ b/oatcrank/membership/roster.py
@@ -2,12 +2,11 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import clock, ids
+from oatcrank.membership import (
     cells,
-    clock,
     documents,
     failure_detector,
-    ids,
     instance_list,
     member,
 )
--- a/oatcrank/shared_instance_list.py
+++ b/oatcrank/membership/shared_instance_list.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from oatcrank import clock, instance_list
+from oatcrank import clock
+from oatcrank.membership import instance_list
 
 Found = tuple[instance_list.Instance, ...]
 
--- a/oatcrank/orders/load_ceiling.py
+++ b/oatcrank/orders/load_ceiling.py
@@ -1,29 +1,52 @@
-"""Bound how many loads from the weight store begin in a while."""
+"""Bound how many loads from the weight store begin in a while.
+
+Counts also the loads that a former holder may have begun: by its word, or as
+many as it may have begun where it can't be asked.
+"""
 
 import collections
 
+import msgspec
+
 WINDOW_S = 5.0
+# What the store bears beyond its rate over a window, in loads.
+EXTRA_LOADS = 3
+
+
+class _Load(msgspec.Struct, frozen=True):
+    at_s: float
+    inherited: bool
 
 
 class LoadCeiling:
-    """Count loads, also those that a predecessor may have begun."""
+    """Count the loads of the last seconds."""
 
     def __init__(self, loads_per_s: float) -> None:
-        """Allow loads_per_s over any five seconds."""
-        self._allowed = max(1, int(loads_per_s * WINDOW_S))
-        self._begun: collections.deque[float] = collections.deque()
+        """Allow loads_per_s over any window, all holders together a few more."""
+        self._own_most = max(1, int(loads_per_s * WINDOW_S))
+        self._most = self._own_most + EXTRA_LOADS
+        self._loads: collections.deque[_Load] = collections.deque()
 
     def has_room(self, now_s: float) -> bool:
         """Tell whether another load may begin."""
-        while self._begun and self._begun[0] < now_s - WINDOW_S:
-            self._begun.popleft()
-        return len(self._begun) < self._allowed
+        self._trim(now_s)
+        own = sum(not one.inherited for one in self._loads)
+        return own < self._own_most and len(self._loads) < self._most
 
-    @property
-    def recent(self) -> int:
-        """Return how many loads were counted lately."""
-        return len(self._begun)
+    def recent(self, now_s: float) -> int:
+        """Return how many loads count now."""
+        self._trim(now_s)
+        return len(self._loads)
 
     def note(self, now_s: float) -> None:
         """Count a load that may begin now."""
-        self._begun.append(now_s)
+        self._loads.append(_Load(now_s, inherited=False))
+
+    def inherit(self, loads: int | None, now_s: float) -> None:
+        """Count a former holder's loads; None is as many as it might begin."""
+        count = self._own_most if loads is None else loads
+        self._loads.extend([_Load(now_s, inherited=True)] * count)
+
+    def _trim(self, now_s: float) -> None:
+        while self._loads and self._loads[0].at_s < now_s - WINDOW_S:
+            self._loads.popleft()
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -95,9 +95,13 @@
         """Give no more orders."""
         self.turn = None
 
-    def store_loads(self) -> int:
-        """Return how many loads of the last seconds may still count."""
-        return sum(one.recent for one in self._ceiling_by_service.values())
+    def store_loads(self) -> int | None:
+        """Return how many loads of the last seconds count, if that is known."""
+        now_s = suspended_time()
+        known = [one.recent(now_s) for one in self._ceiling_by_service.values()]
+        if known:
+            return sum(known)
+        return 0 if self.turn is None else self.turn.former_loads
 
     async def arrange(
         self,
@@ -469,10 +473,13 @@
         service: ids.ServiceName,
         engine: route.Engine,
     ) -> load_ceiling.LoadCeiling:
-        return self._ceiling_by_service.setdefault(
-            service,
-            load_ceiling.LoadCeiling(engine.store_loads_per_s),
-        )
+        found = self._ceiling_by_service.get(service)
+        if found is None:
+            found = load_ceiling.LoadCeiling(engine.store_loads_per_s)
+            if self.turn is not None:
+                found.inherit(self.turn.former_loads, self.turn.acquired_s)
+            self._ceiling_by_service[service] = found
+        return found
 
 
 def _tell_nobody(_: ids.ServerId, __: need.Need) -> None:
--- a/oatcrank/orders/tenure.py
+++ b/oatcrank/orders/tenure.py
@@ -14,7 +14,8 @@
     """Hold the times of one turn at giving orders.
 
     own_orders_end_s is when orders of an earlier turn of this instance are so
-    long past that it doesn't take turns with another.
+    long past that it doesn't take turns with another.  former_loads is how
+    many loads the former holder has begun lately, None if it can't be asked.
     """
 
     fence: int
@@ -22,6 +23,7 @@
     renewed_s: float
     starts_s: float
     own_orders_end_s: float
+    former_loads: int | None = 0
 
     def may_order(self, now_s: float) -> bool:
         """Tell whether an order may be sent now."""
@@ -35,9 +37,10 @@
         """Take a renewal that succeeded, by when it was sent."""
         self.renewed_s = max(self.renewed_s, sent_s)
 
-    def follow(self, stopped_s: float) -> None:
+    def follow(self, stopped_s: float, loads: int | None) -> None:
         """Take that the former holder has certainly stopped."""
         self.starts_s = min(self.starts_s, stopped_s)
+        self.former_loads = loads
 
 
 def begin(
@@ -59,4 +62,5 @@
         renewed_s=sent_s,
         starts_s=now_s + wait_s,
         own_orders_end_s=own_orders_end_s,
+        former_loads=0 if first else None,
     )
--- /dev/null
+++ b/oatcrank/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which models are held where."""
--- a/oatcrank/_consolidation.py
+++ b/oatcrank/placing/_consolidation.py
@@ -1,6 +1,7 @@
 """Empty the servers that earn less than an accelerator's price."""
 
-from oatcrank import _prices, _room, _vacating, ids
+from oatcrank import ids
+from oatcrank.placing import _vacating, move_prices, server_room
 
 PAUSE_S = 1.0
 LONGEST_CLOSING_S = 20.0
@@ -22,8 +23,8 @@
 
     def choose(
         self,
-        room: _room.Room,
-        prices: _prices.Prices,
+        room: server_room.Room,
+        prices: move_prices.Prices,
         vacating: _vacating.Vacating,
     ) -> None:
         """Begin with the server that loses least by it, if it pays."""
@@ -44,8 +45,8 @@
 
     def go_on(
         self,
-        room: _room.Room,
-        prices: _prices.Prices,
+        room: server_room.Room,
+        prices: move_prices.Prices,
         vacating: _vacating.Vacating,
     ) -> None:
         """Take the next steps, unless by now they lose too much."""
@@ -65,7 +66,7 @@
             vacating.carry_out(server, step)
 
 
-def _enough_slots(room: _room.Room, prices: _prices.Prices) -> bool:
+def _enough_slots(room: server_room.Room, prices: move_prices.Prices) -> bool:
     need = sum(prices.need_now(model) for model in room.homes_by_model)
     slots = [
         view.slots for view in room.seen.servers if room.is_used(view.server)
--- a/oatcrank/_loading.py
+++ b/oatcrank/placing/_loading.py
@@ -5,14 +5,14 @@
 
 import msgspec
 
-from oatcrank import (
-    _prices,
-    _room,
+from oatcrank import ids
+from oatcrank.placing import (
     _spare,
     _swap,
     demand,
-    ids,
+    move_prices,
     placement,
+    server_room,
 )
 
 HORIZON_S = 30.0
@@ -38,8 +38,8 @@
 
     def __init__(
         self,
-        room: _room.Room,
-        prices: _prices.Prices,
+        room: server_room.Room,
+        prices: move_prices.Prices,
         spare: _spare.Spare,
         swap: _swap.Swap,
         book: demand.DemandBook,
--- a/oatcrank/_pressure.py
+++ b/oatcrank/placing/_pressure.py
@@ -2,7 +2,8 @@
 
 import collections
 
-from oatcrank import _prices, _room, ids
+from oatcrank import ids
+from oatcrank.placing import move_prices, server_room
 
 MOST_SHARE = 0.75
 
@@ -10,7 +11,9 @@
 class Pressure:
     """Spread each model's need evenly over its replicas."""
 
-    def __init__(self, room: _room.Room, prices: _prices.Prices) -> None:
+    def __init__(
+        self, room: server_room.Room, prices: move_prices.Prices
+    ) -> None:
         """Add up the needs of all models."""
         self._room = room
         self._prices = prices
--- a/oatcrank/_spare.py
+++ b/oatcrank/placing/_spare.py
@@ -4,7 +4,8 @@
 import collections
 import itertools
 
-from oatcrank import _pressure, _prices, _room, ids
+from oatcrank import ids
+from oatcrank.placing import _pressure, move_prices, server_room
 
 MOST_TRIED = 16
 
@@ -14,8 +15,8 @@
 
     def __init__(
         self,
-        room: _room.Room,
-        prices: _prices.Prices,
+        room: server_room.Room,
+        prices: move_prices.Prices,
         pressure: _pressure.Pressure,
     ) -> None:
         """Start from what the room leaves free."""
--- a/oatcrank/_swap.py
+++ b/oatcrank/placing/_swap.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import _pressure, _prices, _room, _spare, demand, ids
+from oatcrank import ids
+from oatcrank.placing import _pressure, _spare, demand, move_prices, server_room
 
 HORIZON_S = 30.0
 
@@ -52,8 +53,8 @@
 
     def __init__(
         self,
-        room: _room.Room,
-        prices: _prices.Prices,
+        room: server_room.Room,
+        prices: move_prices.Prices,
         pressure: _pressure.Pressure,
         spare: _spare.Spare,
         book: demand.DemandBook,
--- a/oatcrank/_vacating.py
+++ b/oatcrank/placing/_vacating.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from oatcrank import _room, _spare, _swap, ids
+from oatcrank import ids
+from oatcrank.placing import _spare, _swap, server_room
 
 PAYBACK_S = 15.0
 
@@ -38,7 +39,7 @@
 
     def __init__(
         self,
-        room: _room.Room,
+        room: server_room.Room,
         spare: _spare.Spare,
         swap: _swap.Swap,
     ) -> None:
--- a/oatcrank/demand.py
+++ b/oatcrank/placing/demand.py
@@ -2,7 +2,8 @@
 
 import math
 
-from oatcrank import ids, placement
+from oatcrank import ids
+from oatcrank.placing import placement
 
 FAST_S = 8.0
 SLOW_S = 90.0
--- a/oatcrank/expected_gain_placement.py
+++ b/oatcrank/placing/expected_gain_placement.py
@@ -1,18 +1,18 @@
 """Place models by the gain that is expected of a move against its price."""
 
-from oatcrank import (
+from oatcrank.placing import (
     _consolidation,
     _loading,
     _pressure,
-    _prices,
-    _room,
     _spare,
     _swap,
     _vacating,
     demand,
+    move_prices,
     placement,
-    policy_settings,
+    server_room,
 )
+from oatcrank.settings import policy_settings
 
 
 class ExpectedGainPlacement(placement.Placement):
@@ -27,8 +27,8 @@
     def decide(self, seen: placement.Observation) -> tuple[placement.Move, ...]:
         """Return the moves to start now, best first."""
         self._book.update(seen)
-        room = _room.Room(seen)
-        prices = _prices.Prices(
+        room = server_room.Room(seen)
+        prices = move_prices.Prices(
             seen,
             self._book,
             self._weights,
@@ -53,7 +53,7 @@
         return tuple(room.moves)
 
 
-def _unload_drained(room: _room.Room) -> None:
+def _unload_drained(room: server_room.Room) -> None:
     for view in room.seen.servers:
         for model in view.draining:
             if room.can_unload(view.server, model):
--- a/oatcrank/_prices.py
+++ b/oatcrank/placing/move_prices.py
@@ -1,6 +1,8 @@
 """Price accelerators, moves and cold starts in requests within target."""
 
-from oatcrank import demand, ids, placement, policy_settings
+from oatcrank import ids
+from oatcrank.placing import demand, placement
+from oatcrank.settings import policy_settings
 
 ACCELERATOR_SHARE = 0.2
 MOVE_PRICE = 0.5
--- a/oatcrank/on_demand_placement.py
+++ b/oatcrank/placing/on_demand_placement.py
@@ -1,6 +1,7 @@
 """Load models when requests wait, and unload the least recently used."""
 
-from oatcrank import _room, ids, placement
+from oatcrank import ids
+from oatcrank.placing import placement, server_room
 
 Place = tuple[ids.ServerId, ids.ModelName]
 Use = tuple[float, ids.ServerId, ids.ModelName]
@@ -17,7 +18,7 @@
     def decide(self, seen: placement.Observation) -> tuple[placement.Move, ...]:
         """Load the models that wait, the longest queue first."""
         self._note_use(seen)
-        room = _room.Room(seen)
+        room = server_room.Room(seen)
         slots = max(server.slots for server in seen.servers) * CROWDED_SHARE
         waiting = [model for model in seen.models if model.waiting]
         waiting.sort(key=lambda model: -model.waiting)
@@ -33,7 +34,7 @@
             for model in (*server.busy, *server.loading):
                 self._last_use_by_place[server.server, model] = seen.now_s
 
-    def _load(self, room: _room.Room, model: ids.ModelName) -> None:
+    def _load(self, room: server_room.Room, model: ids.ModelName) -> None:
         fitting = [
             server for server in room.server_by_id if room.fits(server, model)
         ]
@@ -49,7 +50,7 @@
         elif room.load_slots:
             self._make_room(room, model)
 
-    def _make_room(self, room: _room.Room, wanted: ids.ModelName) -> None:
+    def _make_room(self, room: server_room.Room, wanted: ids.ModelName) -> None:
         if any(view.unloading for view in room.server_by_id.values()):
             return
         choices = [
@@ -63,7 +64,7 @@
 
     def _victims(
         self,
-        room: _room.Room,
+        room: server_room.Room,
         server: ids.ServerId,
         wanted: ids.ModelName,
     ) -> list[Use]:
@@ -83,7 +84,7 @@
         return victims if lacking_mb <= 0 and wanted not in view.loaded else []
 
 
-def _loading(room: _room.Room, model: placement.ModelView) -> bool:
+def _loading(room: server_room.Room, model: placement.ModelView) -> bool:
     return any(
         model.model in view.loading for view in room.server_by_id.values()
     )
--- a/oatcrank/placement_choice.py
+++ b/oatcrank/placing/placement_choice.py
@@ -1,12 +1,12 @@
 """Make the placement policy that the settings name."""
 
-from oatcrank import (
+from oatcrank.placing import (
     expected_gain_placement,
     on_demand_placement,
     placement,
     placement_kind,
-    policy_settings,
 )
+from oatcrank.settings import policy_settings
 
 
 def new(chosen: policy_settings.PolicySettings) -> placement.Placement:
--- a/oatcrank/_room.py
+++ b/oatcrank/placing/server_room.py
@@ -1,6 +1,7 @@
 """Plan moves against what a round's observation leaves free."""
 
-from oatcrank import ids, placement
+from oatcrank import ids
+from oatcrank.placing import placement
 
 MOST_SLOTS = 0.75
 
--- a/oatcrank/platform/platform_command.py
+++ b/oatcrank/platform/platform_command.py
@@ -5,7 +5,8 @@
 import os
 import sys
 
-from oatcrank import command, errors, logs
+from oatcrank import errors, logs
+from oatcrank.commands import command
 from oatcrank.platform import serve, settings
 
 METRICS_PORT = 9464
--- /dev/null
+++ b/oatcrank/replaying/__init__.py
@@ -0,0 +1,1 @@
+"""Replay recorded traffic and compare policies."""
--- a/oatcrank/_fake_fleet.py
+++ b/oatcrank/replaying/_fake_fleet.py
@@ -2,14 +2,10 @@
 
 import collections
 
-from oatcrank import (
-    _fake_server,
-    errors,
-    ids,
-    placement,
-    plan,
-    trace_head,
-)
+from oatcrank import errors, ids
+from oatcrank.control import plan
+from oatcrank.placing import placement
+from oatcrank.replaying import _fake_server, trace_head
 
 States = plan.ReplicaState
 
--- a/oatcrank/_fake_queues.py
+++ b/oatcrank/replaying/_fake_queues.py
@@ -2,7 +2,9 @@
 
 import collections
 
-from oatcrank import _fake_request, ids, slack_queue
+from oatcrank import ids
+from oatcrank.entry import slack_queue
+from oatcrank.replaying import _fake_request
 
 QUEUE_BOUND = 256
 IN_TIME = 0
--- a/oatcrank/_fake_server.py
+++ b/oatcrank/replaying/_fake_server.py
@@ -1,6 +1,8 @@
 """Keep the memory and slots of a backend server during a replay."""
 
-from oatcrank import ids, placement, plan
+from oatcrank import ids
+from oatcrank.control import plan
+from oatcrank.placing import placement
 
 
 class FakeReplica:
--- a/oatcrank/_harness_moves.py
+++ b/oatcrank/replaying/_harness_moves.py
@@ -3,14 +3,14 @@
 import functools
 from collections.abc import Callable
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.control import plan
+from oatcrank.placing import placement
+from oatcrank.replaying import (
     _fake_fleet,
     _fake_server,
     _fake_store,
     _harness_timeline,
-    ids,
-    placement,
-    plan,
     policy_score,
 )
 
--- a/oatcrank/_harness_service.py
+++ b/oatcrank/replaying/_harness_service.py
@@ -3,18 +3,17 @@
 import functools
 import math
 
-from oatcrank import (
+from oatcrank import ids, refusal
+from oatcrank.control import plan
+from oatcrank.entry import admission
+from oatcrank.replaying import (
     _fake_fleet,
     _fake_queues,
     _fake_request,
     _fake_server,
     _fake_store,
     _harness_timeline,
-    admission,
-    ids,
-    plan,
     policy_score,
-    refusal,
 )
 
 SAME_SPELL_S = 10.0
--- a/oatcrank/_harness_view.py
+++ b/oatcrank/replaying/_harness_view.py
@@ -2,13 +2,13 @@
 
 import collections
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.placing import placement
+from oatcrank.replaying import (
     _fake_fleet,
     _fake_queues,
     _fake_request,
     _fake_store,
-    ids,
-    placement,
     trace_head,
 )
 
--- a/oatcrank/_known_demand.py
+++ b/oatcrank/replaying/_known_demand.py
@@ -4,7 +4,8 @@
 import collections
 import itertools
 
-from oatcrank import ids, trace
+from oatcrank import ids
+from oatcrank.replaying import trace
 
 
 class KnownDemand:
--- a/oatcrank/_replay_events.py
+++ b/oatcrank/replaying/_replay_events.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from oatcrank import _replay_watch, errors, rpc, settings, trace_event
+from oatcrank import errors, rpc
+from oatcrank.replaying import _replay_watch, trace_event
+from oatcrank.settings import settings
 
 TIMEOUT_S = 5.0
 
--- a/oatcrank/_replay_watch.py
+++ b/oatcrank/replaying/_replay_watch.py
@@ -5,15 +5,10 @@
 
 import msgspec
 
-from oatcrank import (
-    clock,
-    engine,
-    errors,
-    ids,
-    instance_list,
-    platform_settings,
-    rpc,
-)
+from oatcrank import clock, errors, ids, rpc
+from oatcrank.engines import engine
+from oatcrank.membership import instance_list
+from oatcrank.settings import platform_settings
 
 PERIOD_S = 0.5
 TIMEOUT_S = 1.0
--- a/oatcrank/informed_placement.py
+++ b/oatcrank/replaying/informed_placement.py
@@ -6,14 +6,9 @@
 
 import msgspec
 
-from oatcrank import (
-    _known_demand,
-    _room,
-    ids,
-    placement,
-    policy_harness,
-    trace,
-)
+from oatcrank import ids
+from oatcrank.placing import placement, server_room
+from oatcrank.replaying import _known_demand, policy_harness, trace
 
 START_MARGIN_S = 1.0
 WINDOW_S = 8.0
@@ -65,7 +60,7 @@
 
     def decide(self, seen: placement.Observation) -> tuple[placement.Move, ...]:
         """Load what is about to be asked for, the nearest first."""
-        room = _room.Room(seen)
+        room = server_room.Room(seen)
         filled = self._filled(room)
         for model in self._wanted(room):
             self._load(room, model, filled)
@@ -78,7 +73,7 @@
     def _slots(self, model: ids.ModelName, now: float) -> float:
         return self._known.slots(model, now, now + WINDOW_S)
 
-    def _filled(self, room: _room.Room) -> dict[ids.ServerId, float]:
+    def _filled(self, room: server_room.Room) -> dict[ids.ServerId, float]:
         filled: dict[ids.ServerId, float] = dict.fromkeys(room.server_by_id, 0)
         for model, homes in room.homes_by_model.items():
             for server in homes:
@@ -86,7 +81,7 @@
                 filled[server] += slots / len(homes)
         return filled
 
-    def _wanted(self, room: _room.Room) -> list[ids.ModelName]:
+    def _wanted(self, room: server_room.Room) -> list[ids.ModelName]:
         now = room.seen.now_s
         ahead_s = now + room.seen.load_s + START_MARGIN_S
         ranked = []
@@ -100,7 +95,9 @@
             if self._lacks(room, room.model_by_name[name])
         ]
 
-    def _lacks(self, room: _room.Room, model: placement.ModelView) -> bool:
+    def _lacks(
+        self, room: server_room.Room, model: placement.ModelView
+    ) -> bool:
         homes = room.homes_by_model[model.model]
         now = room.seen.now_s
         if not homes:
@@ -117,7 +114,7 @@
 
     def _load(
         self,
-        room: _room.Room,
+        room: server_room.Room,
         model: ids.ModelName,
         filled: dict[ids.ServerId, float],
     ) -> None:
@@ -146,10 +143,10 @@
         elif room.load_slots:
             self._make_room(room, model)
 
-    def _most(self, room: _room.Room, server: ids.ServerId) -> float:
+    def _most(self, room: server_room.Room, server: ids.ServerId) -> float:
         return self._shape.share * room.server_by_id[server].slots
 
-    def _make_room(self, room: _room.Room, model: ids.ModelName) -> None:
+    def _make_room(self, room: server_room.Room, model: ids.ModelName) -> None:
         if any(view.unloading for view in room.seen.servers):
             return
         now = room.seen.now_s
@@ -175,7 +172,7 @@
 
     def _unload(
         self,
-        room: _room.Room,
+        room: server_room.Room,
         view: placement.ServerView,
         model: ids.ModelName,
     ) -> None:
@@ -188,7 +185,7 @@
 
     def _empty(
         self,
-        room: _room.Room,
+        room: server_room.Room,
         filled: dict[ids.ServerId, float],
     ) -> None:
         self._closing = None
@@ -216,7 +213,7 @@
 
     def _targets(
         self,
-        room: _room.Room,
+        room: server_room.Room,
         leaving: placement.ServerView,
         filled: dict[ids.ServerId, float],
     ) -> list[tuple[ids.ModelName, ids.ServerId]] | None:
--- a/oatcrank/policies.py
+++ b/oatcrank/replaying/policies.py
@@ -3,17 +3,19 @@
 import collections
 import enum
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.placing import (
     expected_gain_placement,
-    ids,
-    informed_placement,
     on_demand_placement,
     placement,
+)
+from oatcrank.replaying import (
+    informed_placement,
     policy_harness,
-    policy_settings,
     static_placement,
     trace,
 )
+from oatcrank.settings import policy_settings
 
 TRILHA_ACCELERATOR_WEIGHT = 0.5
 WEIGHTS_BY_SITE = {
--- a/oatcrank/_policy_front.py
+++ b/oatcrank/replaying/policy_front.py
@@ -3,7 +3,8 @@
 import pathlib
 from collections.abc import Sequence
 
-from oatcrank import plots, policies, policy_settings, trace
+from oatcrank.replaying import plots, policies, trace
+from oatcrank.settings import policy_settings
 
 WEIGHTS = (
     (4, 0.25),
--- a/oatcrank/policy_harness.py
+++ b/oatcrank/replaying/policy_harness.py
@@ -5,7 +5,10 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.entry import admission
+from oatcrank.placing import placement
+from oatcrank.replaying import (
     _fake_fleet,
     _fake_request,
     _fake_store,
@@ -13,9 +16,6 @@
     _harness_service,
     _harness_timeline,
     _harness_view,
-    admission,
-    ids,
-    placement,
     policy_score,
     trace,
 )
--- a/oatcrank/_policy_table.py
+++ b/oatcrank/replaying/policy_table.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank import policy_score
+from oatcrank.replaying import policy_score
 
 HEADER = (
     'trace',
--- a/oatcrank/replay.py
+++ b/oatcrank/replaying/replay.py
@@ -4,18 +4,18 @@
 
 import msgspec
 
-from oatcrank import (
+from oatcrank import clock
+from oatcrank.configuration import profile
+from oatcrank.replaying import (
     _replay_caller,
     _replay_events,
     _replay_watch,
-    clock,
     policy_harness,
     policy_score,
-    profile,
-    settings,
     trace,
     trace_event,
 )
+from oatcrank.settings import settings
 
 SAMPLE_S = 1.0
 MOST_SHOWN = 20
--- a/oatcrank/replay_text.py
+++ b/oatcrank/replaying/replay_text.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
-from oatcrank import _policy_table, replay
+from oatcrank.replaying import policy_table, replay
 
 SYSTEM = 'system'
 
@@ -12,7 +12,7 @@
 
 def text(report: replay.ReplayReport) -> str:
     """Return a report as lines to read."""
-    row = _policy_table.Row(
+    row = policy_table.Row(
         site=report.site,
         trace=f'{report.site}-{report.spell}',
         policy=SYSTEM,
@@ -20,7 +20,7 @@
     )
     figures = report.figures
     lines = [
-        *_policy_table.lines([row]),
+        *policy_table.lines([row]),
         '',
         *_shares('profile', figures.attainment_by_profile),
         *_shares('model', figures.attainment_by_model),
--- a/oatcrank/static_placement.py
+++ b/oatcrank/replaying/static_placement.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from oatcrank import _room, ids, placement
+from oatcrank import ids
+from oatcrank.placing import placement, server_room
 
 MOST_SLOTS = 0.75
 
@@ -24,7 +25,7 @@
         """Load what the fixed placement lacks."""
         if self._wanted is None:
             self._wanted = _pack(seen, self._rate_by_model)
-        room = _room.Room(seen)
+        room = server_room.Room(seen)
         for server, model in self._wanted:
             if model in room.model_by_name and room.fits(server, model):
                 room.load(server, model)
--- a/oatcrank/trace.py
+++ b/oatcrank/replaying/trace.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from oatcrank import errors, trace_event, trace_head
+from oatcrank import errors
+from oatcrank.replaying import trace_event, trace_head
 
 Line = TypeVar('Line')
 
--- a/oatcrank/trace_generator.py
+++ b/oatcrank/replaying/trace_generator.py
@@ -4,18 +4,18 @@
 
 import msgspec
 
-from oatcrank import (
-    _trace_site,
-    _trace_sites,
+from oatcrank import ids
+from oatcrank.configuration import profile
+from oatcrank.replaying import (
     _trace_spell,
-    ids,
-    profile,
     trace,
     trace_event,
     trace_head,
+    trace_site,
+    trace_sites,
 )
 
-SITES = tuple(_trace_sites.SIZE_BY_SITE)
+SITES = tuple(trace_sites.SIZE_BY_SITE)
 SPELLS = tuple(spell.value for spell in _trace_spell.Spell)
 COMMITTED_SEED = 1
 TUNING_SEEDS = (1, 2)
@@ -42,7 +42,7 @@
     seconds: float = TRACE_S,
 ) -> trace.Trace:
     """Return the trace that the seed gives for a site and spell."""
-    size = _trace_sites.SIZE_BY_SITE[site]
+    size = trace_sites.SIZE_BY_SITE[site]
     kind = _trace_spell.Spell(spell)
     dice = random.Random(f'{site} {spell} {seed}')
     head = msgspec.structs.replace(_head(size, spell, seed), seconds=seconds)
@@ -87,7 +87,7 @@
 
 
 def _head(
-    size: _trace_site.SiteSize,
+    size: trace_site.SiteSize,
     spell: str,
     seed: int,
 ) -> trace_head.TraceHead:
@@ -102,10 +102,10 @@
             ids.FailureDomain(f'{size.region}-{letter}') for letter in 'abc'
         ),
         store=size.store,
-        pools=_trace_site.pools(size),
-        models=_trace_site.models(size),
+        pools=trace_site.pools(size),
+        models=trace_site.models(size),
         profiles=size.profiles,
-        reasons=_trace_site.REASONS,
+        reasons=trace_site.REASONS,
         stated_attainment=STATED_ATTAINMENT,
     )
 
--- a/oatcrank/trace_head.py
+++ b/oatcrank/replaying/trace_head.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from oatcrank import ids, profile
+from oatcrank import ids
+from oatcrank.configuration import profile
 
 FORMAT = 'oatcrank-trace-1'
 
--- a/oatcrank/_trace_sites.py
+++ b/oatcrank/replaying/trace_sites.py
@@ -1,6 +1,7 @@
 """Hold the figures of both sites."""
 
-from oatcrank import _trace_site, ids, trace_head
+from oatcrank import ids
+from oatcrank.replaying import trace_head, trace_site
 
 YARD_ADAPTERS = 40
 YARD_LOADS_PER_S = 1.5
@@ -8,8 +9,8 @@
 TRILHA_ADAPTERS = 80
 TRILHA_ADAPTERS_IN_TRANSIT = 25
 
-YARD = _trace_site.with_profiles(
-    _trace_site.SiteSize(
+YARD = trace_site.with_profiles(
+    trace_site.SiteSize(
         site='yard',
         region='jm-south',
         servers_by_pool={
@@ -34,8 +35,8 @@
     'job-notes',
     'bookings',
 )
-TRILHA = _trace_site.with_profiles(
-    _trace_site.SiteSize(
+TRILHA = trace_site.with_profiles(
+    trace_site.SiteSize(
         site='trilha',
         region='nordeste',
         servers_by_pool={
--- /dev/null
+++ b/oatcrank/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Hold and check what an instance is set to."""
--- a/oatcrank/claims_settings.py
+++ b/oatcrank/settings/claims_settings.py
@@ -1,6 +1,6 @@
 """Size the record of unrepeatable requests."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class ClaimsSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/configuration_settings.py
+++ b/oatcrank/settings/configuration_settings.py
@@ -1,6 +1,6 @@
 """Time the reading of the change log."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class ConfigurationSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/control_settings.py
+++ b/oatcrank/settings/control_settings.py
@@ -1,6 +1,6 @@
 """Time the control of pools."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class ControlSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/limits_settings.py
+++ b/oatcrank/settings/limits_settings.py
@@ -1,6 +1,6 @@
 """Bound what callers can ask."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 MEGABYTE = 1_048_576
 
--- a/oatcrank/listen_settings.py
+++ b/oatcrank/settings/listen_settings.py
@@ -1,6 +1,6 @@
 """Say where an instance listens."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class ListenSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/membership_settings.py
+++ b/oatcrank/settings/membership_settings.py
@@ -1,6 +1,6 @@
 """Time the exchanges between instances."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class MembershipSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/platform_settings.py
+++ b/oatcrank/settings/platform_settings.py
@@ -1,6 +1,6 @@
 """Say where the platform is."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class PlatformSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/policy_settings.py
+++ b/oatcrank/settings/policy_settings.py
@@ -1,6 +1,7 @@
 """Choose the placement policy and weigh what it costs."""
 
-from oatcrank import placement_kind, section
+from oatcrank.placing import placement_kind
+from oatcrank.settings import section
 
 
 class PolicySettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/settings.py
+++ b/oatcrank/settings/settings.py
@@ -1,10 +1,10 @@
 """Hold the checked settings of one entry instance."""
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.settings import (
     claims_settings,
     configuration_settings,
     control_settings,
-    ids,
     limits_settings,
     listen_settings,
     membership_settings,
--- a/oatcrank/settings_check.py
+++ b/oatcrank/settings/settings_check.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from oatcrank import section, settings
+from oatcrank.settings import section, settings
 
 LAST_PORT = 65_535
 SHARES = frozenset(('retry_share',))
--- a/oatcrank/statsd_settings.py
+++ b/oatcrank/settings/statsd_settings.py
@@ -1,6 +1,6 @@
 """Say where metrics go."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class StatsdSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/weight_store_settings.py
+++ b/oatcrank/settings/weight_store_settings.py
@@ -1,6 +1,6 @@
 """Bound the use of the weight store."""
 
-from oatcrank import section
+from oatcrank.settings import section
 
 
 class WeightStoreSettings(section.Section, frozen=True, kw_only=True):
--- a/oatcrank/_instance_list_http.py
+++ b/oatcrank/store/instance_list_http.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from oatcrank import _platform_call, errors, instance_list, rpc
+from oatcrank import errors, rpc
+from oatcrank.membership import instance_list
+from oatcrank.store import platform_call
 
 
 class _Listing(msgspec.Struct, frozen=True):
@@ -27,7 +29,7 @@
     async def read(self) -> tuple[instance_list.Instance, ...]:
         """Return the listed instances."""
         try:
-            body = await _platform_call.read(
+            body = await platform_call.read(
                 self._client,
                 self._address,
                 '/v1/instances',
--- a/oatcrank/_keyvalue_http.py
+++ b/oatcrank/store/keyvalue_http.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from oatcrank import _platform_call, errors, ids, keyvalue, rpc
+from oatcrank import errors, ids, rpc
+from oatcrank.store import keyvalue, platform_call
 
 
 class _Put(msgspec.Struct, frozen=True):
@@ -34,7 +35,7 @@
     async def get(self, key: str) -> keyvalue.Entry | None:
         """Return the entry, which may be stale, or None if absent."""
         try:
-            body = await _platform_call.read(
+            body = await platform_call.read(
                 self._client,
                 self._address,
                 _path('keys', key),
@@ -64,7 +65,7 @@
         try:
             await self._write('DELETE', key, None)
         except rpc.RpcRefused as error:
-            raise _platform_call.refused(error) from error
+            raise platform_call.refused(error) from error
 
     async def watch(
         self,
@@ -77,7 +78,7 @@
         query = url_parse.urlencode({'after': after, 'wait_s': wait_s})
         watched = _path('watch', key)
         try:
-            body = await _platform_call.read(
+            body = await platform_call.read(
                 self._client,
                 self._address,
                 f'{watched}?{query}',
@@ -88,7 +89,7 @@
         return _read_entry(body) if body else None
 
     async def _write(self, method: str, key: str, body: bytes | None) -> bytes:
-        return await _platform_call.write(
+        return await platform_call.write(
             self._client,
             self._address,
             method,
--- a/oatcrank/_weight_store_http.py
+++ b/oatcrank/store/weight_store_http.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from oatcrank import _platform_call, errors, rpc, weight_store
+from oatcrank import errors, rpc
+from oatcrank.store import platform_call, weight_store
 
 
 class HttpWeightStore(weight_store.WeightStore):
@@ -23,7 +24,7 @@
     async def catalogue(self) -> weight_store.Catalogue:
         """Return what can be loaded."""
         try:
-            body = await _platform_call.read(
+            body = await platform_call.read(
                 self._client,
                 self._address,
                 '/v1/catalogue',
--- a/tests/configuration_parts.py
+++ b/tests/configuration_parts.py
@@ -5,18 +5,16 @@
 from collections.abc import Callable
 
 from emulator import memory_key_value
-from oatcrank import (
+from oatcrank import clock, errors, ids
+from oatcrank.configuration import (
     change,
     change_log,
     change_writer,
-    clock,
-    errors,
-    ids,
-    keyvalue,
     profile,
     snapshot_store,
     target,
 )
+from oatcrank.store import keyvalue
 
 
 class LateKeyValue(memory_key_value.MemoryKeyValue):
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -4,24 +4,20 @@
 from collections.abc import Mapping
 
 from emulator import memory_engine, memory_key_value
-from oatcrank import (
-    clock,
+from oatcrank import clock, ids, metrics
+from oatcrank.control import (
     control_ports,
-    control_settings,
     deposed,
-    engine,
-    ids,
-    instance_list,
     leadership,
     load_budget,
-    member,
-    metrics,
     model_need,
-    placement,
     plan,
     pool_controller,
-    weight_store_settings,
 )
+from oatcrank.engines import engine
+from oatcrank.membership import instance_list, member
+from oatcrank.placing import placement
+from oatcrank.settings import control_settings, weight_store_settings
 
 POOL = ids.PoolName('pool')
 DOMAIN = ids.FailureDomain('domain')
--- a/tests/entry_parts.py
+++ b/tests/entry_parts.py
@@ -5,21 +5,17 @@
 
 from tornado import httpserver, netutil, web
 
-from oatcrank import (
-    change_follower,
-    configuration_settings,
+from oatcrank import errors, ids, rpc
+from oatcrank.configuration import change_follower, operator_handlers
+from oatcrank.membership import (
     documents,
-    errors,
-    ids,
     instance_list,
     internal_handlers,
-    keyvalue,
     member,
     membership,
-    membership_settings,
-    operator_handlers,
-    rpc,
 )
+from oatcrank.settings import configuration_settings, membership_settings
+from oatcrank.store import keyvalue
 from tests import configuration_parts
 
 PERIOD_MS = 20
--- a/tests/proof_site.py
+++ b/tests/proof_site.py
@@ -32,18 +32,15 @@
     stand_in,
     weight_store_config,
 )
-from oatcrank import (
-    ids,
-    instance_list,
+from oatcrank import ids, rpc
+from oatcrank.configuration import operator_messages, profile, target
+from oatcrank.membership import instance_list
+from oatcrank.settings import (
     limits_settings,
     listen_settings,
-    operator_messages,
     platform_settings,
-    profile,
-    rpc,
-    target,
-    weight_store,
 )
+from oatcrank.store import weight_store
 
 HANG_S = 100
 TIMEOUT_S = 10
--- a/tests/small_site.py
+++ b/tests/small_site.py
@@ -27,18 +27,15 @@
     site_pool,
     sites,
 )
-from oatcrank import (
-    control_settings,
-    errors,
-    ids,
-    instance_list,
+from oatcrank import errors, ids, rpc
+from oatcrank.configuration import (
     operator_messages,
     profile,
     profile_state,
-    rpc,
-    settings,
     target,
 )
+from oatcrank.membership import instance_list
+from oatcrank.settings import control_settings, settings
 
 HANG_S = 90
 CALL_S = 10
--- a/tests/test_adapter_loader.py
+++ b/tests/test_adapter_loader.py
@@ -5,18 +5,10 @@
 import pytest
 
 from emulator import memory_engine, settable_members
-from oatcrank import (
-    adapter_loader,
-    backend_server,
-    clock,
-    errors,
-    ids,
-    instance_list,
-    member,
-    order,
-    plan,
-    plan_view,
-)
+from oatcrank import clock, errors, ids
+from oatcrank.control import plan, plan_view
+from oatcrank.engines import adapter_loader, backend_server, order
+from oatcrank.membership import instance_list, member
 
 SERVER = ids.ServerId('s')
 MODEL = ids.ModelName('m')
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oatcrank import admission
+from oatcrank.entry import admission
 
 
 @pytest.mark.parametrize(
--- a/tests/test_append_log.py
+++ b/tests/test_append_log.py
@@ -5,7 +5,8 @@
 import pytest
 
 from emulator import memory_key_value
-from oatcrank import append_log, errors
+from oatcrank import errors
+from oatcrank.configuration import append_log
 
 
 @pytest.mark.parametrize(
--- a/tests/test_backend_server.py
+++ b/tests/test_backend_server.py
@@ -1,6 +1,9 @@
 """Check what an entry instance concludes about a backend server."""
 
-from oatcrank import backend_server, clock, instance_list, router
+from oatcrank import clock
+from oatcrank.engines import backend_server
+from oatcrank.entry import router
+from oatcrank.membership import instance_list
 
 LISTED = instance_list.Instance(
     instance_id='s',
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -12,7 +12,8 @@
 import pytest
 
 from emulator import launched, launcher, running_site, sites
-from oatcrank import address_handler, rpc
+from oatcrank import rpc
+from oatcrank.entry import address_handler
 
 ROOT = pathlib.Path(__file__).parent.parent
 # Without the site's packages, libraries can come from the built file only.
--- a/tests/test_change_log.py
+++ b/tests/test_change_log.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oatcrank import change, change_errors, errors, ids
+from oatcrank import errors, ids
+from oatcrank.configuration import change, change_errors
 from tests import configuration_parts as parts
 
 RETIRE = change.ChangeKind.retire
--- a/tests/test_change_log_machine.py
+++ b/tests/test_change_log_machine.py
@@ -4,7 +4,8 @@
 
 from hypothesis import Phase, settings, stateful, strategies
 
-from oatcrank import change, change_errors, errors
+from oatcrank import errors
+from oatcrank.configuration import change, change_errors
 from tests import configuration_parts as parts
 
 FAULTS = (
--- a/tests/test_claim_refusals.py
+++ b/tests/test_claim_refusals.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from oatcrank import _claim_refusals, ids, refusal
+from oatcrank import ids, refusal
+from oatcrank.claims import claim_refusals
 
 CALLING = pathlib.Path(__file__).parent.parent / 'docs' / 'CALLING.md'
 Refuse = Callable[[ids.RequestId], refusal.Refused]
@@ -15,10 +16,10 @@
 @pytest.mark.parametrize(
     'refuse',
     [
-        _claim_refusals.key_reused,
-        _claim_refusals.outcome_unknown,
-        _claim_refusals.answer_not_kept,
-        _claim_refusals.withdrawn,
+        claim_refusals.key_reused,
+        claim_refusals.outcome_unknown,
+        claim_refusals.answer_not_kept,
+        claim_refusals.withdrawn,
     ],
 )
 def test_status_is_the_documented_one(refuse: Refuse) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,18 +6,16 @@
 import pytest
 
 from emulator import claims_fleet, claims_instance
-from oatcrank import (
+from oatcrank import clock, ids, refusal
+from oatcrank.claims import (
     begun_claim,
     claim_attempts,
     claim_forwarder,
     claim_log,
     claim_opener,
     claim_shard,
-    claims_settings,
-    clock,
-    ids,
-    refusal,
 )
+from oatcrank.settings import claims_settings
 
 KEY = 'booking-1'
 LONG_S = 60.0
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -11,7 +11,8 @@
     memory_network,
     virtual_time_loop,
 )
-from oatcrank import claims_settings, refusal
+from oatcrank import refusal
+from oatcrank.settings import claims_settings
 
 SIZE = 3
 KEYS = ('key-1', 'key-2')
--- a/tests/test_control_peers.py
+++ b/tests/test_control_peers.py
@@ -6,18 +6,10 @@
 import pytest
 
 from emulator import settable_members
-from oatcrank import (
-    backend_servers,
-    clock,
-    control_peers,
-    deposed,
-    deposed_reply,
-    errors,
-    ids,
-    instance_list,
-    member,
-    rpc,
-)
+from oatcrank import clock, errors, ids, rpc
+from oatcrank.control import control_peers, deposed, deposed_reply
+from oatcrank.engines import backend_servers
+from oatcrank.membership import instance_list, member
 
 FORMER = deposed.Deposed(
     controller=ids.InstanceId('old'), incarnation=3, fence=ids.Fence(5)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from oatcrank import backend_server, clock, crash_suspects, instance_list
+from oatcrank import clock
+from oatcrank.engines import backend_server
+from oatcrank.entry import crash_suspects
+from oatcrank.membership import instance_list
 
 LIMIT = 3
 
--- a/tests/test_demand_board.py
+++ b/tests/test_demand_board.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from oatcrank import clock, demand_board, demand_report, ids, model_need
+from oatcrank import clock, ids
+from oatcrank.control import demand_board, demand_report, model_need
 
 MODEL = ids.ModelName('m')
 NEEDS = {MODEL: model_need.ModelNeed(model=MODEL, memory_mb=1)}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,22 +4,11 @@
 
 import pytest
 
-from oatcrank import (
-    backend_server,
-    clock,
-    crash_suspects,
-    dispatch,
-    errors,
-    ids,
-    instance_list,
-    job,
-    metrics,
-    outlet,
-    profile,
-    refusal,
-    retry_budget,
-    target,
-)
+from oatcrank import clock, errors, ids, metrics, refusal
+from oatcrank.configuration import profile, target
+from oatcrank.engines import backend_server
+from oatcrank.entry import crash_suspects, dispatch, job, outlet, retry_budget
+from oatcrank.membership import instance_list
 
 
 class NoOutlet(outlet.Outlet):
--- a/tests/test_dispatch_queue.py
+++ b/tests/test_dispatch_queue.py
@@ -4,18 +4,11 @@
 
 import pytest
 
-from oatcrank import (
-    backend_server,
-    clock,
-    dispatch_queue,
-    ids,
-    instance_list,
-    job,
-    profile,
-    refusal,
-    router,
-    target,
-)
+from oatcrank import clock, ids, refusal
+from oatcrank.configuration import profile, target
+from oatcrank.engines import backend_server
+from oatcrank.entry import dispatch_queue, job, router
+from oatcrank.membership import instance_list
 
 MODEL = ids.ModelName('m')
 
--- a/tests/test_engine_stand_in.py
+++ b/tests/test_engine_stand_in.py
@@ -20,7 +20,9 @@
     weight_store_app,
     weight_store_config,
 )
-from oatcrank import _engine_http, errors, ids, order, rpc, weight_store
+from oatcrank import errors, ids, rpc
+from oatcrank.engines import engine_http, order
+from oatcrank.store import weight_store
 
 MODEL = ids.ModelName('m')
 ADAPTER = ids.AdapterName('a')
@@ -61,7 +63,7 @@
         self.engine = engine
         self.store = store
         self.address = address
-        self.client = _engine_http.HttpModelEngine(
+        self.client = engine_http.HttpModelEngine(
             rpc.Rpc(), address, timeout_s=5
         )
 
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oatcrank import event_splitter
+from oatcrank.entry import event_splitter
 
 STREAM = b'data: {"index": 0}\n\ndata: {"index": 1}\n\ndata: [DONE]\n\n'
 
--- a/tests/test_keyvalue_http.py
+++ b/tests/test_keyvalue_http.py
@@ -8,10 +8,11 @@
 import pytest
 
 from emulator import key_value_app, key_value_config, stand_in
-from oatcrank import _keyvalue_http, errors, ids, keyvalue, rpc
+from oatcrank import errors, ids, rpc
+from oatcrank.store import keyvalue, keyvalue_http
 
 KEY = 'log/a b/%2F?#é'
-Client = _keyvalue_http.HttpKeyValue
+Client = keyvalue_http.HttpKeyValue
 
 
 Steps = Callable[[Client, Any], Awaitable[Any]]
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -13,7 +13,8 @@
     site_configs,
     sites,
 )
-from oatcrank import _engine_http, errors, ids, order, rpc
+from oatcrank import errors, ids, rpc
+from oatcrank.engines import engine_http, order
 
 CONFIG = plain_service_config.PlainServiceConfig(server_id='s', service='b')
 CRASH_STATUS = 70
@@ -25,7 +26,7 @@
     )
 
 
-async def load_ended(client: _engine_http.HttpModelEngine) -> None:
+async def load_ended(client: engine_http.HttpModelEngine) -> None:
     is_ready = False
     while not is_ready:
         report = await client.report(timeout_s=5)
@@ -78,7 +79,7 @@
             pool = chosen.pools[0]
             config = site_configs.engines_of(pool, store.address)[0]
             engine = await started.stand_in('engine', config)
-            client = _engine_http.HttpModelEngine(
+            client = engine_http.HttpModelEngine(
                 rpc.Rpc(), engine.address, timeout_s=5
             )
             await client.order(
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from oatcrank import clock, errors, ids, lease
+from oatcrank import clock, errors, ids
+from oatcrank.control import lease
 from tests import configuration_parts as parts
 
 TERM_S = 10.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from oatcrank import cells, ids, instance_list
+from oatcrank import ids
+from oatcrank.membership import cells, instance_list
 from tests import configuration_parts, entry_parts
 
 Site = Callable[
--- a/tests/test_operating_page.py
+++ b/tests/test_operating_page.py
@@ -8,7 +8,9 @@
 
 import pytest
 
-from oatcrank import command, order_sender, plan, refusal
+from oatcrank import refusal
+from oatcrank.commands import command
+from oatcrank.control import order_sender, plan
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGE = (ROOT / 'docs' / 'OPERATING.md').read_text(encoding='utf-8')
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from oatcrank import (
+from oatcrank.commands import (
     audit_command,
     check_settings_command,
     command,
--- a/tests/test_order_ledger.py
+++ b/tests/test_order_ledger.py
@@ -24,7 +24,7 @@
         started_ms=None,
         busy=busy,
         orders_taken=orders_taken,
-        adapters_by_model={name: () for name in models},
+        adapters_by_model=dict.fromkeys(models, ()),
         arriving_adapters=arriving,
     )
 
--- a/tests/test_order_machine.py
+++ b/tests/test_order_machine.py
@@ -9,8 +9,7 @@
 
 import routing_parts
 import worker_fleet
-from hypothesis import settings
-from hypothesis import stateful
+from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
 from emulator import virtual_time_loop
@@ -19,6 +18,7 @@
 
 EXAMPLES = 60
 STEPS = 40
+SILENT_CHANGE_S = 3.4
 models = st.sampled_from([f'm{number}' for number in range(12)])
 adapters = st.sampled_from([None, 'a1', 'a2', 'a3', 'a4', 'a5'])
 fates = st.sampled_from(
@@ -48,7 +48,7 @@
         self.asked = demand.Demand()
         self.asked.reaches_back(10, 0)
         self.desk = None
-        self.change_holder(wait_s=0)
+        self.take_up(0)
 
     def teardown(self) -> None:
         self.patch.stop()
@@ -58,12 +58,21 @@
         asyncio.set_event_loop(None)
         self.loop.close()
 
-    @stateful.rule(wait_s=st.floats(0, 2))
-    def change_holder(self, wait_s) -> None:
-        """Let another instance hold the lease; the former has stopped."""
+    @stateful.rule(told=st.booleans())
+    def change_holder(self, told) -> None:
+        """Let another instance hold the lease; the former has stopped.
+
+        Without its word the next holder begins only when the lease has ended
+        and the former's belief is over.
+        """
+        loads = self.desk.store_loads() if told else None
+        if not told:
+            self.pass_time(SILENT_CHANGE_S)
+        self.take_up(loads)
+
+    def take_up(self, loads) -> None:
         if self.desk is not None:
             self.desk.stop()
-        self.pass_time(wait_s)
         self.fence += 1
         self.desk = order_desk.OrderDesk(
             instance_id=f'instance-{self.fence}',
@@ -80,6 +89,7 @@
             own_orders_end_s=float('-inf'),
             first=True,
         )
+        turn.follow(now_s, loads)
         # The lease is renewed without end: it is not what is tested here.
         turn.renew(10**9)
         self.desk.begin(turn)
--- a/tests/test_order_placement.py
+++ b/tests/test_order_placement.py
@@ -25,7 +25,7 @@
                 adapters_by_model=(
                     models
                     if isinstance(models, dict)
-                    else {name: () for name in models}
+                    else dict.fromkeys(models, ())
                 ),
             ),
             NOW_S,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,14 +7,14 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.placing import (
     expected_gain_placement,
-    ids,
     on_demand_placement,
     placement,
-    policy_settings,
-    static_placement,
 )
+from oatcrank.replaying import static_placement
+from oatcrank.settings import policy_settings
 
 MEMORY_MB = 100
 MODELS = tuple(ids.ModelName(f'm{number}') for number in range(8))
--- a/tests/test_platform_stand_ins.py
+++ b/tests/test_platform_stand_ins.py
@@ -18,7 +18,9 @@
     weight_load,
     weight_store_config,
 )
-from oatcrank import _instance_list_http, errors, ids, instance_list, rpc
+from oatcrank import errors, ids, rpc
+from oatcrank.membership import instance_list
+from oatcrank.store import instance_list_http
 
 INSTANCE = instance_list.Instance(
     instance_id='e',
@@ -41,7 +43,7 @@
             await calls.fetch(
                 address, 'POST', '/control/instances', b'{}', timeout_s=5
             )
-            client = _instance_list_http.HttpInstanceList(
+            client = instance_list_http.HttpInstanceList(
                 calls, address, timeout_s=5
             )
             return await client.read()
--- a/tests/test_policy_command.py
+++ b/tests/test_policy_command.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from oatcrank import (
+from oatcrank.commands import (
     command,
     policy_command,
     replay_command,
-    trace,
     trace_command,
 )
+from oatcrank.replaying import trace
 
 
 def _run(word: command.Command, *arguments: object) -> command.ExitStatus:
--- a/tests/test_policy_harness.py
+++ b/tests/test_policy_harness.py
@@ -4,19 +4,21 @@
 import pytest
 from hypothesis import Phase, given, settings, strategies
 
-from oatcrank import (
+from oatcrank import ids
+from oatcrank.placing import (
     expected_gain_placement,
-    ids,
     on_demand_placement,
     placement,
+)
+from oatcrank.replaying import (
     policy_harness,
-    policy_settings,
     static_placement,
     trace,
     trace_event,
     trace_generator,
     trace_head,
 )
+from oatcrank.settings import policy_settings
 
 MAKERS = {
     'static': lambda: static_placement.StaticPlacement({}),
--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -8,15 +8,10 @@
 from hypothesis import strategies as st
 
 from emulator import memory_engine
-from oatcrank import (
-    clock,
-    engine,
-    ids,
-    load_budget,
-    model_need,
-    order,
-    weight_store_settings,
-)
+from oatcrank import clock, ids
+from oatcrank.control import load_budget, model_need
+from oatcrank.engines import engine, order
+from oatcrank.settings import weight_store_settings
 from tests import control_world
 
 FAULTS = tuple(memory_engine.Fault)
--- a/tests/test_proof_10_retry_budget.py
+++ b/tests/test_proof_10_retry_budget.py
@@ -6,7 +6,8 @@
 import proof_site
 import pytest
 
-from oatcrank import limits_settings, retry_budget
+from oatcrank.entry import retry_budget
+from oatcrank.settings import limits_settings
 
 OFFERED = 60
 SHARE = limits_settings.LimitsSettings().retry_share
--- a/tests/test_proof_4_not_run.py
+++ b/tests/test_proof_4_not_run.py
@@ -8,7 +8,8 @@
 import pytest
 
 from emulator import call_outcome
-from oatcrank import limits_settings, refusal
+from oatcrank import refusal
+from oatcrank.settings import limits_settings
 
 CALLS = 150
 Ended = call_outcome.CallOutcome
--- a/tests/test_proof_6_leaving.py
+++ b/tests/test_proof_6_leaving.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from oatcrank import instance_list
+from oatcrank.membership import instance_list
 from tests import small_site
 
 LONG_TOKENS = 240
--- a/tests/test_proof_8_changes.py
+++ b/tests/test_proof_8_changes.py
@@ -11,14 +11,8 @@
 import pytest
 
 from emulator import cut_relay, poll
-from oatcrank import (
-    change,
-    errors,
-    ids,
-    operator_messages,
-    profile_state,
-    rpc,
-)
+from oatcrank import errors, ids, rpc
+from oatcrank.configuration import change, operator_messages, profile_state
 from tests import small_site
 
 PATH = '/v1/profiles/drafts'
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,16 +8,18 @@
 import xxhash
 from tornado import httpserver, netutil, web
 
-from oatcrank import (
-    ids,
-    listen_settings,
-    platform_settings,
+from oatcrank import ids
+from oatcrank.replaying import (
     policy_score,
     replay,
-    settings,
     trace,
     trace_event,
     trace_generator,
+)
+from oatcrank.settings import (
+    listen_settings,
+    platform_settings,
+    settings,
     weight_store_settings,
 )
 
--- a/tests/test_replay_site.py
+++ b/tests/test_replay_site.py
@@ -9,16 +9,18 @@
     site_configs,
     trace_site,
 )
-from oatcrank import (
+from oatcrank.placing import (
     expected_gain_placement,
-    listen_settings,
     on_demand_placement,
     placement,
     placement_choice,
     placement_kind,
+)
+from oatcrank.replaying import trace_generator
+from oatcrank.settings import (
+    listen_settings,
     platform_settings,
     policy_settings,
-    trace_generator,
 )
 
 SECONDS = 20
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from oatcrank import backend_server, clock, ids, instance_list, router
+from oatcrank import clock, ids
+from oatcrank.engines import backend_server
+from oatcrank.entry import router
+from oatcrank.membership import instance_list
 
 SLOTS = 4
 
--- a/tests/test_settings_page.py
+++ b/tests/test_settings_page.py
@@ -7,7 +7,8 @@
 import msgspec
 import pytest
 
-from oatcrank import check_settings_command, command, settings
+from oatcrank.commands import check_settings_command, command
+from oatcrank.settings import settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGE = (ROOT / 'docs' / 'SETTINGS.md').read_text(encoding='utf-8')
--- a/tests/test_shared_instance_list.py
+++ b/tests/test_shared_instance_list.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from oatcrank import clock, errors, instance_list, shared_instance_list
+from oatcrank import clock, errors
+from oatcrank.membership import instance_list, shared_instance_list
 
 
 class Listing(instance_list.InstanceList):
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -7,7 +7,8 @@
 import pytest
 
 from emulator import site, site_configs, sites
-from oatcrank import profile, settings
+from oatcrank.configuration import profile
+from oatcrank.settings import settings
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 SITES = sorted(sites.SITE_BY_NAME)
--- a/tests/test_slack_queue.py
+++ b/tests/test_slack_queue.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from oatcrank import slack_queue
+from oatcrank.entry import slack_queue
 
 BOUND = 6
 STEPS = strategies.lists(
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -47,7 +47,7 @@
 
 def test_a_former_holder_that_has_stopped_need_not_be_waited_for():
     turn = begun()
-    turn.follow(10.2)
+    turn.follow(10.2, 0)
     turn.renew(10.1)
     assert not turn.may_order(10.1)
     assert turn.may_order(10.2)
@@ -55,7 +55,7 @@
 
 def test_an_instance_does_not_take_turns_with_another():
     turn = begun(own_orders_end_s=12.0)
-    turn.follow(10.2)
+    turn.follow(10.2, 0)
     turn.renew(11.5)
     assert not turn.may_order(11.9)
     assert turn.may_order(12.0)
--- a/tests/test_withdrawn_model.py
+++ b/tests/test_withdrawn_model.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from oatcrank import expected_gain_placement, policy_settings
+from oatcrank.placing import expected_gain_placement
+from oatcrank.settings import policy_settings
 from tests import control_world
 
 SHOWN_STATES = {'loading': 0, 'loaded': 3}
