Spare crowded servers from unloads; answer who asks for a load at once

Change: models in demand at crowded servers don't make way; the answer tells the time left; kept connections last eight tenths of the stated idle time.

--- a/oatcrank/cluster/mirror.py
+++ b/oatcrank/cluster/mirror.py
@@ -9,7 +9,7 @@
 
 WAIT_S = 10.0
 # Changes that come together cost one call.
-GATHER_S = 0.3
+GATHER_S = 0.5
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.6
 
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -32,6 +32,7 @@
         self._avoided: set[ids.ServerId] = set()
         self._disliked: set[ids.ServerId] = set()
         self._idle_s = float(0)
+        self._waited = False
 
     def avoid(self, server_id: ids.ServerId) -> None:
         """Never choose a server again."""
@@ -88,6 +89,20 @@
             raise refusal.Refused('would start too late', return_s)
         chosen.take_trial(now_s)
 
+    def _log_wait(self, arranged: arranger.Arrangement) -> None:
+        """Log the first wait of a request; its end tells the rest."""
+        if self._waited:
+            return
+        self._waited = True
+        logs.event(
+            'request_waits',
+            request=self._request.request_id,
+            model=self._wanted.model,
+            adapter=self._wanted.adapter or '',
+            ready_in_s=round(arranged.ready_in_s, 3),
+            refused=arranged.refused,
+        )
+
     def _may_wait(self, arranged: arranger.Arrangement) -> bool:
         """Tell whether to ask again soon instead of refusing."""
         if arranged.hopeless:
@@ -103,13 +118,7 @@
         left_s = self._ends_s - self._shared.now()
         if arranged.ready_in_s + EXPECTED_STREAM_S > left_s:
             raise refusal.Refused('loads too late', arranged.ready_in_s)
-        logs.event(
-            'request_waits',
-            request=self._request.request_id,
-            model=self._wanted.model,
-            adapter=self._wanted.adapter or '',
-            ready_in_s=arranged.ready_in_s,
-        )
+        self._log_wait(arranged)
         if arranged.refused:
             self._idle_s += arranged.ready_in_s
         await self._shared.servers.changed(
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -21,13 +21,17 @@
 
 UNREACHABLE_S = 1.0
 # How long an adapter takes to arrive, and how soon to ask again for one.
-ADAPTER_LOAD_S = 0.012
+ADAPTER_LOAD_S = 0.02
 ASK_AGAIN_S = 0.25
+# Who asks is told sooner than this how long it takes.
+ANSWER_WITHIN_S = 0.3
 ADAPTER_AGAIN_S = 0.1
 NO_PLACE_RETURN_S = 1.0
 UNLOAD_WAIT_S = 6.0
 LOAD_OVERDUE_S = 5.0
 LOOK_S = 0.05
+# With more requests per slot, some wait at the server.
+CROWDED_LOAD = 0.7
 
 
 OnUnload = Callable[[ids.ServerId, need.Need], None]
@@ -84,6 +88,7 @@
             load_ceiling.LoadCeiling,
         ] = {}
         self._work_by_need: dict[need.Need, asyncio.Task[Placed]] = {}
+        self._ready_s_by_need: dict[need.Need, float] = {}
 
     def begin(self, turn: tenure.Tenure) -> None:
         """Take up a turn; nothing known of before counts."""
@@ -123,7 +128,18 @@
             work.add_done_callback(
                 lambda _: self._work_by_need.pop(wanted, None),
             )
-        return await asyncio.shield(work)
+        done, _ = await asyncio.wait((work,), timeout=ANSWER_WITHIN_S)
+        if done:
+            return work.result()
+        return Placed(wait_s=self._left_s(wanted))
+
+    def _left_s(self, wanted: need.Need) -> float:
+        """Return how much longer an arrangement under way probably takes."""
+        ready_s = self._ready_s_by_need.get(
+            need.Need(wanted.service, wanted.model),
+            float('-inf'),
+        )
+        return max(ASK_AGAIN_S, ready_s - suspended_time())
 
     async def balance(self) -> None:
         """Begin one more load of the model that wants a replica most."""
@@ -234,6 +250,7 @@
             running=round(self.asked.running(wanted, now_s), 2),
             replica=gain is not None,
         )
+        self._ready_s_by_need[wanted] = now_s + chosen.load_s
         one = self._ledger_by_id[chosen.server_id]
         if chosen.from_store:
             ceiling.note(now_s)
@@ -276,7 +293,6 @@
         weighed = self._placement(wanted.service, engine, unusable)
         chosen = weighed.adapter(wanted.model, suspended_time())
         if chosen is None:
-            self._log_unplaced(wanted)
             raise NotOrdered('no place for the adapter', ADAPTER_AGAIN_S)
         one = self._ledger_by_id[chosen.server_id]
         async with self._lock_by_id[chosen.server_id]:
@@ -300,22 +316,6 @@
             )
         return Placed(wait_s=ADAPTER_LOAD_S, server_id=chosen.server_id)
 
-    def _log_unplaced(self, wanted: need.Need) -> None:
-        now_s = suspended_time()
-        for one in self._ledgers(wanted.service):
-            if wanted.model in one.adapters_by_model:
-                logs.event(
-                    'server_without_place',
-                    server=one.listed.server_id,
-                    model=wanted.model,
-                    adapter=wanted.adapter,
-                    ready=one.ready(now_s),
-                    claimed=one.claimed,
-                    busy=one.work is not None,
-                    known=one.known,
-                    adapters=one.adapters(),
-                )
-
     async def _idle(self, one: ledger.Ledger) -> None:
         """Wait until a server has carried out an order."""
         ends_s = suspended_time() + UNLOAD_WAIT_S
@@ -457,7 +457,19 @@
             for one in self._ledgers(service)
             if one.listed.server_id not in unusable
         ]
-        return placement.Placement(usable, engine, self.asked, service)
+        now_s = time.monotonic()
+        crowded = frozenset(
+            one.server_id
+            for one in self._servers.of_service(service)
+            if one.load(now_s) > CROWDED_LOAD
+        )
+        return placement.Placement(
+            usable,
+            engine,
+            self.asked,
+            service,
+            crowded=crowded,
+        )
 
     def _engine(self, service: ids.ServiceName) -> route.Engine:
         configuration = self._routes.configuration
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -36,6 +36,9 @@
 ADAPTER_IN_USE_S = 0.8
 # Before demand has been counted this long, it says too little to unload by.
 YOUNG_DEMAND_S = 2.0
+# A model asked for less often, in requests a second, has hardly any waiting.
+IDLE_RATE = 0.5
+NONE_CROWDED: frozenset[ids.ServerId] = frozenset()
 # Demand that each request running at the server weighs as much as.
 CROWD_WEIGHT = 0.02
 # How long an unload takes by itself, and while requests run.
@@ -63,8 +66,14 @@
         engine: route.Engine,
         asked: demand.Demand,
         service: ids.ServiceName,
+        *,
+        crowded: frozenset[ids.ServerId] = NONE_CROWDED,
     ) -> None:
-        """Decide for the servers of a service."""
+        """Decide for the servers of a service.
+
+        At crowded ones requests wait: an unload would turn them away.
+        """
+        self._crowded = crowded
         self._ledgers = ledgers
         self._engine = engine
         self._asked = asked
@@ -222,6 +231,10 @@
         for model in by_loss:
             if now_s - one.loaded_s(model) < RESIDENCE_S:
                 continue
+            if one.listed.server_id in self._crowded and (
+                self._asked.model_rate(self._need(model), now_s) > IDLE_RATE
+            ):
+                continue
             victims.append(model)
             missing_mb -= ledger.weights_mb(self._engine, model)
             if missing_mb <= 0:
--- a/oatcrank/transport/connection_pool.py
+++ b/oatcrank/transport/connection_pool.py
@@ -7,7 +7,7 @@
 CONNECT_S = 1.0
 # A server's idle timeout that it doesn't state is taken to be this short.
 UNSTATED_IDLE_S = 2.0
-IDLE_SHARE = 0.5
+IDLE_SHARE = 0.8
 
 
 class ConnectionPool:
--- a/tests/test_order_placement.py
+++ b/tests/test_order_placement.py
@@ -211,3 +211,20 @@
     for number in range(1, 5):
         counted.note_use(need.Need(SERVICE, 'm0', f'a{number}'), NOW_S - 0.1)
     assert weighed(ledgers, counted).adapter('m0', NOW_S) is None
+
+
+def test_a_model_whose_requests_wait_does_not_make_way():
+    """An unload would turn away all that wait at the server."""
+    ledgers = fleet(['m0', 'm1', 'm2'], ['m0', 'm3', 'm4'])
+    counted = asked(
+        {'m0': 2, 'm1': 1, 'm2': 1, 'm3': 1, 'm4': 1, 'm5': 1},
+    )
+    free = weighed(ledgers, counted).model('m5', NOW_S, store_loads=True)
+    crowded = placement.Placement(
+        ledgers,
+        ENGINE,
+        counted,
+        SERVICE,
+        crowded=frozenset((free.server_id,)),
+    ).model('m5', NOW_S, store_loads=True)
+    assert crowded.server_id != free.server_id
