--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -47,6 +47,10 @@
         self.hopeless = hopeless
 
 
+class NoPlace(NotOrdered):
+    """Report that nothing may make way for a model."""
+
+
 class Placed(msgspec.Struct, frozen=True, kw_only=True):
     """Say where something is held, or when to ask again, in seconds."""
 
@@ -160,10 +164,13 @@
         if self.turn is None or not self.turn.may_order(now_s):
             return
         shortages = self._placement(service, engine, ()).shortages(now_s)
-        if not shortages:
+        for gain, name in reversed(shortages):
+            wanted = need.Need(service, name)
+            try:
+                await self._load_model(wanted, (), gain=gain)
+            except NoPlace:
+                continue
             return
-        gain, name = shortages[-1]
-        await self._load_model(need.Need(service, name), (), gain=gain)
 
     # What is held
 
@@ -238,7 +245,7 @@
             gain=gain,
         )
         if chosen is None:
-            raise NotOrdered('no place for the model', NO_PLACE_RETURN_S)
+            raise NoPlace('no place for the model', NO_PLACE_RETURN_S)
         logs.event(
             'model_placed',
             model=wanted.model,
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -20,15 +20,14 @@
 # Requests a second that a model's last replica is worth beyond its demand.
 LAST_REPLICA = 0.05
 # The share of a model's demand that its second, or a further replica is worth
-# where one could serve it all.
+# for the case that one is lost.
 SECOND_REPLICA = 0.03
 FURTHER_REPLICA = 0.005
-# The share of its requests that a model with too few replicas loses.
-CROWDING = 0.05
-# The share of a server's slots, and of its places for adapters, that may be
-# in use on average.
-COMFORTABLE_LOAD = 0.12
-COMFORTABLE_ADAPTERS = 0.4
+# Requests come late as the share of slots in use grows beyond the first, up to
+# half of them; places for adapters weigh half as much as slots.
+EASY_LOAD = 0.25
+MOST_LATE = 0.5
+ADAPTER_WEIGHT = 0.5
 # A server takes no adapter while it loads a model: the share of a second's
 # requests for adapters that is lost.
 ADAPTERS_BLOCKED = 0.02
@@ -124,24 +123,35 @@
         found = []
         for name in self._engine.model_by_name:
             replicas = self._replicas(name)
-            wanted = self._wanted_replicas(name, now_s)
-            if 0 < replicas < wanted:
-                rate = self._asked.model_rate(self._need(name), now_s)
-                gain = CROWDING * rate * (1 - replicas / wanted)
+            if not 0 < replicas < len(self._ledgers):
+                continue
+            gain = self._late(name, replicas, now_s) - self._late(
+                name,
+                replicas + 1,
+                now_s,
+            )
+            if gain > 0:
                 found.append((gain, name))
         return sorted(found)
 
     def _replicas(self, name: ids.ModelName) -> int:
         return sum(name in one.adapters_by_model for one in self._ledgers)
 
-    def _wanted_replicas(self, name: ids.ModelName, now_s: float) -> float:
-        slots = max(one.listed.slots for one in self._ledgers)
+    def _late(
+        self,
+        name: ids.ModelName,
+        replicas: int,
+        now_s: float,
+    ) -> float:
+        """Return the requests a second that come late with some replicas."""
         wanted = self._need(name)
-        return max(
-            self._asked.running(wanted, now_s) / (slots * COMFORTABLE_LOAD),
-            self._asked.running_adapters(wanted, now_s)
-            / (self._engine.max_adapters * COMFORTABLE_ADAPTERS),
-        )
+        slots = max(one.listed.slots for one in self._ledgers)
+        load = self._asked.running(wanted, now_s) / (slots * replicas)
+        adapters = self._asked.running_adapters(wanted, now_s)
+        taken = adapters / (self._engine.max_adapters * replicas)
+        crowd = max(load, ADAPTER_WEIGHT * taken) - EASY_LOAD
+        share = min(MOST_LATE, max(0, crowd))
+        return share * self._asked.model_rate(wanted, now_s)
 
     def adapter(self, model: ids.ModelName, now_s: float) -> Choice | None:
         """Return where to load an adapter of a model that is held."""
@@ -246,11 +256,14 @@
         rate = self._asked.model_rate(self._need(model), now_s)
         if replicas <= 1:
             return rate + LAST_REPLICA
-        if replicas - 1 < self._wanted_replicas(model, now_s):
-            return CROWDING * rate / replicas
+        later = self._late(model, replicas - 1, now_s) - self._late(
+            model,
+            replicas,
+            now_s,
+        )
         if replicas == 2:
-            return rate * SECOND_REPLICA
-        return rate * FURTHER_REPLICA
+            return later + rate * SECOND_REPLICA
+        return later + rate * FURTHER_REPLICA
 
     def _adapter_option(
         self,
