--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -162,7 +162,7 @@
             resumable=self._route.repeatable and self._route.streaming,
         )
         if step is attempt_state.Step.deliver:
-            return self._deliver(ended)
+            return self._deliver(ended, chosen, search)
         logs.event(
             'attempt_failed',
             request=self._request.request_id,
@@ -201,7 +201,12 @@
             search.avoid_if_possible(chosen.server_id)
             await asyncio.sleep(DECLINED_PAUSE_S)
 
-    def _deliver(self, ended: attempt.Ended) -> bool:
+    def _deliver(
+        self,
+        ended: attempt.Ended,
+        chosen: server.Server,
+        search: server_search.ServerSearch,
+    ) -> bool:
         held = ended.held
         if held is None:
             self._outcome = 'streamed'
@@ -218,6 +223,13 @@
         )
         if worth_another:
             self._failed_answer = held
+            search.avoid_if_possible(chosen.server_id)
+            logs.event(
+                'failure_retried',
+                request=self._request.request_id,
+                server=chosen.server_id,
+                status=held.status,
+            )
             return False
         self._pass_on(held)
         return True
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -93,6 +93,8 @@
         ] = {}
         self._work_by_need: dict[need.Need, asyncio.Task[Placed]] = {}
         self._ready_s_by_need: dict[need.Need, float] = {}
+        # Models whose place is being made, up to the order to load them.
+        self._placing: set[need.Need] = set()
 
     def begin(self, turn: tenure.Tenure) -> None:
         """Take up a turn; nothing known of before counts."""
@@ -233,6 +235,8 @@
         gain: float | None = None,
     ) -> Placed:
         self._check_turn()
+        if wanted in self._placing:
+            return Placed(wait_s=self._left_s(wanted))
         engine = self._engine(wanted.service)
         now_s = suspended_time()
         ceiling = self._ceiling(wanted.service, engine)
@@ -262,6 +266,7 @@
         if chosen.from_store:
             ceiling.note(now_s)
         one.claimed = True
+        self._placing.add(wanted)
         try:
             await self._carry_out(
                 one,
@@ -270,6 +275,7 @@
             )
         finally:
             one.claimed = False
+            self._placing.discard(wanted)
         return Placed(wait_s=one.load_s(engine.model_by_name[wanted.model]))
 
     async def _carry_out(
--- /dev/null
+++ b/tests/test_order_desk.py
@@ -0,0 +1,117 @@
+"""Test what the desk does with several wishes at once."""
+
+import asyncio
+
+import pytest
+import routing_parts
+import virtual
+import worker_fleet
+
+from oatcrank.orders import order_desk, tenure
+from oatcrank.routing import need, route_table
+
+SERVICE = worker_fleet.SERVICE
+
+
+def play(work, workers=3):
+    async def run():
+        fleet = worker_fleet.WorkerFleet(workers, seed=3)
+        routes = route_table.RouteTable()
+        routes.replace(routing_parts.configuration(held=worker_fleet.ENGINE))
+        desk = order_desk.OrderDesk(
+            instance_id='instance-1',
+            servers=fleet.table,
+            routes=routes,
+            sender=fleet,
+        )
+        turn = tenure.begin(
+            fence=1,
+            sent_s=0,
+            now_s=0,
+            own_orders_end_s=-1e9,
+            first=True,
+        )
+        turn.renew(1e9)
+        desk.begin(turn)
+        # Reports of workers begin to count.
+        await asyncio.sleep(1)
+        await work(fleet, desk)
+        assert not fleet.broken
+
+    virtual.run(run())
+
+
+def holders(fleet, model):
+    return sum(model in worker.holds for worker in fleet.workers)
+
+
+def test_many_wishes_for_adapters_of_a_missing_model_load_it_once():
+    async def work(fleet, desk):
+        wishes = [need.Need(SERVICE, 'm0', f'a{n}') for n in range(1, 4)]
+        await asyncio.gather(*(desk.arrange(wish, ()) for wish in wishes))
+        await asyncio.sleep(3)
+        assert holders(fleet, 'm0') == 1
+        assert len(fleet.store_loads) == 1
+
+    play(work)
+
+
+def test_who_asks_is_told_soon_how_long_a_load_takes():
+    async def work(fleet, desk):
+        began_s = asyncio.get_running_loop().time()
+        placed = await desk.arrange(need.Need(SERVICE, 'm0'), ())
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert took_s <= order_desk.ANSWER_WITHIN_S + 0.01
+        assert placed.server_id is None
+        assert 0 < placed.wait_s <= 1.1
+
+    play(work)
+
+
+def test_an_adapter_is_there_when_it_is_said_to_be():
+    async def work(fleet, desk):
+        await desk.arrange(need.Need(SERVICE, 'm0'), ())
+        await asyncio.sleep(1.5)
+        wish = need.Need(SERVICE, 'm0', 'a1')
+        placed = await desk.arrange(wish, ())
+        (worker,) = (one for one in fleet.workers if 'm0' in one.holds)
+        assert placed.server_id == worker.listed().server_id
+        assert 'a1' in worker.holds['m0']
+
+    play(work)
+
+
+def test_servers_that_cannot_be_used_are_left_out():
+    async def work(fleet, desk):
+        await desk.arrange(need.Need(SERVICE, 'm0'), ())
+        await asyncio.sleep(1.5)
+        (worker,) = (one for one in fleet.workers if 'm0' in one.holds)
+        unusable = (worker.listed().server_id,)
+        placed = await desk.arrange(need.Need(SERVICE, 'm0'), unusable)
+        await asyncio.sleep(2)
+        assert placed.server_id is None
+        assert holders(fleet, 'm0') == 2
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    ('model', 'reason'),
+    [(None, 'no model named'), ('unknown', 'no place')],
+)
+def test_what_cannot_be_ordered(model, reason):
+    async def work(fleet, desk):
+        with pytest.raises(order_desk.NotOrdered, match=reason):
+            await desk.arrange(need.Need(SERVICE, model), ())
+
+    play(work)
+
+
+def test_without_a_turn_nothing_is_ordered():
+    async def work(fleet, desk):
+        desk.stop()
+        with pytest.raises(order_desk.NotOrdered):
+            await desk.arrange(need.Need(SERVICE, 'm0'), ())
+        assert not fleet.store_loads
+
+    play(work)
