--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -36,6 +36,7 @@
 # Those who keep it longer find the port closed, and another address.
 LEAVE_S = 2.5
 STOP_MARGIN_S = 1.0
+ANSWER_MARGIN_S = 0.5
 IDLE_LOOK_S = 0.05
 PRUNE_S = 0.5
 
@@ -169,13 +170,13 @@
         """Leave without cutting requests."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        self._forwarder.leaving = True
+        ends_s = began_s + self._bounds.stop_within_s - STOP_MARGIN_S
+        self._forwarder.leave(ends_s - ANSWER_MARGIN_S)
         self._register(ready=False)
         await self._turn.release()
         await asyncio.sleep(LEAVE_S - (loop.time() - began_s))
         if self._listening is not None:
             self._listening.close()
-        ends_s = began_s + self._bounds.stop_within_s - STOP_MARGIN_S
         while self._opened and loop.time() < ends_s:
             for connection in tuple(self._opened):
                 connection.finish()
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -17,6 +17,12 @@
         self._shared = shared
         self.leaving = False
 
+    def leave(self, stops_s: float) -> None:
+        """End connections with their answers; let nothing wait for too long."""
+        self.leaving = True
+        self._shared.stops_s = stops_s
+        self._shared.servers.note_change()
+
     async def handle(self, request: message.Request, out: reply.Reply) -> None:
         """Answer one request."""
         if self.leaving:
--- a/oatcrank/forwarding/parts.py
+++ b/oatcrank/forwarding/parts.py
@@ -1,5 +1,6 @@
 """Hold what every request's trip uses."""
 
+import math
 import random
 import time
 
@@ -27,6 +28,8 @@
     crashes: crash_record.CrashRecord
     crash_watch: crash_watch.CrashWatch
     dice: random.Random
+    # When this instance stops at the latest, if it is leaving.
+    stops_s: float = math.inf
 
     def now(self) -> float:
         """Return the time that timeouts are counted on, in seconds."""
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -115,7 +115,8 @@
         arranged = await self._shared.arranger.arrange(self._wanted)
         if arranged.refused and not self._may_wait(arranged):
             raise refusal.Refused(arranged.refused, arranged.ready_in_s)
-        left_s = self._ends_s - self._shared.now()
+        ends_s = min(self._ends_s, self._shared.stops_s)
+        left_s = ends_s - self._shared.now()
         if arranged.ready_in_s + EXPECTED_STREAM_S > left_s:
             raise refusal.Refused('loads too late', arranged.ready_in_s)
         self._log_wait(arranged)
