--- a/oatcrank/cluster/mirror.py
+++ b/oatcrank/cluster/mirror.py
@@ -8,8 +8,9 @@
 from oatcrank.cluster import store
 
 WAIT_S = 10.0
-# Changes that come together cost one call.
+# Changes that come together cost one call; who gives orders waits for them.
 GATHER_S = 0.5
+HOLDER_GATHER_S = 0.05
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.6
 
@@ -47,6 +48,7 @@
         self._item_by_key: dict[str, store.Item] = {}
         self._lost = False
         self.is_read = False
+        self.gather_s = GATHER_S
         self._watching: asyncio.Task[store.Changes] | None = None
         self._pause_s = FIRST_PAUSE_S
 
@@ -92,7 +94,7 @@
             self.take(item)
         self._revision = changes.revision
         if changes.items:
-            await asyncio.sleep(GATHER_S)
+            await asyncio.sleep(self.gather_s)
 
     async def _watch(self, after: ids.Revision) -> store.Changes:
         self._watching = asyncio.ensure_future(
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -102,8 +102,15 @@
                 await self._step()
             except errors.PlatformError as error:
                 logs.event('order_lease_untried', error=error)
-            pause_s = LOOK_S if self._desk.turn is None else RENEW_S
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return when to look again; a holder follows the store closely."""
+        if self._desk.turn is None:
+            self._mirror.gather_s = mirror.GATHER_S
+            return LOOK_S
+        self._mirror.gather_s = mirror.HOLDER_GATHER_S
+        return RENEW_S
 
     async def balance(self) -> None:
         """Have replicas loaded while the lease is held."""
--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -94,13 +94,21 @@
         return (recent + mean * MEAN_WEIGHT_S) / (RECENT_S + MEAN_WEIGHT_S)
 
     def running(self, wanted: need.Need, now_s: float) -> float:
-        """Return how many requests for a model run at a time, on average."""
+        """Return how many requests for a model run at a time.
+
+        That is how many are asked for a second now, for as long as those of
+        the window have run.
+        """
         self._trim(now_s)
-        return sum(
-            busy_s
-            for asked, busy_s in self._busy_s_by_need.items()
-            if _same_model(asked, wanted)
-        ) / self._span_s(now_s)
+        busy_s = float(0)
+        times = 0
+        for asked, counted in self._times_by_need.items():
+            if _same_model(asked, wanted):
+                times += counted
+                busy_s += self._busy_s_by_need[asked]
+        if not times:
+            return 0
+        return self.model_rate(wanted, now_s) * busy_s / times
 
     def running_adapters(self, wanted: need.Need, now_s: float) -> float:
         """Return how many of those need an adapter of the model."""
--- a/oatcrank/orders/ledger.py
+++ b/oatcrank/orders/ledger.py
@@ -139,6 +139,15 @@
     def _unloads_adapter(self) -> bool:
         return self.work is not None and self.work.one.adapter is not None
 
+    def keeps(self, model: ids.ModelName) -> bool:
+        """Tell whether the server holds a model and is not dropping it."""
+        if model not in self.adapters_by_model:
+            return False
+        if self.work is None or self.work.one.adapter is not None:
+            return True
+        one = self.work.one
+        return one.model != model or one.action is order.Action.load
+
     # Room
 
     def adapters(self) -> int:
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -135,7 +135,7 @@
         return sorted(found)
 
     def _replicas(self, name: ids.ModelName) -> int:
-        return sum(name in one.adapters_by_model for one in self._ledgers)
+        return sum(one.keeps(name) for one in self._ledgers)
 
     def _late(
         self,
@@ -205,7 +205,7 @@
         """Return how many requests run at a server, if replicas share."""
         return sum(
             self._asked.running(self._need(model), now_s)
-            / self._replicas(model)
+            / max(1, self._replicas(model))
             for model in one.adapters_by_model
         )
 
--- a/tests/test_order_placement.py
+++ b/tests/test_order_placement.py
@@ -228,3 +228,26 @@
         crowded=frozenset((free.server_id,)),
     ).model('m5', NOW_S, store_loads=True)
     assert crowded.server_id != free.server_id
+
+
+def test_replicas_that_are_being_dropped_do_not_count():
+    """Otherwise each makes way for the others, until none is left."""
+    ledgers = fleet(['m0', 'm1', 'm2'], ['m0', 'm3', 'm4'])
+    ledgers[0].take(
+        order.Order(
+            action=order.Action.unload,
+            model='m0',
+            adapter=None,
+            orders_taken=0,
+            holder='instance-1',
+            fence=1,
+        ),
+        NOW_S,
+        NOW_S,
+    )
+    counted = asked(
+        {'m0': 20, 'm1': 1, 'm2': 1, 'm3': 1, 'm4': 1, 'm5': 1},
+    )
+    assert (
+        weighed(ledgers, counted).model('m5', NOW_S, store_loads=True) is None
+    )
