Refuse at once what can't begin within the caller's patience

Change: a wait, for a load or at a server whose answers lately took long to begin, must end within that time, else the refusal says when to come back.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -71,15 +71,20 @@
         self._out = out
         self._cutter = cutter
         self._idle_s: float | None = None
+        self._began_s = float(0)
+        self._begun = False
         self.progress = attempt_state.Progress.unsent
 
     async def run(self, ends_s: float) -> Ended:
         """Return how it ended; cancelled, it closes the connection."""
         self._server.in_flight += 1
+        self._began_s = self._shared.now()
         try:
             return await self._connected(ends_s)
         finally:
             self._server.in_flight -= 1
+            if not self._begun:
+                self._note_wait()
 
     async def _connected(self, ends_s: float) -> Ended:
         try:
@@ -162,6 +167,7 @@
         while isinstance(event, backend_connection.Piece):
             whole = self._cutter.feed(event.body)
             if whole:
+                self._note_begin()
                 self._begin(head, None)
                 self._out.write(whole)
                 await self._out.drain()
@@ -217,6 +223,19 @@
             raise _Cut('answer broke off')
         return self._finish()
 
+    def _note_begin(self) -> None:
+        if not self._begun:
+            self._begun = True
+            self._note_wait()
+
+    def _note_wait(self) -> None:
+        """Let later requests know how long this one's answer took to begin."""
+        if self.progress is attempt_state.Progress.declined:
+            return
+        now_s = self._shared.now()
+        if self._route.streaming:
+            self._server.note_wait(now_s - self._began_s, now_s)
+
     def _begin(self, head: message.ResponseHead, length: int | None) -> None:
         if self._out.started:
             return
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -23,12 +23,14 @@
         wanted: need.Need,
         ends_s: float,
     ) -> None:
-        """Search until the request's time ends."""
+        """Search while the caller still waits for the answer to begin."""
         self._shared = shared
         self._request = request
         self._route = on_route
         self._wanted = wanted
         self._ends_s = ends_s
+        self._starts_by_s = ends_s
+        self.count_patience(request.began_s)
         self._avoided: set[ids.ServerId] = set()
         self._disliked: set[ids.ServerId] = set()
         self._idle_s = float(0)
@@ -42,6 +44,12 @@
         """Choose a server again only where there is no other."""
         self._disliked.add(server_id)
 
+    def count_patience(self, from_s: float) -> None:
+        """Count the caller's patience from what it has seen last."""
+        if self._route.patience_s is not None:
+            patient_s = from_s + self._route.patience_s
+            self._starts_by_s = min(self._ends_s, patient_s)
+
     async def find(self, tried: list[ids.ServerId]) -> server.Server:
         """Return a server or raise refusal.Refused."""
         only = frozenset[ids.ServerId]()
@@ -79,10 +87,11 @@
             service_s=(
                 EXPECTED_STREAM_S if self._route.streaming else EXPECTED_PLAIN_S
             ),
+            seen_wait_s=chosen.seen_wait_s(now_s),
         )
         return_s = admission.return_s(
             pressure,
-            self._ends_s - now_s,
+            self._starts_by_s - now_s,
             self._shared.dice.random(),
         )
         if return_s is not None:
@@ -115,7 +124,7 @@
         arranged = await self._shared.arranger.arrange(self._wanted)
         if arranged.refused and not self._may_wait(arranged):
             raise refusal.Refused(arranged.refused, arranged.ready_in_s)
-        ends_s = min(self._ends_s, self._shared.stops_s)
+        ends_s = min(self._starts_by_s, self._shared.stops_s)
         left_s = ends_s - self._shared.now()
         if arranged.ready_in_s + EXPECTED_STREAM_S > left_s:
             raise refusal.Refused('loads too late', arranged.ready_in_s)
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -186,6 +186,8 @@
         chosen: server.Server,
         search: server_search.ServerSearch,
     ) -> None:
+        if self._out.started:
+            search.count_patience(self._shared.now())
         if ended.progress is attempt_state.Progress.written:
             search.avoid(chosen.server_id)
         elif ended.progress is attempt_state.Progress.unsent:
--- a/oatcrank/platform/codec.py
+++ b/oatcrank/platform/codec.py
@@ -10,6 +10,12 @@
 
 CONFIGURATION_KEY = 'op/config'
 SERVERS_PREFIX = 'servers/'
+MILLISECONDS = 1000
+# Callers wait for an event as long as the longest of these: seconds, times the
+# target of the first event, times the longest pause that is still on time.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
 IDEMPOTENT = 'idempotent'
 STREAMING = 'streaming'
 KINDS = frozenset((IDEMPOTENT, 'non_idempotent', STREAMING))
@@ -72,6 +78,16 @@
         timeout_s=told.timeout_ms / 1000,
         target_s=told.target_latency_ms / 1000,
         urgency=told.priority,
+        patience_s=_patience_s(told) if streaming else None,
+    )
+
+
+def _patience_s(told: configuration_words.Route) -> float:
+    """Return how long a caller waits for the next event of a stream."""
+    return max(
+        LEAST_PATIENCE_S,
+        PATIENCE_TARGETS * told.target_latency_ms / MILLISECONDS,
+        PATIENCE_GAPS * told.gap_target_ms / MILLISECONDS,
     )
 
 
--- a/oatcrank/platform/configuration_words.py
+++ b/oatcrank/platform/configuration_words.py
@@ -25,6 +25,8 @@
     traffic_split: list[Split] = []
     max_attempts: int = 1
     resumable: bool = False
+    # The longest pause between events for which a stream is on time.
+    gap_target_ms: float = 0
 
 
 class Model(msgspec.Struct):
--- a/oatcrank/routing/admission.py
+++ b/oatcrank/routing/admission.py
@@ -12,11 +12,15 @@
 
 
 class Pressure(msgspec.Struct, frozen=True, kw_only=True):
-    """Say how busy the best server is: requests there, slots, seconds each."""
+    """Say how busy the best server is: requests there, slots, seconds each.
+
+    seen_wait_s is how long answers there took to begin lately.
+    """
 
     requests: float
     slots: int
     service_s: float
+    seen_wait_s: float = 0
 
 
 def wait_s(pressure: Pressure) -> float:
@@ -24,7 +28,8 @@
     ahead = pressure.requests - pressure.slots
     if ahead < 0:
         return 0
-    return (ahead + 1) * pressure.service_s / max(1, pressure.slots)
+    worked_off_s = (ahead + 1) * pressure.service_s / max(1, pressure.slots)
+    return max(worked_off_s, pressure.seen_wait_s)
 
 
 def return_s(
--- a/oatcrank/routing/route.py
+++ b/oatcrank/routing/route.py
@@ -17,7 +17,8 @@
     """Say how the requests of a host and path prefix are served.
 
     A repeatable request may run more than once; resumable streams are
-    repeatable.  Urgency 0 is the most urgent.
+    repeatable.  Urgency 0 is the most urgent.  Callers leave a stream whose
+    next event does not come within their patience.
     """
 
     name: str
@@ -30,6 +31,7 @@
     timeout_s: float
     target_s: float
     urgency: int
+    patience_s: float | None = None
 
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -10,6 +10,9 @@
 
 REPORT_DECAY_S = 1.0
 FAILURE_DECAY_S = 4.0
+# Without news a wait seen is forgotten over this time; each counts a share.
+WAIT_DECAY_S = 2.0
+WAIT_SHARE = 0.3
 FIRST_SUSPENSION_S = 0.25
 LONGEST_SUSPENSION_S = 2.0
 TRIAL_S = 1.0
@@ -29,6 +32,8 @@
         self._adapters_by_model = _adapters(listed)
         self._others = float(0)
         self._reported_s = -math.inf
+        self._wait_s = float(0)
+        self._waited_s = float(0)
         self._failures = float(0)
         self._outcomes = float(0)
         self._outcome_s = float(0)
@@ -112,6 +117,18 @@
         others = self._others * math.exp(-age_s / REPORT_DECAY_S)
         return (self.in_flight + others) / max(1, self.listed.slots)
 
+    def note_wait(self, waited_s: float, now_s: float) -> None:
+        """Take how long an answer took to begin, or has not begun."""
+        kept = self.seen_wait_s(now_s)
+        self._wait_s = kept + WAIT_SHARE * (waited_s - kept)
+        self._waited_s = now_s
+
+    def seen_wait_s(self, now_s: float) -> float:
+        """Return how long answers took to begin lately."""
+        return self._wait_s * math.exp(
+            (self._waited_s - now_s) / WAIT_DECAY_S,
+        )
+
     # How it answers
 
     def note_outcome(self, now_s: float, *, failed: bool) -> None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -336,3 +336,32 @@
         assert site.runs() == 0
 
     forwarding_site.play(work)
+
+
+def test_a_load_beyond_the_callers_patience_is_refused_at_once():
+    """Callers leave a stream that does not begin in time, late or not."""
+
+    async def work(site):
+        loop = asyncio.get_running_loop()
+        site.arranger.answers = [arranger.Arrangement(ready_in_s=2.5)]
+        began_s = loop.time()
+        told = await site.ask(x_model='words-large', x_deadline_ms='15000')
+        assert told.status == 503
+        assert float(told.header_by_name['retry-after']) == 2.5
+        assert loop.time() - began_s < 0.3
+
+    forwarding_site.play(work, **STREAM, timeout_s=15, patience_s=2.0)
+
+
+def test_a_stream_that_goes_on_elsewhere_has_its_patience_anew():
+    async def work(site):
+        for worker in site.workers:
+            worker.pause_s = 0.2
+            worker.manners = [MANNER.half_stream]
+            worker.manner = MANNER.stream
+        site.workers[0].manners = site.workers[1].manners
+        told = await site.ask()
+        assert (told.body, told.whole) == (EVENTS, True)
+        assert site.runs() == 2
+
+    forwarding_site.play(work, **STREAM, patience_s=0.3)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -347,3 +347,18 @@
         codec.PlatformCodec().read(gone),
         cluster_codec.ServerGone,
     )
+
+
+@pytest.mark.parametrize(
+    ('changes', 'expected'),
+    [
+        ({}, 2.0),
+        ({'target_latency_ms': 4000}, 16.0),
+        ({'gap_target_ms': 500}, 4.0),
+        ({'kind': 'idempotent'}, None),
+    ],
+)
+def test_patience_of_callers(changes, expected):
+    told = {**CONFIGURATION, 'routes': [{**ROUTE, **changes}]}
+    (one,) = codec.PlatformCodec().read(item('op/config', told)).routes
+    assert one.patience_s == expected
--- a/tests/test_request_admission.py
+++ b/tests/test_request_admission.py
@@ -1,5 +1,6 @@
 """Replay loads against the decision to wait or to be turned away."""
 
+import msgspec
 import pytest
 
 from oatcrank.routing import admission
@@ -54,3 +55,16 @@
     short = admission.return_s(pressure(200), 0.5, 0.0)
     long = admission.return_s(pressure(800), 0.5, 0.0)
     assert short < long
+
+
+def test_answers_that_lately_took_too_long_to_begin_are_believed():
+    """A crowded model server: a short queue, yet nothing begins in time."""
+    crowded = admission.Pressure(
+        requests=70,
+        slots=64,
+        service_s=0.3,
+        seen_wait_s=2.5,
+    )
+    assert admission.return_s(crowded, 1.9, 0.0) is not None
+    free = msgspec.structs.replace(crowded, requests=40)
+    assert admission.return_s(free, 1.9, 0.0) is None
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -172,3 +172,11 @@
     assert one.holds(ADAPTED)
     servers.put(routing_parts.listed(0, adapters_by_model={}))
     assert not one.holds(ADAPTED)
+
+
+def test_a_wait_that_was_seen_is_forgotten():
+    (one,) = routing_parts.servers(1)
+    for _ in range(20):
+        one.note_wait(2.0, 5.0)
+    assert one.seen_wait_s(5.0) > 1.8
+    assert one.seen_wait_s(12.0) < 0.1
