Let models asked for now and then share a place

Cause: with more models than places, a rare model was refused as long as those held were asked for as often, though each keeps a copy at hand and is back within a second.

--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -14,11 +14,14 @@
 from oatcrank.routing import need, route
 
 # What was loaded this lately is kept, so that two models don't take turns.
-RESIDENCE_S = 3.0
+RESIDENCE_S = 2.0
 # A model makes way only for this many times its own demand.
 DISPLACING_DEMAND = 1.3
 # Requests a second that a model's last replica is worth beyond its demand.
 LAST_REPLICA = 0.05
+# The share of a model's demand that suffers while it is loaded again from a copy
+# at hand, which its server keeps.
+RELOAD_SHARE = 0.4
 # The share of a model's demand that its second, or a further replica is worth
 # for the case that one is lost.
 SECOND_REPLICA = 0.03
@@ -255,7 +258,7 @@
         replicas = self._replicas(model)
         rate = self._asked.model_rate(self._need(model), now_s)
         if replicas <= 1:
-            return rate + LAST_REPLICA
+            return RELOAD_SHARE * rate + LAST_REPLICA
         later = self._late(model, replicas - 1, now_s) - self._late(
             model,
             replicas,
