--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -61,7 +61,8 @@
         self.gone_midway = 0
         self.events = 4
         self.pause_s = float(0)
-        self.order_status = 202
+        self.order_status = int(HTTPStatus.ACCEPTED)
+        self.order_pause_s = float(0)
         self.report: dict[str, object] = {'busy': False, 'seq': 0}
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -109,6 +110,7 @@
             return False
         self.seen.append(seen)
         if seen.target == '/order':
+            await asyncio.sleep(self.order_pause_s)
             writer.write(_answer(self.order_status, {}, b'{}'))
             return True
         if seen.target == '/report':
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -17,7 +17,7 @@
 RESIDENCE_S = 2.0
 # A model makes way only for this many times its own demand.
 DISPLACING_DEMAND = 1.3
-# Requests a second that a model's last replica is worth beyond its demand.
+# Requests a second that a last replica is worth beyond its demand.
 LAST_REPLICA = 0.05
 # The share of a model's demand that suffers while it is loaded again from a copy
 # at hand, which its server keeps.
--- a/oatcrank/platform/orders.py
+++ b/oatcrank/platform/orders.py
@@ -1,5 +1,6 @@
 """Give orders to the platform's model workers."""
 
+import asyncio
 import http
 
 import msgspec
@@ -8,7 +9,7 @@
 from oatcrank.orders import order
 from oatcrank.platform import registration_words
 from oatcrank.routing import listing
-from oatcrank.transport import calls
+from oatcrank.transport import calls, connection_pool
 
 ORDER_WITHIN_S = 1.0
 REPORT_WITHIN_S = 0.5
@@ -47,9 +48,18 @@
     born: int | None = None
 
 
+class _Kept(msgspec.Struct):
+    listed: listing.Listing
+    pool: connection_pool.ConnectionPool
+
+
 class WorkerOrders(order.OrderSender):
     """Speak to workers about what they hold."""
 
+    def __init__(self) -> None:
+        """Have no connections yet."""
+        self._pool_by_id: dict[ids.ServerId, _Kept] = {}
+
     async def send(
         self,
         listed: listing.Listing,
@@ -65,8 +75,8 @@
             fencing_token=one.fence,
         )
         try:
-            called = await calls.call(
-                _address(listed),
+            called = await self._call(
+                listed,
                 calls.Call(
                     method='POST',
                     target='/order',
@@ -94,8 +104,8 @@
     async def report(self, listed: listing.Listing) -> order.Report | None:
         """Return what a worker says of itself, or None."""
         try:
-            called = await calls.call(
-                _address(listed),
+            called = await self._call(
+                listed,
                 calls.Call(
                     method='GET',
                     target='/report',
@@ -122,11 +132,44 @@
             arriving_adapters=tuple(map(_arriving, told.coming)),
         )
 
+    async def _call(
+        self,
+        listed: listing.Listing,
+        one: calls.Call,
+        within_s: float,
+    ) -> calls.Called:
+        """Make a call on a connection that is kept for the next.
+
+        Raises what calls.call raises.
+        """
+        pool = self._pool(listed)
+        connection = await pool.take()
+        try:
+            async with asyncio.timeout(within_s):
+                return await calls.exchange(
+                    connection,
+                    f'{listed.host}:{listed.port}',
+                    one,
+                )
+        except TimeoutError as error:
+            raise errors.Interrupted('no answer in time') from error
+        finally:
+            pool.give_back(connection)
+
+    def _pool(self, listed: listing.Listing) -> connection_pool.ConnectionPool:
+        """Return the connections to one start of a worker."""
+        kept = self._pool_by_id.get(listed.server_id)
+        if kept is None or not kept.listed.is_same_process(listed):
+            if kept is not None:
+                kept.pool.close()
+            kept = _Kept(
+                listed,
+                connection_pool.ConnectionPool(listed.host, listed.port),
+            )
+            self._pool_by_id[listed.server_id] = kept
+        return kept.pool
+
 
 def _arriving(text: str) -> tuple[ids.ModelName, ids.AdapterName]:
     model, _, adapter = text.partition('@')[0].partition('/')
     return ids.ModelName(model), ids.AdapterName(adapter)
-
-
-def _address(listed: listing.Listing) -> str:
-    return f'{listed.host}:{listed.port}'
--- a/oatcrank/routing/choice.py
+++ b/oatcrank/routing/choice.py
@@ -15,6 +15,7 @@
 
 SAME_DOMAIN_DISCOUNT = 0.06
 PREFIX_DISCOUNT = 0.05
+CONNECTED_DISCOUNT = 0.03
 FAILURE_WEIGHT = 2.0
 # Failures within this share of the best server's say nothing of a server.
 TOLERATED_FAILURES = 0.25
@@ -83,6 +84,8 @@
         excess = one.failure_share(now_s) - least_failures
         if excess > TOLERATED_FAILURES:
             score += FAILURE_WEIGHT * excess
+        if one.pool.has_idle:
+            score -= CONNECTED_DISCOUNT
         if one is favourite:
             score -= PREFIX_DISCOUNT
         if one.listed.failure_domain == self._domain:
--- a/oatcrank/transport/connection_pool.py
+++ b/oatcrank/transport/connection_pool.py
@@ -28,6 +28,11 @@
         """Return how many connections are open or lent."""
         return self.lent + len(self._idle)
 
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether a request would need no new connection."""
+        return bool(self._idle)
+
     async def take(self) -> backend_connection.BackendConnection:
         """Lend a connection or raise errors.ConnectFailed."""
         self.lent += 1
--- /dev/null
+++ b/tests/test_worker_orders.py
@@ -0,0 +1,126 @@
+"""Test orders and reports against a stand-in worker."""
+
+import asyncio
+
+import pytest
+import routing_parts
+
+from emulator import platform_worker
+from oatcrank.orders import order
+from oatcrank.platform import orders
+
+
+def play(work):
+    async def run():
+        worker = platform_worker.Worker('server-0')
+        await worker.start()
+        listed = routing_parts.listed(0, port=worker.port)
+        try:
+            await work(worker, listed, orders.WorkerOrders())
+        finally:
+            await worker.stop()
+
+    asyncio.run(run())
+
+
+def an_order(**changes):
+    told = {
+        'action': order.Action.load,
+        'model': 'm0',
+        'adapter': None,
+        'orders_taken': 2,
+        'holder': 'instance-1',
+        'fence': 41,
+        **changes,
+    }
+    return order.Order(**told)
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (202, order.Outcome.accepted),
+        (200, order.Outcome.done),
+        (409, order.Outcome.conflict),
+        (412, order.Outcome.rejected),
+        (400, order.Outcome.rejected),
+        (421, order.Outcome.elsewhere),
+        (500, order.Outcome.unknown),
+    ],
+)
+def test_outcomes(status, expected):
+    async def work(worker, listed, sender):
+        worker.order_status = status
+        assert await sender.send(listed, an_order()) is expected
+
+    play(work)
+
+
+def test_an_order_names_all_that_guards_it():
+    async def work(worker, listed, sender):
+        await sender.send(listed, an_order(adapter='a3'))
+        (seen,) = worker.seen
+        assert seen.header_by_name['x-expected-instance'] == 'server-0'
+        assert seen.body == (
+            b'{"operation":"model_load","model":"m0","adapter":"a3",'
+            b'"expected":2,"holder":"instance-1","fencing_token":41}'
+        )
+
+    play(work)
+
+
+def test_orders_share_a_connection():
+    async def work(worker, listed, sender):
+        for _ in range(5):
+            await sender.send(listed, an_order())
+        await sender.report(listed)
+        assert worker.connections == 1
+
+    play(work)
+
+
+def test_a_worker_that_is_gone_has_taken_nothing():
+    async def work(worker, listed, sender):
+        await worker.stop()
+        outcome = await sender.send(listed, an_order())
+        assert outcome is order.Outcome.unsent
+        assert await sender.report(listed) is None
+
+    play(work)
+
+
+def test_an_order_without_an_answer_may_be_carried_out(monkeypatch):
+    monkeypatch.setattr(orders, 'ORDER_WITHIN_S', 0.1)
+
+    async def work(worker, listed, sender):
+        worker.order_pause_s = 1.0
+        outcome = await sender.send(listed, an_order())
+        assert outcome is order.Outcome.unknown
+
+    play(work)
+
+
+def test_a_report():
+    async def work(worker, listed, sender):
+        worker.report = {
+            'busy': True,
+            'seq': 7,
+            'models': [{'name': 'm0', 'adapters': ['a1']}],
+            'coming': ['m0/a2@1'],
+            'born': 99,
+        }
+        told = await sender.report(listed)
+        assert (told.busy, told.orders_taken, told.started_ms) == (True, 7, 99)
+        assert told.adapters_by_model == {'m0': ('a1',)}
+        assert told.arriving_adapters == (('m0', 'a2'),)
+
+    play(work)
+
+
+@pytest.mark.parametrize('report', [{}, {'busy': 'yes', 'seq': 1}])
+def test_a_malformed_report_says_nothing(report):
+    async def work(worker, listed, sender):
+        worker.report = report
+        assert await sender.report(listed) is None
+
+    play(work)
