--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -19,8 +19,8 @@
 DISPLACING_DEMAND = 1.3
 # Requests a second that a last replica is worth beyond its demand.
 LAST_REPLICA = 0.05
-# The share of a model's demand that suffers while it is loaded again from a copy
-# at hand, which its server keeps.
+# The share of a model's demand that suffers while it is loaded again, from the
+# copy that its server keeps.
 RELOAD_SHARE = 0.4
 # The share of a model's demand that its second, or a further replica is worth
 # for the case that one is lost.
