--- a/oatcrank/platform/orders.py
+++ b/oatcrank/platform/orders.py
@@ -11,8 +11,8 @@
 from oatcrank.routing import listing
 from oatcrank.transport import calls, connection_pool
 
-ORDER_WITHIN_S = 1.0
-REPORT_WITHIN_S = 0.5
+ORDER_WITHIN_S = 0.3
+REPORT_WITHIN_S = 0.3
 OPERATION_BY_ACTION = {
     order.Action.load: 'model_load',
     order.Action.unload: 'model_unload',
