--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -116,7 +116,7 @@
             self.members,
             self.servers,
         )
-        self._desk.on_unload = self.peer.tell_unload
+        self._desk.tell_unloads(self.peer.tell_unload)
         self._forwarder = forwarder.Forwarder(
             parts.Parts(
                 dialect=ports.dialect,
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -16,7 +16,7 @@
     session,
     store,
 )
-from oatcrank.orders import order_desk, tenure
+from oatcrank.orders import arrangement, boot_clock, order_desk, tenure
 
 HOLDER_KEY = 'orders/holder'
 LAST_KEY = 'orders/last'
@@ -118,7 +118,7 @@
             await asyncio.sleep(BALANCE_S)
             try:
                 await self._desk.balance()
-            except order_desk.NotOrdered as error:
+            except arrangement.NotOrdered as error:
                 logs.event('not_balanced', reason=error)
 
     async def release(self) -> None:
@@ -158,7 +158,7 @@
         if query.started_ms != self._members.own.started_ms:
             # The process that held the lease has ended.
             return peer_messages.Stopped(waits_s=0, store_loads=None)
-        now_s = order_desk.suspended_time()
+        now_s = boot_clock.now()
         fence = query.successor.fence
         self.take_told(query.successor)
         turn = self._desk.turn
@@ -179,7 +179,7 @@
                 await self._acquire(self._session.lease)
 
     async def _renew(self, turn: tenure.Tenure) -> None:
-        sent_s = order_desk.suspended_time()
+        sent_s = boot_clock.now()
         holder = self._seen()
         mine = holder is not None and self._is_own(holder)
         if not mine or self._session.lease != self._lease:
@@ -200,7 +200,7 @@
 
     async def _renew_by_peers(self, turn: tenure.Tenure) -> None:
         """Go on without the store if every instance vouches for this one."""
-        sent_s = order_desk.suspended_time()
+        sent_s = boot_clock.now()
         held = self._own_holding(turn)
         others = self._members.others()
         told = await asyncio.gather(
@@ -247,7 +247,7 @@
             self._acquiring = False
 
     async def _take(self, lease: store.LeaseId) -> None:
-        sent_s = order_desk.suspended_time()
+        sent_s = boot_clock.now()
         former = self._mirror.get(LAST_KEY)
         own = HolderRecord(
             instance_id=self._members.own.instance_id,
@@ -283,7 +283,7 @@
         turn = tenure.begin(
             fence=revision,
             sent_s=sent_s,
-            now_s=order_desk.suspended_time(),
+            now_s=boot_clock.now(),
             own_orders_end_s=self._desk.last_order_s + self._turn_s,
             first=former is None,
         )
@@ -332,7 +332,7 @@
         record = _decoded(last)
         if record is None:
             return
-        asked_s = order_desk.suspended_time()
+        asked_s = boot_clock.now()
         try:
             told = await self._client.ask(
                 record.peer,
@@ -346,13 +346,13 @@
             )
         except peers.PeerGone as error:
             logs.event('former_holder_ended', error=error)
-            turn.follow(order_desk.suspended_time(), None)
+            turn.follow(boot_clock.now(), None)
             return
         except peers.PeerUnreachable as error:
             logs.event('former_holder_silent', error=error)
             return
         turn.follow(
-            order_desk.suspended_time() + told.waits_s,
+            boot_clock.now() + told.waits_s,
             told.store_loads,
         )
         logs.event(
--- a/oatcrank/cluster/remote_arranger.py
+++ b/oatcrank/cluster/remote_arranger.py
@@ -4,7 +4,7 @@
 import collections
 import time
 
-from oatcrank import errors, logs
+from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
     holding,
     members,
@@ -13,7 +13,7 @@
     peers,
 )
 from oatcrank.forwarding import arranger
-from oatcrank.orders import demand, order_desk
+from oatcrank.orders import arrangement, boot_clock, demand, order_desk
 from oatcrank.routing import need, server_table
 
 ASK_WITHIN_S = 1.0
@@ -133,7 +133,7 @@
             ASK_WITHIN_S,
         )
 
-    def _unusable(self, wanted: need.Need) -> tuple:
+    def _unusable(self, wanted: need.Need) -> tuple[ids.ServerId, ...]:
         now_s = time.monotonic()
         return tuple(
             one.server_id
@@ -200,7 +200,7 @@
     """Answer a question at the desk."""
     try:
         placed = await desk.arrange(query.wanted, query.unusable)
-    except order_desk.NotOrdered as error:
+    except arrangement.NotOrdered as error:
         logs.event(
             'not_arranged',
             model=query.wanted.model,
@@ -225,7 +225,7 @@
     report: peer_messages.DemandReport,
 ) -> None:
     """Add a report to the demand that the desk weighs."""
-    now_s = order_desk.suspended_time()
+    now_s = boot_clock.now()
     desk.asked.reaches_back(report.span_s, now_s)
     for one in report.asked:
         desk.asked.note(one, now_s)
--- a/oatcrank/orders/order.py
+++ b/oatcrank/orders/order.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+from collections.abc import Callable
 
 import msgspec
 
@@ -53,8 +54,13 @@
     """Speak to one backend server about what it holds."""
 
     @abc.abstractmethod
-    async def send(self, listed: listing.Listing, one: Order) -> Outcome:
-        """Send one order."""
+    async def send(
+        self,
+        listed: listing.Listing,
+        one: Order,
+        may_send: Callable[[], bool],
+    ) -> Outcome:
+        """Send one order, unless it may no longer leave when it could."""
 
     @abc.abstractmethod
     async def report(self, listed: listing.Listing) -> Report | None:
--- /dev/null
+++ b/oatcrank/orders/order_line.py
@@ -0,0 +1,120 @@
+"""Send orders while this instance's turn lasts."""
+
+import math
+from collections.abc import Callable
+
+from oatcrank import ids, logs
+from oatcrank.orders import arrangement, boot_clock, ledger, order, tenure
+from oatcrank.routing import need
+
+UNREACHABLE_S = 1.0
+ASK_AGAIN_S = 0.25
+SOONEST_S = 0.05
+
+OnUnload = Callable[[ids.ServerId, need.Need], None]
+
+
+class OrderLine:
+    """Send single orders and enter them in the ledgers."""
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        sender: order.OrderSender,
+    ) -> None:
+        """Order in the name of an instance; nobody hears of unloads yet."""
+        self.turn: tenure.Tenure | None = None
+        self.last_order_s = -math.inf
+        self.on_unload: OnUnload = _tell_nobody
+        self._instance_id = instance_id
+        self._sender = sender
+
+    def may_send(self) -> bool:
+        """Tell whether an order may leave at this moment."""
+        return self.turn is not None and self.turn.may_order(boot_clock.now())
+
+    def check_turn(self) -> tenure.Tenure:
+        """Return the turn, or raise NotOrdered if there is none now."""
+        now_s = boot_clock.now()
+        turn = self.turn
+        if turn is None:
+            raise arrangement.NotOrdered(
+                'this instance gives no orders', ASK_AGAIN_S
+            )
+        if not turn.may_order(now_s):
+            raise arrangement.NotOrdered(
+                'the turn has not begun or is over',
+                max(SOONEST_S, turn.start_s() - now_s),
+            )
+        return turn
+
+    async def send(
+        self,
+        one: ledger.Ledger,
+        action: order.Action,
+        model: ids.ModelName,
+        adapter: ids.AdapterName | None,
+        takes_s: float,
+    ) -> None:
+        """Send an order that takes a while, or raise NotOrdered."""
+        turn = self.check_turn()
+        if one.orders_taken is None:
+            raise arrangement.NotOrdered(
+                'what the server holds is unknown', ASK_AGAIN_S
+            )
+        wish = order.Order(
+            action=action,
+            model=model,
+            adapter=adapter,
+            orders_taken=one.orders_taken,
+            holder=self._instance_id,
+            fence=ids.Fence(turn.fence),
+        )
+        self._note_sent(one)
+        outcome = await self._sender.send(one.listed, wish, self.may_send)
+        self._note_sent(one)
+        logs.event(
+            'order',
+            server=one.listed.server_id,
+            action=action.value,
+            model=model,
+            adapter=adapter or '',
+            orders_taken=wish.orders_taken,
+            fence=wish.fence,
+            outcome=outcome.name,
+        )
+        self._settle(one, wish, outcome, takes_s)
+
+    def _settle(
+        self,
+        one: ledger.Ledger,
+        wish: order.Order,
+        outcome: order.Outcome,
+        takes_s: float,
+    ) -> None:
+        now_s = boot_clock.now()
+        if outcome is order.Outcome.accepted:
+            one.take(wish, now_s, now_s + takes_s)
+            if wish.action is order.Action.unload and not wish.adapter:
+                self.on_unload(
+                    one.listed.server_id,
+                    need.Need(one.listed.service, wish.model),
+                )
+            return
+        if outcome is order.Outcome.done:
+            one.take(wish, now_s, now_s)
+            one.finish_work()
+            return
+        if outcome is order.Outcome.unsent:
+            one.unreachable_until_s = now_s + UNREACHABLE_S
+        else:
+            one.distrust()
+        raise arrangement.NotOrdered(f'order: {outcome.value}', ASK_AGAIN_S)
+
+    def _note_sent(self, one: ledger.Ledger) -> None:
+        one.last_order_s = boot_clock.now()
+        self.last_order_s = one.last_order_s
+
+
+def _tell_nobody(server_id: ids.ServerId, dropped: need.Need) -> None:
+    """Be what is called where nobody wants to know."""
--- a/oatcrank/platform/orders.py
+++ b/oatcrank/platform/orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+from collections.abc import Callable
 
 import msgspec
 
@@ -27,6 +28,10 @@
 }
 
 
+def _always() -> bool:
+    return True
+
+
 class _OrderBody(msgspec.Struct, omit_defaults=True, kw_only=True):
     operation: str
     model: str
@@ -64,8 +69,9 @@
         self,
         listed: listing.Listing,
         one: order.Order,
+        may_send: Callable[[], bool],
     ) -> order.Outcome:
-        """Send one order."""
+        """Send one order, unless it may no longer leave when it could."""
         body = _OrderBody(
             operation=OPERATION_BY_ACTION[one.action],
             model=one.model,
@@ -84,6 +90,7 @@
                     headers=(('X-Expected-Instance', listed.server_id),),
                 ),
                 ORDER_WITHIN_S,
+                may_send,
             )
         except errors.NotStarted as error:
             logs.event('order_unsent', server=listed.server_id, error=error)
@@ -137,6 +144,7 @@
         listed: listing.Listing,
         one: calls.Call,
         within_s: float,
+        may_send: Callable[[], bool] = _always,
     ) -> calls.Called:
         """Make a call on a connection that is kept for the next.
 
@@ -144,6 +152,9 @@
         """
         pool = self._pool(listed)
         connection = await pool.take()
+        if not may_send():
+            pool.give_back(connection)
+            raise errors.NotStarted('the turn is over')
         try:
             async with asyncio.timeout(within_s):
                 return await calls.exchange(
--- a/tests/cluster_parts.py
+++ b/tests/cluster_parts.py
@@ -16,7 +16,7 @@
     session,
     store,
 )
-from oatcrank.orders import order, order_desk
+from oatcrank.orders import boot_clock, order, order_desk
 from oatcrank.routing import route_table, server_table
 
 
@@ -30,7 +30,7 @@
 class NoSender(order.OrderSender):
     """Reach no server."""
 
-    async def send(self, listed, one):
+    async def send(self, listed, one, may_send):
         return order.Outcome.unsent
 
     async def report(self, listed):
@@ -129,7 +129,7 @@
     def may_order(self) -> bool:
         turn = self.desk.turn
         return turn is not None and turn.may_order(
-            order_desk.suspended_time(),
+            boot_clock.now(),
         )
 
 
--- a/tests/test_order_desk.py
+++ b/tests/test_order_desk.py
@@ -7,7 +7,7 @@
 import virtual
 import worker_fleet
 
-from oatcrank.orders import order_desk, tenure
+from oatcrank.orders import arrangement, order_desk, tenure
 from oatcrank.routing import need, route_table
 
 SERVICE = worker_fleet.SERVICE
@@ -101,7 +101,7 @@
 )
 def test_what_cannot_be_ordered(model, reason):
     async def work(fleet, desk):
-        with pytest.raises(order_desk.NotOrdered, match=reason):
+        with pytest.raises(arrangement.NotOrdered, match=reason):
             await desk.arrange(need.Need(SERVICE, model), ())
 
     play(work)
@@ -110,7 +110,7 @@
 def test_without_a_turn_nothing_is_ordered():
     async def work(fleet, desk):
         desk.stop()
-        with pytest.raises(order_desk.NotOrdered):
+        with pytest.raises(arrangement.NotOrdered):
             await desk.arrange(need.Need(SERVICE, 'm0'), ())
         assert not fleet.store_loads
 
--- a/tests/test_order_machine.py
+++ b/tests/test_order_machine.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from emulator import virtual_time_loop
-from oatcrank.orders import demand, order_desk, tenure
+from oatcrank.orders import arrangement, boot_clock, demand, order_desk, tenure
 from oatcrank.routing import need, route_table
 
 EXAMPLES = 60
@@ -34,8 +34,8 @@
         self.loop = virtual_time_loop.VirtualTimeLoop()
         asyncio.set_event_loop(self.loop)
         self.patch = mock.patch.object(
-            order_desk,
-            'suspended_time',
+            boot_clock,
+            'now',
             self.loop.time,
         )
         self.patch.start()
@@ -151,7 +151,7 @@
     async def quietly(self, work) -> None:
         try:
             await work
-        except order_desk.NotOrdered:
+        except arrangement.NotOrdered:
             return
 
 
--- a/tests/test_worker_orders.py
+++ b/tests/test_worker_orders.py
@@ -23,6 +23,10 @@
     asyncio.run(run())
 
 
+def allowed():
+    return True
+
+
 def an_order(**changes):
     told = {
         'action': order.Action.load,
@@ -51,14 +55,14 @@
 def test_outcomes(status, expected):
     async def work(worker, listed, sender):
         worker.order_status = status
-        assert await sender.send(listed, an_order()) is expected
+        assert await sender.send(listed, an_order(), allowed) is expected
 
     play(work)
 
 
 def test_an_order_names_all_that_guards_it():
     async def work(worker, listed, sender):
-        await sender.send(listed, an_order(adapter='a3'))
+        await sender.send(listed, an_order(adapter='a3'), allowed)
         (seen,) = worker.seen
         assert seen.header_by_name['x-expected-instance'] == 'server-0'
         assert seen.body == (
@@ -72,7 +76,7 @@
 def test_orders_share_a_connection():
     async def work(worker, listed, sender):
         for _ in range(5):
-            await sender.send(listed, an_order())
+            await sender.send(listed, an_order(), allowed)
         await sender.report(listed)
         assert worker.connections == 1
 
@@ -82,7 +86,7 @@
 def test_a_worker_that_is_gone_has_taken_nothing():
     async def work(worker, listed, sender):
         await worker.stop()
-        outcome = await sender.send(listed, an_order())
+        outcome = await sender.send(listed, an_order(), allowed)
         assert outcome is order.Outcome.unsent
         assert await sender.report(listed) is None
 
@@ -94,7 +98,7 @@
 
     async def work(worker, listed, sender):
         worker.order_pause_s = 1.0
-        outcome = await sender.send(listed, an_order())
+        outcome = await sender.send(listed, an_order(), allowed)
         assert outcome is order.Outcome.unknown
 
     play(work)
@@ -124,3 +128,14 @@
         assert await sender.report(listed) is None
 
     play(work)
+
+
+def test_an_order_does_not_leave_after_the_turn_has_ended():
+    """A connection may take longer to open than the turn lasts."""
+
+    async def work(worker, listed, sender):
+        outcome = await sender.send(listed, an_order(), bool)
+        assert outcome is order.Outcome.unsent
+        assert not worker.seen
+
+    play(work)
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -4,14 +4,14 @@
 from unittest import mock
 
 from emulator import virtual_time_loop
-from oatcrank.orders import order_desk
+from oatcrank.orders import boot_clock
 
 
 def run(coroutine):
     """Return what a coroutine returns; its waits take no time."""
     loop = virtual_time_loop.VirtualTimeLoop()
     try:
-        with mock.patch.object(order_desk, 'suspended_time', loop.time):
+        with mock.patch.object(boot_clock, 'now', loop.time):
             return loop.run_until_complete(coroutine)
     finally:
         _cancel_all(loop)
--- a/tests/worker_fleet.py
+++ b/tests/worker_fleet.py
@@ -217,7 +217,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def send(self, listed, one):
+    async def send(self, listed, one, may_send):
         await asyncio.sleep(0.002)
         worker = self.workers[listed.port - 20000]
         fate = self.fate
