Test the mirror of the store, addresses and the log writer; one fault is red

Reading the change once more showed rooms without tests of their own. They find a real fault: a store that returns with its history forgotten has lapsed servers removed at once, not after two seconds.

--- /dev/null
+++ b/tests/test_store_mirror.py
@@ -0,0 +1,136 @@
+"""Test how instances follow the store, and what they believe of it."""
+
+import asyncio
+import os
+import random
+
+import pytest
+import routing_parts
+import virtual
+
+from emulator import memory_store
+from oatcrank import bounded_writer
+from oatcrank.cluster import catalogue, codec, member, members, mirror
+from oatcrank.routing import route_table, server_table
+
+TROUBLE = memory_store.Trouble
+PREFIX = 'servers/'
+
+
+class ListingCodec(codec.Codec):
+    """Read any value as a registration, and its removal as its end."""
+
+    def read(self, item):
+        server_id = item.key.removeprefix(PREFIX)
+        if item.value is None:
+            return codec.ServerGone(server_id, 'ended')
+        return routing_parts.listed(0, server_id=server_id)
+
+
+def a_member(number, domain, *, ready=True):
+    return member.Member(
+        instance_id=f'instance-{number}',
+        started_ms=number,
+        failure_domain=domain,
+        region='here',
+        front=f'front-{number}',
+        peer=f'peer-{number}',
+        ready=ready,
+    )
+
+
+def play(work):
+    """Follow a store that holds one server."""
+
+    async def run():
+        shared = memory_store.MemoryStore()
+        shared.put(f'{PREFIX}one', b'x')
+        client = memory_store.MemoryClient(shared)
+        servers = server_table.ServerTable()
+        listener = catalogue.Catalogue(
+            ListingCodec(),
+            route_table.RouteTable(),
+            servers,
+            members.Members(a_member(0, 'north')),
+        )
+        seen = mirror.Mirror(client, listener, random.Random(1))
+        following = asyncio.ensure_future(seen.run())
+        await asyncio.sleep(1)
+        try:
+            await work(shared, client, servers)
+        finally:
+            following.cancel()
+
+    virtual.run(run())
+
+
+async def outage(client):
+    client.trouble = TROUBLE.down
+    await asyncio.sleep(3)
+
+
+def test_changes_are_followed():
+    async def work(shared, client, servers):
+        shared.put(f'{PREFIX}two', b'x')
+        shared.revoke(f'{PREFIX}one')
+        await asyncio.sleep(1)
+        assert set(servers.by_id) == {'two'}
+
+    play(work)
+
+
+def test_all_is_read_anew_when_history_is_lost():
+    async def work(shared, client, servers):
+        await outage(client)
+        shared.put(f'{PREFIX}two', b'x')
+        shared.forget_history()
+        client.trouble = TROUBLE.none
+        await asyncio.sleep(1.5)
+        assert set(servers.by_id) == {'one', 'two'}
+
+    play(work)
+
+
+@pytest.mark.parametrize('history_lost', [False, True])
+def test_a_server_that_lapsed_in_an_outage_has_time_to_return(history_lost):
+    async def work(shared, client, servers):
+        await outage(client)
+        shared.revoke(f'{PREFIX}one')
+        if history_lost:
+            shared.forget_history()
+        client.trouble = TROUBLE.none
+        await asyncio.sleep(1.5)
+        assert set(servers.by_id) == {'one'}
+        await asyncio.sleep(catalogue.RETURN_S + 1)
+        assert not servers.by_id
+
+    play(work)
+
+
+@pytest.mark.parametrize(
+    ('domain', 'ready', 'expected'),
+    [
+        ('north', (True, True, True), ['front-1', 'front-0']),
+        # With too few near, others are named as well, near ones first.
+        ('south', (True, True, True), ['front-2', 'front-1', 'front-0']),
+        ('north', (True, False, True), ['front-0', 'front-2']),
+        ('north', (False, False, False), []),
+    ],
+)
+def test_addresses_for_callers(domain, ready, expected):
+    known = members.Members(a_member(0, 'north', ready=ready[0]))
+    known.put(a_member(1, 'north', ready=ready[1]))
+    known.put(a_member(2, 'south', ready=ready[2]))
+    assert known.fronts(domain, 'here') == expected
+
+
+def test_a_reader_that_falls_behind_costs_lines_and_no_time():
+    reader, descriptor = os.pipe()
+    writer = bounded_writer.BoundedWriter(descriptor)
+    for _ in range(bounded_writer.BURST_LINES * 2):
+        writer.write(f'{"x" * 500}\n')
+    told = os.read(reader, 1_000_000)
+    assert told.startswith(b'xxx')
+    os.close(reader)
+    writer.write('nobody reads this\n')
+    os.close(descriptor)
