Note the store's return before taking what it holds

Cause: the mirror read all keys and only then told its listener that the store was back. Where the store had forgotten its history, a full read is the first answer, so servers whose registrations had lapsed were removed at once instead of after the two seconds that they have to register anew.

Change: the return is noted between the read and taking what was read.

After: tests/test_store_mirror.py 9 passed.

--- a/oatcrank/cluster/mirror.py
+++ b/oatcrank/cluster/mirror.py
@@ -85,8 +85,9 @@
 
     async def _step(self) -> None:
         if self._revision is None:
-            await self._read_all()
+            snapshot = await self._store.read_all()
             self._note_answer()
+            self._take_all(snapshot)
             return
         changes = await self._watch(self._revision)
         self._note_answer()
@@ -110,8 +111,7 @@
             self._watching.cancel()
             self._watching = None
 
-    async def _read_all(self) -> None:
-        snapshot = await self._store.read_all()
+    def _take_all(self, snapshot: store.Snapshot) -> None:
         present = set()
         for item in snapshot.items:
             present.add(item.key)
