Tell a new holder when things were asked for, not only how often

Cause: a new holder of the order lease is told the demand of the past ten seconds in one report, and took all of it as asked for now. The last three seconds weigh most, so for a few seconds each model seemed wanted about three times as much (93 requests a second where 35 came) and models were moved for it.

Change: the past is told second by second, and counted at its own time.

--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -17,14 +17,15 @@
 class Asked(msgspec.Struct, frozen=True):
     """Say how often something was asked for, and how long servers ran it.
 
-    busy_s sums the seconds of all runs that ended, and age_s tells how long
-    ago it was last asked for.
+    busy_s sums the seconds of all runs that ended, age_s tells how long ago it
+    was last asked for, and counted_s_ago when all this was counted.
     """
 
     wanted: need.Need
     times: int
     busy_s: float = 0
     age_s: float = 0
+    counted_s_ago: float = 0
 
 
 class Demand:
@@ -49,7 +50,7 @@
         """Add requests that were seen lately."""
         wanted = asked.wanted
         self._first_s = min(self._first_s, now_s)
-        self._reports.append((now_s, asked))
+        self._insert(now_s - asked.counted_s_ago, asked)
         self._reports_by_need[wanted] += 1
         self._times_by_need[wanted] += asked.times
         self._busy_s_by_need[wanted] = (
@@ -120,22 +121,34 @@
         ) / self._span_s(now_s)
 
     def summary(self, now_s: float) -> tuple[Asked, ...]:
-        """Return all that was asked for in the window."""
+        """Return all that was asked for in the window, second by second."""
         self._trim(now_s)
-        return tuple(
-            Asked(
-                wanted,
-                times,
-                self._busy_s_by_need.get(wanted, 0),
-                now_s - self._last_s_by_need.get(wanted, now_s),
+        found: dict[tuple[need.Need, int], Asked] = {}
+        for noted_s, asked in self._reports:
+            seconds_ago = int(now_s - noted_s)
+            key = (asked.wanted, seconds_ago)
+            known = found.get(key)
+            found[key] = Asked(
+                asked.wanted,
+                asked.times + (known.times if known else 0),
+                asked.busy_s + (known.busy_s if known else 0),
+                now_s - self._last_s_by_need.get(asked.wanted, now_s),
+                seconds_ago,
             )
-            for wanted, times in self._times_by_need.items()
-        )
+        return tuple(found.values())
 
     def last_s(self, wanted: need.Need) -> float:
         """Return when something was last asked for."""
         return self._last_s_by_need.get(wanted, -math.inf)
 
+    def _insert(self, noted_s: float, asked: Asked) -> None:
+        """Keep reports in the order of their times, also those told late."""
+        later: list[tuple[float, Asked]] = []
+        while self._reports and self._reports[-1][0] > noted_s:
+            later.append(self._reports.pop())
+        self._reports.append((noted_s, asked))
+        self._reports.extend(reversed(later))
+
     def _recent_times(self, wanted: need.Need, now_s: float) -> int:
         times = 0
         for noted_s, asked in reversed(self._reports):
--- a/tests/test_order_demand.py
+++ b/tests/test_order_demand.py
@@ -72,6 +72,25 @@
     assert other.running(BUSY, 1.0) == found.running(BUSY, 1.0)
 
 
+def test_a_summary_keeps_when_things_were_asked_for():
+    """A new holder must not take ten seconds' demand for that of three."""
+    steady = [
+        (demand.Asked(BUSY, 10, busy_s=5.0), float(second))
+        for second in range(10)
+    ]
+    found = counted(*steady)
+    other = demand.Demand()
+    other.reaches_back(10.0, 9.5)
+    other.note(demand.Asked(RARE, 1), 9.5)
+    for asked in found.summary(9.5):
+        other.note(asked, 9.5)
+    for at_s in (9.5, 12.0, 16.0):
+        assert other.model_rate(BUSY, at_s) == pytest.approx(
+            found.model_rate(BUSY, at_s),
+            rel=0.2,
+        )
+
+
 @given(
     st.lists(
         st.tuples(
