Space the prompts that each model server reads

While a server reads prompts its streams stand still; prompts come to it from seven instances that know nothing of each other, and by chance several are read within one event's time.

Change: for each server one instance, which all choose alike from the members they know, keeps when the next prompt may go. An instance asks it by one datagram before it sends, waits 15 ms for the answer at most, and lets the prompt wait up to half of its latency target. Nothing depends on it: without an answer the prompt goes at once, and a silent keeper is not asked for a second.

Weighed: telling all others of each prompt (grows with instances x instances); one instance that routes all (a bottleneck); spacing only one's own prompts (two a second to a server: no effect).

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -14,6 +14,7 @@
     mirror,
     order_turn,
     own_peer,
+    pace_keepers,
     peers,
     remote_arranger,
     session,
@@ -108,6 +109,7 @@
             self.members,
             self.servers,
         )
+        self._pace = pace_keepers.PaceKeepers(self.members)
         crashes = crash_record.CrashRecord()
         self.peer = own_peer.OwnPeer(
             self._desk,
@@ -130,6 +132,7 @@
                     instances=lambda: self.members.most,
                 ),
                 arranger=self._arranger,
+                pacer=self._pace,
                 crashes=crashes,
                 crash_watch=crash_watch.CrashWatch(
                     crashes,
@@ -155,6 +158,7 @@
             port,
             backlog=1024,
         )
+        await self._pace.start(*_host_and_port(self.members.own.datagrams))
         for name, work in (
             ('mirror', self._mirror.run),
             ('session', self._session.run),
@@ -184,6 +188,7 @@
         if self._opened:
             logs.event('stop_cuts', connections=len(self._opened))
         self._desk.stop()
+        self._pace.close()
         await self._session.end()
         await self._background.close()
 
@@ -217,3 +222,8 @@
         )
         logs.event('readiness', ready=ready)
         self._session.tell()
+
+
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- a/oatcrank/cluster/member.py
+++ b/oatcrank/cluster/member.py
@@ -9,7 +9,8 @@
     """Hold what an instance registers; addresses are `ip:port`.
 
     ready tells whether callers may be sent there, and started_ms tells one
-    start of the process from the next.
+    start of the process from the next.  Datagrams are taken at an address of
+    their own, if one is named.
     """
 
     instance_id: ids.InstanceId
@@ -19,3 +20,4 @@
     front: str
     peer: str
     ready: bool
+    datagrams: str = ''
--- a/oatcrank/forwarding/caller_request.py
+++ b/oatcrank/forwarding/caller_request.py
@@ -10,6 +10,7 @@
     """Hold what is forwarded and what decides where to.
 
     deadline_s is how long the caller waits from began_s, in seconds.
+    prompt_tokens counts those that no other request shares.
     """
 
     request_id: ids.RequestId
@@ -25,4 +26,5 @@
     model: ids.ModelName | None = None
     adapter: ids.AdapterName | None = None
     prefix: str = ''
+    prompt_tokens: int = 0
     last_event_id: int | None = None
--- a/oatcrank/forwarding/parts.py
+++ b/oatcrank/forwarding/parts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from oatcrank.forwarding import arranger, crash_watch, dialect
+from oatcrank.forwarding import arranger, crash_watch, dialect, pacer
 from oatcrank.routing import (
     choice,
     crash_record,
@@ -25,6 +25,7 @@
     chooser: choice.Chooser
     retries: retry_budgets.RetryBudgets
     arranger: arranger.Arranger
+    pacer: pacer.Pacer
     crashes: crash_record.CrashRecord
     crash_watch: crash_watch.CrashWatch
     dice: random.Random
--- a/oatcrank/forwarding/request_metrics.py
+++ b/oatcrank/forwarding/request_metrics.py
@@ -17,6 +17,10 @@
     'Seconds from the first byte read to the end of the answer.',
     ('service',),
 )
+PACED_SECONDS = prometheus_client.Histogram(
+    'oatcrank_paced_seconds',
+    'Seconds that prompts wait for their turn at a model server.',
+)
 FIRST_BYTE_SECONDS = prometheus_client.Histogram(
     'oatcrank_first_byte_seconds',
     'Seconds from the first byte read to the first byte of the answer.',
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -25,6 +25,9 @@
 SHORTEST_ATTEMPT_S = 0.02
 # Sends in all, also those that servers decline.
 MOST_SENDS = 5
+# A prompt waits for its turn for this share of its latency target at most.
+PACE_SHARE = 0.5
+LONGEST_PACE_S = 0.5
 SERVER_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR
 
 
@@ -45,6 +48,7 @@
         self._out = out
         self._history = attempt_state.History()
         self._sends = 0
+        self._paced_s = float(0)
         self._tried: list[ids.ServerId] = []
         self._failed_answer: attempt.HeldAnswer | None = None
         self._cutter = event_cutter.EventCutter(request.last_event_id)
@@ -100,6 +104,9 @@
         )
         while True:
             chosen = await search.find(self._tried)
+            await self._pace(chosen)
+            if not chosen.usable(self._shared.now()):
+                continue
             self._account()
             if chosen.server_id not in self._tried:
                 self._tried.append(chosen.server_id)
@@ -108,6 +115,22 @@
             if await self._settle(ended, chosen, search):
                 return
 
+    async def _pace(self, chosen: server.Server) -> None:
+        """Wait until the server may read another prompt."""
+        if self._wanted.model is None:
+            return
+        chosen.in_flight += 1
+        began_s = self._shared.now()
+        try:
+            await self._shared.pacer.wait(
+                chosen.server_id,
+                self._request.prompt_tokens,
+                min(LONGEST_PACE_S, self._route.target_s * PACE_SHARE),
+            )
+        finally:
+            chosen.in_flight -= 1
+            self._paced_s += self._shared.now() - began_s
+
     def _account(self) -> None:
         """Count a first send, or spend one of the retries."""
         now_s = self._shared.now()
@@ -292,6 +315,7 @@
             adapter=self._wanted.adapter or '',
             servers=','.join(self._tried),
             sends=self._sends,
+            paced_ms=round(self._paced_s * 1000),
             outcome=self._outcome,
             ms=round(took_s * 1000),
             first_ms=self._first_ms(),
--- a/oatcrank/platform/dialect.py
+++ b/oatcrank/platform/dialect.py
@@ -8,6 +8,7 @@
 DEADLINE_MS = b'x-deadline-ms'
 MODEL = b'x-model'
 PREFIX = b'x-prompt-prefix'
+TOKENS = b'x-token-usage'
 LAST_EVENT_ID = b'last-event-id'
 EXPECTED_INSTANCE = b'x-expected-instance'
 PRIORITY = b'x-request-priority'
@@ -66,6 +67,10 @@
             model=ids.ModelName(model) if model else None,
             adapter=ids.AdapterName(adapter) if adapter else None,
             prefix=_shared_part(_text(raw, PREFIX)),
+            prompt_tokens=_own_tokens(
+                _text(raw, PREFIX),
+                _text(raw, TOKENS),
+            ),
             last_event_id=_number(_text(raw, LAST_EVENT_ID)),
         )
 
@@ -126,6 +131,15 @@
     return prefix.rpartition(',')[0]
 
 
+def _own_tokens(prefix: str, usage: str) -> int:
+    """Return the tokens of the last part of `ID:TOKENS,...`.
+
+    Without parts, those of the whole prompt from `PROMPT,OUTPUT`.
+    """
+    last = prefix.rpartition(',')[2].partition(':')[2]
+    return _number(last) or _number(usage.partition(',')[0]) or 0
+
+
 def _load(told: bytes | None) -> dialect.ServerLoad | None:
     """Decode `running,waiting,slots`."""
     if told is None:
--- a/oatcrank/platform/settings.py
+++ b/oatcrank/platform/settings.py
@@ -41,6 +41,8 @@
     ip: str
     zone: str
     region: str
+    # The first and the last port that is free for talk between instances.
+    internal_ports: tuple[int, int]
     listen: Listen
     bounds: Bounds
     platform: Store
@@ -55,6 +57,7 @@
             front=self.listen.front,
             peer=self.listen.control,
             ready=False,
+            datagrams=f'{self.ip}:{self.internal_ports[0]}',
         )
 
     def shared_bounds(self) -> instance.Bounds:
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -7,7 +7,13 @@
 import routing_parts
 
 from emulator import platform_worker
-from oatcrank.forwarding import arranger, crash_watch, forwarder, parts
+from oatcrank.forwarding import (
+    arranger,
+    crash_watch,
+    forwarder,
+    pacer,
+    parts,
+)
 from oatcrank.platform import dialect
 from oatcrank.routing import (
     choice,
@@ -55,6 +61,18 @@
         """Count nothing."""
 
 
+class SetPacer(pacer.Pacer):
+    """Let prompts wait as long as a test has set."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[str, int, float]] = []
+        self.act = print
+
+    async def wait(self, server_id, tokens, most_s) -> None:
+        self.asked.append((server_id, tokens, most_s))
+        self.act(server_id)
+
+
 class Site:
     """Hold one forwarder, its workers and its callers."""
 
@@ -68,6 +86,7 @@
         self.routes.replace(routing_parts.configuration(self.route))
         self.servers = server_table.ServerTable()
         self.arranger = SetArranger()
+        self.pacer = SetPacer()
         self.crashes = crash_record.CrashRecord()
         self.told_crashes: list[int] = []
         self.limits = limits.Limits()
@@ -84,6 +103,7 @@
                 instances=lambda: 1,
             ),
             arranger=self.arranger,
+            pacer=self.pacer,
             crashes=self.crashes,
             crash_watch=crash_watch.CrashWatch(
                 self.crashes,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -365,3 +365,41 @@
         assert site.runs() == 2
 
     forwarding_site.play(work, **STREAM, patience_s=0.3)
+
+
+def test_a_prompt_waits_for_its_turn_at_the_server_it_goes_to():
+    async def work(site):
+        for number in range(2):
+            server = site.servers.by_id[f'server-{number}']
+            server.learn(need.Need(routing_parts.SERVICE, 'm0'))
+        told = await site.ask(
+            x_model='m0',
+            x_token_usage='715,80',
+            x_prompt_prefix='5c1e:100,91bd:72,e440:543',
+        )
+        assert told.status == 200
+        ((server_id, tokens, most_s),) = site.pacer.asked
+        assert tokens == 543
+        assert 0 < most_s <= site.route.target_s
+        (seen,) = (one for worker in site.workers for one in worker.seen)
+        assert seen.header_by_name['x-expected-instance'] == server_id
+
+    forwarding_site.play(work, **STREAM)
+
+
+def test_a_server_that_leaves_during_the_wait_is_not_used():
+    async def work(site):
+        for one in site.servers.by_id.values():
+            one.learn(need.Need(routing_parts.SERVICE, 'm0'))
+
+        def leave(server_id):
+            site.servers.remove(server_id, 'left')
+            site.pacer.act = print
+
+        site.pacer.act = leave
+        told = await site.ask(x_model='m0', x_token_usage='500,80')
+        assert told.status == 200
+        (first, _, _), (second, _, _) = site.pacer.asked
+        assert first != second
+
+    forwarding_site.play(work, **STREAM)
--- /dev/null
+++ b/tests/test_pace.py
@@ -0,0 +1,131 @@
+"""Replay prompts that come in bursts against a server that reads them."""
+
+import collections
+import random
+
+import msgspec
+import pytest
+
+from oatcrank.routing import pace
+
+STEP_S = 0.009
+CHUNK_TOKENS = 2048
+TOKENS_PER_EVENT = 6
+GAP_TARGET_S = 0.15
+FIRST_TARGET_S = 0.4
+FIRST_S = 0.04
+MOST_WAIT_S = 0.2
+SECONDS = 120
+
+
+class Prompt(msgspec.Struct):
+    """Hold a prompt and the stream that answers it."""
+
+    asked_s: float
+    sent_s: float
+    left: float
+    tokens_out: int
+    done: int = 0
+    last_event_s: float = 0
+    first_s: float = 0
+    longest_gap_s: float = 0
+
+
+def prompts(rate, paced):
+    """Return prompts at a rate a second, as a pace lets them go."""
+    dice = random.Random(7)
+    found = []
+    server = pace.Pace()
+    now_s = 0.0
+    while now_s < SECONDS:
+        now_s += dice.expovariate(rate)
+        tokens = min(2300, int(dice.lognormvariate(5.8, 0.8)))
+        wait_s = server.reserve(tokens, MOST_WAIT_S, now_s) if paced else 0
+        events = dice.choice((8, 30, 47, 60))
+        found.append(
+            Prompt(now_s, now_s + wait_s, tokens, events * TOKENS_PER_EVENT),
+        )
+    return sorted(found, key=lambda one: one.sent_s)
+
+
+def step(now_s, reading, running):
+    """Read a chunk of prompts, then write a token of each stream."""
+    budget = CHUNK_TOKENS
+    begun = []
+    while reading and budget > 0:
+        part = min(budget, reading[0].left)
+        reading[0].left -= part
+        budget -= part
+        if reading[0].left <= 0:
+            begun.append(reading.popleft())
+    read_s = (CHUNK_TOKENS - budget) / pace.READ_TOKENS_PER_S
+    ends_s = now_s + STEP_S + read_s
+    for one in running:
+        one.done += 1
+        if one.done % TOKENS_PER_EVENT == 0:
+            gap_s = ends_s - one.last_event_s
+            one.longest_gap_s = max(one.longest_gap_s, gap_s)
+            one.last_event_s = ends_s
+    for one in begun:
+        one.first_s = ends_s
+        one.last_event_s = ends_s
+    return ends_s, begun
+
+
+def late_share(coming):
+    """Return the share of streams that start late or pause too long."""
+    waiting = collections.deque(coming)
+    reading = collections.deque()
+    running = []
+    now_s = 0.0
+    while waiting or reading or running:
+        if not (reading or running):
+            now_s = max(now_s, waiting[0].sent_s)
+        while waiting and waiting[0].sent_s <= now_s:
+            reading.append(waiting.popleft())
+        now_s, begun = step(now_s, reading, running)
+        running = [one for one in running if one.done < one.tokens_out]
+        running += begun
+    late = [
+        one
+        for one in coming
+        if one.first_s + FIRST_S - one.asked_s > FIRST_TARGET_S
+        or one.longest_gap_s > GAP_TARGET_S
+    ]
+    return len(late) / len(coming)
+
+
+@pytest.mark.parametrize(
+    ('rate', 'without_at_least', 'with_at_most'),
+    [(10, 0.02, 0.01), (18, 0.15, 0.05), (24, 0.4, 0.1)],
+)
+def test_streams_pause_less_where_prompts_are_spaced(
+    rate,
+    without_at_least,
+    with_at_most,
+):
+    assert late_share(prompts(rate, paced=False)) >= without_at_least
+    assert late_share(prompts(rate, paced=True)) <= with_at_most
+
+
+@pytest.mark.parametrize(
+    ('tokens', 'waits'),
+    [
+        # Each prompt of 380 tokens takes 10 ms to read, and as long again.
+        ([380, 380, 380], [0, 0.02, 0.04]),
+        ([1900, 380], [0, 0.1]),
+        # Nothing waits longer than it is told to.
+        ([38000, 380], [0, MOST_WAIT_S]),
+    ],
+)
+def test_prompts_wait_for_those_before(tokens, waits):
+    one = pace.Pace()
+    told = [one.reserve(count, MOST_WAIT_S, 5.0) for count in tokens]
+    assert told == pytest.approx(waits)
+
+
+def test_a_server_that_has_read_all_is_free():
+    one = pace.Pace()
+    one.reserve(380, MOST_WAIT_S, 5.0)
+    assert not one.is_free(5.01)
+    assert one.reserve(380, MOST_WAIT_S, 5.03) == 0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -20,6 +20,7 @@
 zone = "north"
 region = "here"
 bootstrap = true
+internal_ports = [7380, 7395]
 [zones]
 north = "here"
 [listen]
