Place replicas by the requests that are on time, and load several at once

Cause: replicas were wanted only once a quarter of a model's slots were in use, one was loaded at a time, each after the runs of what made way, and a further replica counted next to nothing when another model looked for a place. Servers that had crashed were chosen again every second, and a server that doesn't answer a connect cost a request one second.

An unload's wait is weighed by the length of the runs. What this instance can't use is not chosen, a server that can't be reached is left alone twice as long each time, a connect is given up after 0.3 s, a silent peer after 1 s. Adapters are placed in a module of their own; demand is summed for all models in one pass.

test_a_hot_model_wants_a_spare... keeps its table; that a spare is not wanted at five requests a second is new in it. The other tests of placement ask the same of the new interface.

--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -16,7 +16,7 @@
     session,
     store,
 )
-from oatcrank.orders import arrangement, boot_clock, order_desk, tenure
+from oatcrank.orders import boot_clock, order_desk, tenure
 
 HOLDER_KEY = 'orders/holder'
 LAST_KEY = 'orders/last'
@@ -24,7 +24,7 @@
 ASK_WITHIN_S = 0.3
 KEEP_WITHIN_S = 0.3
 RENEW_S = 0.3
-BALANCE_S = 0.5
+BALANCE_S = 0.25
 FIRST_WAIT_S = 0.3
 
 
@@ -116,10 +116,7 @@
         """Have replicas loaded while the lease is held."""
         while True:
             await asyncio.sleep(BALANCE_S)
-            try:
-                await self._desk.balance()
-            except arrangement.NotOrdered as error:
-                logs.event('not_balanced', reason=error)
+            self._desk.balance()
 
     async def release(self) -> None:
         """Give the lease up for good."""
--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -2,9 +2,11 @@
 
 import collections
 import math
+from collections.abc import Collection, Mapping
 
 import msgspec
 
+from oatcrank import ids
 from oatcrank.routing import need
 
 WINDOW_S = 10.0
@@ -28,6 +30,50 @@
     counted_s_ago: float = 0
 
 
+class ModelDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """Say how much a model is asked for, its adapters included.
+
+    rate counts requests a second, running those that run at a time, and
+    adapters those of them that need an adapter.
+    """
+
+    rate: float
+    running: float = 0
+    adapters: float = 0
+
+    def part(self, share: float) -> 'ModelDemand':
+        """Return a share of this demand."""
+        return ModelDemand(
+            rate=self.rate * share,
+            running=self.running * share,
+            adapters=self.adapters * share,
+        )
+
+
+NO_DEMAND = ModelDemand(rate=0)
+
+
+class _Sum(msgspec.Struct):
+    """Sum what was asked of one model in the window."""
+
+    times: int = 0
+    recent: int = 0
+    busy_s: float = 0
+    adapters_s: float = 0
+
+    def add(
+        self,
+        times: int,
+        busy_s: float,
+        adapter: ids.AdapterName | None,
+    ) -> None:
+        """Add what was asked of the model, or of an adapter of it."""
+        self.times += times
+        self.busy_s += busy_s
+        if adapter is not None:
+            self.adapters_s += busy_s
+
+
 class Demand:
     """Sum reports of demand over a sliding window."""
 
@@ -78,61 +124,52 @@
         self._trim(now_s)
         return self._times_by_need[wanted] / self._span_s(now_s)
 
-    def model_rate(self, wanted: need.Need, now_s: float) -> float:
-        """Return the requests a second for a model and its adapters.
-
-        The last seconds weigh more, so that rising and falling models are
-        seen early, and rare ones are still judged by the whole window.
-        """
-        self._trim(now_s)
-        times = sum(
-            times
-            for asked, times in self._times_by_need.items()
-            if _same_model(asked, wanted)
+    def rate_of(
+        self,
+        service: ids.ServiceName,
+        adapters_by_model: Mapping[
+            ids.ModelName,
+            Collection[ids.AdapterName],
+        ],
+        now_s: float,
+    ) -> float:
+        """Return the requests a second for all of some adapters."""
+        return sum(
+            self.rate(need.Need(service, model, adapter), now_s)
+            for model, adapters in adapters_by_model.items()
+            for adapter in adapters
         )
-        mean = times / self._span_s(now_s)
-        recent = self._recent_times(wanted, now_s)
-        return (recent + mean * MEAN_WEIGHT_S) / (RECENT_S + MEAN_WEIGHT_S)
 
-    def running(self, wanted: need.Need, now_s: float) -> float:
-        """Return how many requests for a model run at a time.
+    def by_model(
+        self,
+        service: ids.ServiceName,
+        now_s: float,
+    ) -> dict[ids.ModelName, ModelDemand]:
+        """Return the demand for each model of a service.
 
-        That is how many are asked for a second now, for as long as those of
-        the window have run.
+        The last seconds weigh more, so that rising and falling models are
+        seen early, and rare ones are still judged by the whole window.
         """
         self._trim(now_s)
-        busy_s = float(0)
-        times = 0
-        for asked, counted in self._times_by_need.items():
-            if _same_model(asked, wanted):
-                times += counted
-                busy_s += self._busy_s_by_need[asked]
-        if not times:
-            return 0
-        return self.model_rate(wanted, now_s) * busy_s / times
-
-    def running_adapters(self, wanted: need.Need, now_s: float) -> float:
-        """Return how many of those need an adapter of the model."""
-        self._trim(now_s)
-        return sum(
-            busy_s
-            for asked, busy_s in self._busy_s_by_need.items()
-            if asked.adapter and _same_model(asked, wanted)
-        ) / self._span_s(now_s)
+        span_s = self._span_s(now_s)
+        return {
+            model: _model_demand(one, span_s)
+            for model, one in self._sums(service, now_s).items()
+        }
 
     def summary(self, now_s: float) -> tuple[Asked, ...]:
         """Return all that was asked for in the window, second by second."""
         self._trim(now_s)
         found: dict[tuple[need.Need, int], Asked] = {}
         for noted_s, asked in self._reports:
+            wanted = asked.wanted
             seconds_ago = int(now_s - noted_s)
-            key = (asked.wanted, seconds_ago)
-            known = found.get(key)
-            found[key] = Asked(
-                asked.wanted,
-                asked.times + (known.times if known else 0),
-                asked.busy_s + (known.busy_s if known else 0),
-                now_s - self._last_s_by_need.get(asked.wanted, now_s),
+            known = found.get((wanted, seconds_ago), Asked(wanted, 0))
+            found[wanted, seconds_ago] = Asked(
+                wanted,
+                asked.times + known.times,
+                asked.busy_s + known.busy_s,
+                now_s - self._last_s_by_need.get(wanted, now_s),
                 seconds_ago,
             )
         return tuple(found.values())
@@ -149,14 +186,23 @@
         self._reports.append((noted_s, asked))
         self._reports.extend(reversed(later))
 
-    def _recent_times(self, wanted: need.Need, now_s: float) -> int:
-        times = 0
+    def _sums(
+        self,
+        service: ids.ServiceName,
+        now_s: float,
+    ) -> dict[ids.ModelName, _Sum]:
+        sums: dict[ids.ModelName, _Sum] = collections.defaultdict(_Sum)
+        for wanted, times in self._times_by_need.items():
+            if wanted.service == service and wanted.model is not None:
+                one = sums[wanted.model]
+                one.add(times, self._busy_s_by_need[wanted], wanted.adapter)
         for noted_s, asked in reversed(self._reports):
             if noted_s < now_s - RECENT_S:
                 break
-            if _same_model(asked.wanted, wanted):
-                times += asked.times
-        return times
+            told = asked.wanted
+            if told.service == service and told.model is not None:
+                sums[told.model].recent += asked.times
+        return sums
 
     def _span_s(self, now_s: float) -> float:
         return max(SHORTEST_AGE_S, self.age_s(now_s))
@@ -175,5 +221,14 @@
                 del self._busy_s_by_need[wanted]
 
 
-def _same_model(asked: need.Need, wanted: need.Need) -> bool:
-    return (asked.model, asked.service) == (wanted.model, wanted.service)
+def _model_demand(one: _Sum, span_s: float) -> ModelDemand:
+    if not one.times:
+        return NO_DEMAND
+    mean = one.times / span_s
+    rate = (one.recent + mean * MEAN_WEIGHT_S) / (RECENT_S + MEAN_WEIGHT_S)
+    return ModelDemand(
+        rate=rate,
+        # For as long as those of the window have run.
+        running=rate * one.busy_s / one.times,
+        adapters=one.adapters_s / span_s,
+    )
--- a/oatcrank/orders/ledger.py
+++ b/oatcrank/orders/ledger.py
@@ -16,6 +16,9 @@
 # A report may be this old; before, it says nothing of an order just sent.
 REPORT_LAG_S = 0.4
 REPORT_PAUSE_S = 0.25
+# How long a server that can't be reached is left alone, doubled each time.
+FIRST_UNREACHABLE_S = 1.0
+LONGEST_UNREACHABLE_S = 8.0
 
 
 class Work(msgspec.Struct, kw_only=True):
@@ -26,6 +29,13 @@
     ends_s: float
 
 
+class Claim(msgspec.Struct, frozen=True, kw_only=True):
+    """Keep a server for one load, and say what makes way for it."""
+
+    load: ids.ModelName
+    unload: tuple[ids.ModelName, ...] = ()
+
+
 class Ledger:
     """Hold what a server has and what it has been told."""
 
@@ -35,11 +45,12 @@
         self.orders_taken: int | None = None
         self.adapters_by_model: dict[ids.ModelName, set[ids.AdapterName]] = {}
         self.work: Work | None = None
-        # Kept for one placement, from its decision to its last order.
-        self.claimed = False
+        # From a placement's decision to its last order.
+        self.claim: Claim | None = None
         self.last_order_s = -math.inf
         self._last_report_s = -math.inf
-        self.unreachable_until_s = -math.inf
+        self._unreachable_until_s = -math.inf
+        self._unreachable_s = FIRST_UNREACHABLE_S
         self._loaded_s_by_model: dict[ids.ModelName, float] = {}
 
     @property
@@ -52,13 +63,25 @@
         return (
             self.known
             and self.work is None
-            and not self.claimed
+            and self.claim is None
             and self.reachable(now_s)
         )
 
     def reachable(self, now_s: float) -> bool:
         """Tell whether the server was not found unreachable lately."""
-        return now_s >= self.unreachable_until_s and not self.listed.leaving
+        return now_s >= self._unreachable_until_s and not self.listed.leaving
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Leave the server alone for a while, longer each time in a row."""
+        self._unreachable_until_s = now_s + self._unreachable_s
+        self._unreachable_s = min(
+            LONGEST_UNREACHABLE_S,
+            self._unreachable_s * 2,
+        )
+
+    def note_reached(self) -> None:
+        """Note that the server has answered."""
+        self._unreachable_s = FIRST_UNREACHABLE_S
 
     def needs_report(self, now_s: float) -> bool:
         """Tell whether a report would be taken and is worth its price."""
@@ -148,6 +171,14 @@
         one = self.work.one
         return one.model != model or one.action is order.Action.load
 
+    def planned(self) -> set[ids.ModelName]:
+        """Return what the server holds once all that is decided is done."""
+        models = set(filter(self.keeps, self.adapters_by_model))
+        if self.claim is not None:
+            models.difference_update(self.claim.unload)
+            models.add(self.claim.load)
+        return models
+
     # Room
 
     def adapters(self) -> int:
--- a/oatcrank/orders/ledger_book.py
+++ b/oatcrank/orders/ledger_book.py
@@ -7,7 +7,6 @@
 from oatcrank.orders import arrangement, boot_clock, ledger, order
 from oatcrank.routing import need, server_table
 
-UNREACHABLE_S = 1.0
 LOAD_OVERDUE_S = 5.0
 SOONEST_S = 0.05
 
@@ -89,8 +88,9 @@
             told = await self._sender.report(one.listed)
             now_s = boot_clock.now()
             if told is None:
-                one.unreachable_until_s = now_s + UNREACHABLE_S
+                one.note_unreachable(now_s)
                 return
+            one.note_reached()
             one.take_report(told, now_s)
             logs.event(
                 'server_report',
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -5,6 +5,7 @@
 
 from oatcrank import ids, logs
 from oatcrank.orders import (
+    adapter_placement,
     arrangement,
     boot_clock,
     demand,
@@ -56,8 +57,7 @@
             need.Need, asyncio.Task[arrangement.Placed]
         ] = {}
         self._ready_s_by_need: dict[need.Need, float] = {}
-        # Models whose place is being made, up to the order to load them.
-        self._placing: set[need.Need] = set()
+        self._replicas: set[asyncio.Task[arrangement.Placed]] = set()
 
     @property
     def turn(self) -> tenure.Tenure | None:
@@ -124,11 +124,7 @@
         ended: asyncio.Task[arrangement.Placed],
     ) -> None:
         self._work_by_need.pop(wanted, None)
-        if ended.cancelled():
-            return
-        error = ended.exception()
-        if error is not None:
-            logs.event('not_loaded', model=wanted.model, reason=error)
+        _log_failure(wanted, ended)
 
     def _left_s(self, wanted: need.Need) -> float:
         """Return how much longer an arrangement under way probably takes."""
@@ -138,32 +134,42 @@
         )
         return max(ASK_AGAIN_S, ready_s - boot_clock.now())
 
-    async def balance(self) -> None:
-        """Begin one more load of the model that wants a replica most."""
+    def balance(self) -> None:
+        """Begin to load the replica that gains most in each service."""
         configuration = self._routes.configuration
-        if self.turn is None or configuration is None:
+        if configuration is None or not self._line.may_send():
             return
         for service in configuration.service_by_name.values():
             if service.engine is not None:
                 self._book.follow(service.name)
-                await self._replicate(service.name, service.engine)
+                self._replicate(service.name, service.engine)
 
-    async def _replicate(
+    def _replicate(
         self,
         service: ids.ServiceName,
         engine: route.Engine,
     ) -> None:
         now_s = boot_clock.now()
-        if self.turn is None or not self.turn.may_order(now_s):
-            return
-        shortages = self._placement(service, engine, ()).shortages(now_s)
-        for gain, name in reversed(shortages):
-            wanted = need.Need(service, name)
-            try:
-                await self._load_model(wanted, (), gain=gain)
-            except arrangement.NoPlace:
-                continue
+        chosen = self._placement(service, engine, ()).replica(
+            store_loads=self._ceiling(service, engine).has_room(now_s),
+        )
+        if chosen is None:
             return
+        wanted = need.Need(service, chosen.model)
+        self._claim(wanted, engine, chosen)
+        work = asyncio.ensure_future(self._place(wanted, engine, chosen))
+        self._replicas.add(work)
+        work.add_done_callback(
+            lambda ended: self._forget_replica(wanted, ended),
+        )
+
+    def _forget_replica(
+        self,
+        wanted: need.Need,
+        ended: asyncio.Task[arrangement.Placed],
+    ) -> None:
+        self._replicas.discard(ended)
+        _log_failure(wanted, ended)
 
     # Loads
 
@@ -187,55 +193,79 @@
         self,
         wanted: need.Need,
         unusable: tuple[ids.ServerId, ...],
-        *,
-        gain: float | None = None,
     ) -> arrangement.Placed:
         self._line.check_turn()
-        if wanted in self._placing:
+        if self._is_claimed(wanted):
             return arrangement.Placed(wait_s=self._left_s(wanted))
         engine = self._engine(wanted.service)
-        now_s = boot_clock.now()
-        ceiling = self._ceiling(wanted.service, engine)
         if wanted.model is None:
             raise arrangement.NotOrdered('no model named', 0, hopeless=True)
-        chosen = self._placement(wanted.service, engine, unusable).model(
+        ceiling = self._ceiling(wanted.service, engine)
+        chosen = self._placement(wanted.service, engine, unusable).missing(
             wanted.model,
-            now_s,
-            store_loads=ceiling.has_room(now_s),
-            gain=gain,
+            store_loads=ceiling.has_room(boot_clock.now()),
         )
         if chosen is None:
             raise arrangement.NoPlace(
                 'no place for the model', NO_PLACE_RETURN_S
             )
-        logs.event(
-            'model_placed',
-            model=wanted.model,
-            server=chosen.server_id,
-            unload=','.join(model for model, _ in chosen.unload),
-            load_s=chosen.load_s,
-            from_store=chosen.from_store,
-            demand=round(self.asked.model_rate(wanted, now_s), 2),
-            running=round(self.asked.running(wanted, now_s), 2),
-            replica=gain is not None,
-        )
+        self._claim(wanted, engine, chosen)
+        return await self._place(wanted, engine, chosen)
+
+    def _claim(
+        self,
+        wanted: need.Need,
+        engine: route.Engine,
+        chosen: placement.Choice,
+    ) -> None:
+        """Keep the chosen server for one load, so that no other takes it."""
+        now_s = boot_clock.now()
+        self._log_place(wanted, chosen)
         self._ready_s_by_need[wanted] = now_s + chosen.load_s
-        one = self._book.by_id[chosen.server_id]
         if chosen.from_store:
-            ceiling.note(now_s)
-        one.claimed = True
-        self._placing.add(wanted)
+            self._ceiling(wanted.service, engine).note(now_s)
+        self._book.by_id[chosen.server_id].claim = ledger.Claim(
+            load=chosen.model,
+            unload=chosen.unload,
+        )
+
+    def _is_claimed(self, wanted: need.Need) -> bool:
+        """Tell whether a place for a model is being made."""
+        return any(
+            one.claim is not None and one.claim.load == wanted.model
+            for one in self._book.of_service(wanted.service)
+        )
+
+    async def _place(
+        self,
+        wanted: need.Need,
+        engine: route.Engine,
+        chosen: placement.Choice,
+    ) -> arrangement.Placed:
+        """Have a model loaded at the server that is kept for it."""
+        one = self._book.by_id[chosen.server_id]
+        found = engine.model_by_name[chosen.model]
         try:
-            await self._carry_out(
-                one,
-                chosen,
-                engine.model_by_name[wanted.model],
-            )
+            await self._carry_out(one, chosen, found)
         finally:
-            one.claimed = False
-            self._placing.discard(wanted)
-        return arrangement.Placed(
-            wait_s=one.load_s(engine.model_by_name[wanted.model])
+            one.claim = None
+        return arrangement.Placed(wait_s=one.load_s(found))
+
+    def _log_place(self, wanted: need.Need, chosen: placement.Choice) -> None:
+        asked = self.asked.by_model(wanted.service, boot_clock.now()).get(
+            chosen.model,
+            demand.NO_DEMAND,
+        )
+        logs.event(
+            'model_placed',
+            model=chosen.model,
+            server=chosen.server_id,
+            unload=','.join(chosen.unload),
+            load_s=round(chosen.load_s, 2),
+            from_store=chosen.from_store,
+            demand=round(asked.rate, 2),
+            running=round(asked.running, 2),
+            replica=self._book.held(wanted, ()) is not None,
         )
 
     async def _carry_out(
@@ -244,7 +274,7 @@
         chosen: placement.Choice,
         wanted: route.Model,
     ) -> None:
-        for model, _ in chosen.unload:
+        for model in chosen.unload:
             await self._order(one, order.Action.unload, model, None, 0)
             await self._idle(one)
         await self._order(
@@ -263,8 +293,13 @@
         engine = self._engine(wanted.service)
         if wanted.model is None or wanted.adapter is None:
             raise arrangement.NotOrdered('no adapter named', 0, hopeless=True)
-        weighed = self._placement(wanted.service, engine, unusable)
-        chosen = weighed.adapter(wanted.model, boot_clock.now())
+        weighed = adapter_placement.AdapterPlacement(
+            self._usable(wanted.service, unusable),
+            engine,
+            self.asked,
+            wanted.service,
+        )
+        chosen = weighed.best(wanted.model, boot_clock.now())
         if chosen is None:
             raise arrangement.NotOrdered(
                 'no place for the adapter', ADAPTER_AGAIN_S
@@ -275,12 +310,13 @@
             if held is not None:
                 return held
             # Others may have had orders sent while this one waited.
-            chosen = weighed.adapter_at(one, wanted.model, boot_clock.now())
+            chosen = weighed.at(one, wanted.model, boot_clock.now())
             if chosen is None:
                 raise arrangement.NotOrdered(
                     'the place is taken', ADAPTER_AGAIN_S
                 )
-            for model, adapter in chosen.unload:
+            if chosen.unload is not None:
+                model, adapter = chosen.unload
                 await self._line.send(
                     one, order.Action.unload, model, adapter, 0
                 )
@@ -322,17 +358,31 @@
         async with self._book.lock_by_id[one.listed.server_id]:
             await self._line.send(one, action, model, adapter, takes_s)
 
-    def _placement(
+    def _usable(
         self,
         service: ids.ServiceName,
-        engine: route.Engine,
         unusable: tuple[ids.ServerId, ...],
-    ) -> placement.Placement:
-        usable = [
+    ) -> list[ledger.Ledger]:
+        """Return the ledgers of servers that nobody has found unusable."""
+        now_s = time.monotonic()
+        own = {
+            one.server_id
+            for one in self._servers.of_service(service)
+            if one.usable(now_s)
+        }
+        return [
             one
             for one in self._book.of_service(service)
-            if one.listed.server_id not in unusable
+            if one.listed.server_id in own
+            and one.listed.server_id not in unusable
         ]
+
+    def _placement(
+        self,
+        service: ids.ServiceName,
+        engine: route.Engine,
+        unusable: tuple[ids.ServerId, ...],
+    ) -> placement.Placement:
         now_s = time.monotonic()
         crowded = frozenset(
             one.server_id
@@ -340,10 +390,11 @@
             if one.load(now_s) > CROWDED_LOAD
         )
         return placement.Placement(
-            usable,
+            self._usable(service, unusable),
             engine,
             self.asked,
             service,
+            boot_clock.now(),
             crowded=crowded,
         )
 
@@ -370,3 +421,14 @@
                 found.inherit(self.turn.former_loads, self.turn.acquired_s)
             self._ceiling_by_service[service] = found
         return found
+
+
+def _log_failure(
+    wanted: need.Need,
+    ended: asyncio.Task[arrangement.Placed],
+) -> None:
+    if ended.cancelled():
+        return
+    error = ended.exception()
+    if error is not None:
+        logs.event('not_loaded', model=wanted.model, reason=error)
--- a/oatcrank/orders/order_line.py
+++ b/oatcrank/orders/order_line.py
@@ -7,9 +7,16 @@
 from oatcrank.orders import arrangement, boot_clock, ledger, order, tenure
 from oatcrank.routing import need
 
-UNREACHABLE_S = 1.0
 ASK_AGAIN_S = 0.25
 SOONEST_S = 0.05
+ANSWERED = frozenset(
+    (
+        order.Outcome.accepted,
+        order.Outcome.done,
+        order.Outcome.conflict,
+        order.Outcome.rejected,
+    ),
+)
 
 OnUnload = Callable[[ids.ServerId, need.Need], None]
 
@@ -93,6 +100,8 @@
         takes_s: float,
     ) -> None:
         now_s = boot_clock.now()
+        if outcome in ANSWERED:
+            one.note_reached()
         if outcome is order.Outcome.accepted:
             one.take(wish, now_s, now_s + takes_s)
             if wish.action is order.Action.unload and not wish.adapter:
@@ -106,7 +115,7 @@
             one.finish_work()
             return
         if outcome is order.Outcome.unsent:
-            one.unreachable_until_s = now_s + UNREACHABLE_S
+            one.note_unreachable(now_s)
         else:
             one.distrust()
         raise arrangement.NotOrdered(f'order: {outcome.value}', ASK_AGAIN_S)
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -14,7 +14,7 @@
 from oatcrank.transport import errors, message
 
 BUFFERED_BYTES = 262144
-SILENT_PEER_MS = 3000
+SILENT_PEER_MS = 1000
 PROBE_EVERY_S = 1
 PROBES = 2
 BODYLESS = frozenset(
--- a/oatcrank/transport/connection_pool.py
+++ b/oatcrank/transport/connection_pool.py
@@ -4,7 +4,9 @@
 
 from oatcrank.transport import backend_connection, errors
 
-CONNECT_S = 1.0
+# A server that lives accepts in a few milliseconds; one that doesn't answer is
+# given up in time to use another within a request's latency target.
+CONNECT_S = 0.3
 # A server's idle timeout that it doesn't state is taken to be this short.
 UNSTATED_IDLE_S = 2.0
 IDLE_SHARE = 0.8
--- a/tests/test_order_demand.py
+++ b/tests/test_order_demand.py
@@ -20,29 +20,35 @@
     return found
 
 
+def wanted(found, asked, now_s):
+    """Return the demand for the model of something asked for."""
+    by_model = found.by_model(asked.service, now_s)
+    return by_model.get(asked.model, demand.NO_DEMAND)
+
+
 def test_a_model_counts_with_its_adapters():
     found = counted(
         (demand.Asked(BUSY, 30), 0.0),
         (demand.Asked(ADAPTED, 20), 0.0),
     )
     assert found.rate(BUSY, 0.0) == pytest.approx(3.0)
-    assert found.model_rate(BUSY, 0.0) > found.rate(BUSY, 0.0)
-    assert found.model_rate(RARE, 0.0) == 0
+    assert wanted(found, BUSY, 0.0).rate > found.rate(BUSY, 0.0)
+    assert wanted(found, RARE, 0.0).rate == 0
 
 
 def test_a_model_that_falls_silent_is_seen_before_the_window_ends():
     found = counted(
         *((demand.Asked(BUSY, 10), float(second)) for second in range(10)),
     )
-    before = found.model_rate(BUSY, 9.0)
-    assert found.model_rate(BUSY, 13.1) < before / 2
-    assert found.model_rate(BUSY, 25.0) == 0
+    before = wanted(found, BUSY, 9.0).rate
+    assert wanted(found, BUSY, 13.1).rate < before / 2
+    assert wanted(found, BUSY, 25.0).rate == 0
 
 
 def test_a_model_that_rises_is_seen_at_once():
     found = counted((demand.Asked(RARE, 0), 0.0))
     found.note(demand.Asked(BUSY, 10), 10.0)
-    assert found.model_rate(BUSY, 10.0) > 2
+    assert wanted(found, BUSY, 10.0).rate > 2
 
 
 def test_running_follows_demand_and_the_length_of_runs():
@@ -50,10 +56,10 @@
         (demand.Asked(BUSY, 5, busy_s=15.0), 0.0),
         (demand.Asked(ADAPTED, 5, busy_s=5.0), 0.0),
     )
-    rate = found.model_rate(BUSY, 0.0)
-    assert found.running(BUSY, 0.0) == pytest.approx(2.0 * rate)
-    assert found.running_adapters(BUSY, 0.0) == pytest.approx(0.5)
-    assert found.running(RARE, 0.0) == 0
+    rate = wanted(found, BUSY, 0.0).rate
+    assert wanted(found, BUSY, 0.0).running == pytest.approx(2.0 * rate)
+    assert wanted(found, BUSY, 0.0).adapters == pytest.approx(0.5)
+    assert wanted(found, RARE, 0.0).running == 0
 
 
 def test_last_asked_keeps_the_latest():
@@ -69,7 +75,7 @@
     for asked in found.summary(1.0):
         other.note(asked, 1.0)
     assert other.rate(BUSY, 1.0) == found.rate(BUSY, 1.0)
-    assert other.running(BUSY, 1.0) == found.running(BUSY, 1.0)
+    assert wanted(other, BUSY, 1.0).running == wanted(found, BUSY, 1.0).running
 
 
 def test_a_summary_keeps_when_things_were_asked_for():
@@ -85,8 +91,8 @@
     for asked in found.summary(9.5):
         other.note(asked, 9.5)
     for at_s in (9.5, 12.0, 16.0):
-        assert other.model_rate(BUSY, at_s) == pytest.approx(
-            found.model_rate(BUSY, at_s),
+        assert wanted(other, BUSY, at_s).rate == pytest.approx(
+            wanted(found, BUSY, at_s).rate,
             rel=0.2,
         )
 
@@ -107,17 +113,17 @@
     found = demand.Demand()
     noted = []
     now_s = 0.0
-    for wanted, times, busy_s, pause_s in reports:
+    for named, times, busy_s, pause_s in reports:
         now_s += pause_s
-        found.note(demand.Asked(wanted, times, busy_s), now_s)
-        noted.append((now_s, wanted, times, busy_s))
+        found.note(demand.Asked(named, times, busy_s), now_s)
+        noted.append((now_s, named, times, busy_s))
     span_s = max(1.0, found.age_s(now_s))
-    for wanted in (BUSY, ADAPTED, RARE):
+    for named in (BUSY, ADAPTED, RARE):
         inside = [
             row
             for row in noted
-            if row[1] == wanted and row[0] >= now_s - demand.WINDOW_S
+            if row[1] == named and row[0] >= now_s - demand.WINDOW_S
         ]
-        assert found.rate(wanted, now_s) == pytest.approx(
+        assert found.rate(named, now_s) == pytest.approx(
             sum(row[2] for row in inside) / span_s,
         )
--- a/tests/test_order_desk.py
+++ b/tests/test_order_desk.py
@@ -1,6 +1,7 @@
 """Test what the desk does with several wishes at once."""
 
 import asyncio
+import time
 
 import pytest
 import routing_parts
@@ -115,3 +116,40 @@
         assert not fleet.store_loads
 
     play(work)
+
+
+async def settled(work):
+    """Return how a wish ends, whether it is granted or not."""
+    try:
+        return await work
+    except arrangement.NotOrdered as error:
+        return error
+
+
+def test_a_server_that_cannot_be_reached_is_not_chosen_again_and_again():
+    """Each wish that goes there is lost until the next."""
+
+    async def work(fleet, desk):
+        wish = need.Need(SERVICE, 'm0')
+        fleet.workers[0].reachable = False
+        tried = []
+        for _ in range(8):
+            tried.append(await settled(desk.arrange(wish, ())))
+            await asyncio.sleep(0.3)
+        assert holders(fleet, 'm0') == 1
+        failures = [one for one in tried if isinstance(one, Exception)]
+        assert len(failures) <= 1
+
+    play(work, workers=2)
+
+
+def test_what_this_instance_can_not_use_is_not_chosen():
+    async def work(fleet, desk):
+        now_s = time.monotonic()
+        for number in (0, 1):
+            fleet.table.by_id[f'server-{number}'].suspend(now_s)
+        await desk.arrange(need.Need(SERVICE, 'm0'), ())
+        await asyncio.sleep(2)
+        assert 'm0' in fleet.workers[2].holds
+
+    play(work, workers=3)
--- a/tests/test_order_ledger.py
+++ b/tests/test_order_ledger.py
@@ -141,3 +141,19 @@
     one.note_report(LATER_S)
     assert not one.needs_report(LATER_S + 0.1)
     assert one.needs_report(LATER_S + 0.3)
+
+
+def test_a_server_that_stays_unreachable_is_left_alone_longer():
+    one = known()
+    pauses = []
+    now_s = LATER_S
+    for _ in range(5):
+        one.note_unreachable(now_s)
+        began_s = now_s
+        while not one.reachable(now_s):
+            now_s += 0.5
+        pauses.append(now_s - began_s)
+    assert pauses == [1.0, 2.0, 4.0, 8.0, 8.0]
+    one.note_reached()
+    one.note_unreachable(now_s)
+    assert one.reachable(now_s + ledger.FIRST_UNREACHABLE_S)
--- a/tests/test_order_machine.py
+++ b/tests/test_order_machine.py
@@ -115,7 +115,7 @@
     def balance(self, fate) -> None:
         """Let the desk think of replicas."""
         self.fleet.fate = fate
-        self.spawn(self.quietly(self.desk.balance()))
+        self.desk.balance()
         self.pass_time(0.05)
 
     @stateful.rule(number=st.integers(0, 2))
--- a/tests/test_order_placement.py
+++ b/tests/test_order_placement.py
@@ -3,7 +3,13 @@
 import pytest
 import routing_parts
 
-from oatcrank.orders import demand, ledger, order, placement
+from oatcrank.orders import (
+    adapter_placement,
+    demand,
+    ledger,
+    order,
+    placement,
+)
 from oatcrank.routing import need
 
 NOW_S = 100.0
@@ -50,16 +56,51 @@
     return found
 
 
-def weighed(ledgers, counted):
-    return placement.Placement(ledgers, ENGINE, counted, SERVICE)
+def weighed(ledgers, counted, now_s=NOW_S, **changes):
+    return placement.Placement(
+        ledgers,
+        ENGINE,
+        counted,
+        SERVICE,
+        now_s,
+        **changes,
+    )
+
+
+def adapters(ledgers, counted):
+    return adapter_placement.AdapterPlacement(
+        ledgers,
+        ENGINE,
+        counted,
+        SERVICE,
+    )
+
+
+def load_of(name):
+    return order.Order(
+        action=order.Action.load,
+        model=name,
+        adapter=None,
+        orders_taken=0,
+        holder='instance-1',
+        fence=1,
+    )
+
+
+def carry_out(ledgers, chosen):
+    """Have a server hold what was chosen for it, and drop what makes way."""
+    (one,) = (
+        found for found in ledgers if found.listed.server_id == chosen.server_id
+    )
+    for model in chosen.unload:
+        del one.adapters_by_model[model]
+    one.adapters_by_model[chosen.model] = set()
 
 
 def test_free_memory_is_used_before_anything_makes_way():
     ledgers = fleet(['m0', 'm1', 'm2'], ['m3'])
-    chosen = weighed(ledgers, asked({'m4': 0.1})).model(
-        'm4',
-        NOW_S,
-        store_loads=True,
+    chosen = weighed(ledgers, asked({'m4': 0.1})).missing(
+        'm4', store_loads=True
     )
     assert (chosen.server_id, chosen.unload) == ('server-1', ())
 
@@ -69,9 +110,9 @@
     chosen = weighed(
         ledgers,
         asked({'m0': 9, 'm1': 3, 'm2': 5, 'm3': 0, 'm4': 2, 'm5': 2, 'm6': 4}),
-    ).model('m6', NOW_S, store_loads=True)
+    ).missing('m6', store_loads=True)
     assert chosen.server_id == 'server-1'
-    assert chosen.unload == (('m3', None),)
+    assert chosen.unload == ('m3',)
 
 
 def test_a_further_replica_makes_way_before_the_last_of_another():
@@ -79,8 +120,8 @@
     chosen = weighed(
         ledgers,
         asked({'m0': 2, 'm1': 1, 'm2': 1, 'm3': 1, 'm4': 1, 'm5': 1}),
-    ).model('m5', NOW_S, store_loads=True)
-    assert chosen.unload == (('m0', None),)
+    ).missing('m5', store_loads=True)
+    assert chosen.unload == ('m0',)
 
 
 @pytest.mark.parametrize(
@@ -108,7 +149,7 @@
             'm3': wanted_rate,
         },
     )
-    chosen = weighed(ledgers, counted).model('m3', NOW_S, store_loads=True)
+    chosen = weighed(ledgers, counted).missing('m3', store_loads=True)
     assert (chosen is not None) is makes_way
 
 
@@ -116,35 +157,24 @@
     ledgers = fleet(['m0', 'm1', 'm2'])
     (one,) = ledgers
     one.take(
-        order.Order(
-            action=order.Action.load,
-            model='m2',
-            adapter=None,
-            orders_taken=0,
-            holder='instance-1',
-            fence=1,
-        ),
+        load_of('m2'),
         NOW_S,
         NOW_S,
     )
     one.finish_work()
     counted = asked({'m0': 9, 'm1': 9, 'm2': 0, 'm3': 2})
-    assert (
-        weighed(ledgers, counted).model('m3', NOW_S, store_loads=True) is None
-    )
+    assert weighed(ledgers, counted).missing('m3', store_loads=True) is None
     later_s = NOW_S + placement.RESIDENCE_S
-    chosen = weighed(ledgers, counted).model('m3', later_s, store_loads=True)
-    assert chosen.unload == (('m2', None),)
+    chosen = weighed(ledgers, counted, later_s).missing('m3', store_loads=True)
+    assert chosen.unload == ('m2',)
 
 
 def test_under_the_ceiling_only_cached_models_load():
     ledgers = fleet(['m0'], ['m1'])
     counted = asked({'m2': 1})
-    assert (
-        weighed(ledgers, counted).model('m2', NOW_S, store_loads=False) is None
-    )
+    assert weighed(ledgers, counted).missing('m2', store_loads=False) is None
     cached = fleet(['m0'], ['m1'], cached_on_disk=('m2',))
-    chosen = weighed(cached, counted).model('m2', NOW_S, store_loads=False)
+    chosen = weighed(cached, counted).missing('m2', store_loads=False)
     assert not chosen.from_store
 
 
@@ -152,9 +182,7 @@
     ledgers = fleet(['m0', 'm1', 'm2'])
     counted = demand.Demand()
     counted.note(demand.Asked(need.Need(SERVICE, 'm3'), 5), NOW_S)
-    assert (
-        weighed(ledgers, counted).model('m3', NOW_S, store_loads=True) is None
-    )
+    assert weighed(ledgers, counted).missing('m3', store_loads=True) is None
 
 
 @pytest.mark.parametrize(
@@ -165,28 +193,35 @@
     ledgers = fleet(['m0'])
     (one,) = ledgers
     if state == 'busy':
-        one.work = ledger.Work(one=None, began_s=NOW_S, ends_s=NOW_S + 1)
+        one.work = ledger.Work(
+            one=load_of('m2'),
+            began_s=NOW_S,
+            ends_s=NOW_S + 1,
+        )
     elif state == 'claimed':
-        one.claimed = True
+        one.claim = ledger.Claim(load='m3')
     elif state == 'unknown':
         one.distrust()
-    chosen = weighed(ledgers, asked({'m1': 1})).model(
-        'm1',
-        NOW_S,
-        store_loads=True,
-    )
+    chosen = weighed(ledgers, asked({'m1': 1})).missing('m1', store_loads=True)
     assert (chosen is not None) is expected
 
 
-def test_a_crowded_model_wants_replicas_and_an_idle_one_none():
+@pytest.mark.parametrize(
+    ('rate', 'running', 'expected'),
+    [(20, 20, ['m0']), (20, 40, ['m0']), (2, 2, [])],
+)
+def test_a_crowded_model_wants_a_replica_and_an_idle_one_none(
+    rate,
+    running,
+    expected,
+):
     ledgers = fleet(['m0', 'm1'], ['m2'], ['m3'])
     counted = asked(
-        {'m0': 20, 'm1': 1},
-        running_by_model={'m0': 20, 'm1': 0.5},
+        {'m0': rate, 'm1': 1},
+        running_by_model={'m0': running, 'm1': 0.5},
     )
-    shortages = weighed(ledgers, counted).shortages(NOW_S)
-    assert [name for _, name in shortages] == ['m0']
-    assert shortages[0][0] > 0
+    chosen = weighed(ledgers, counted).replica(store_loads=True)
+    assert [one.model for one in (chosen,) if one] == expected
 
 
 def test_a_replica_goes_where_the_fewest_requests_run():
@@ -195,13 +230,69 @@
         {'m0': 20, 'm1': 9, 'm2': 0.1},
         running_by_model={'m0': 20, 'm1': 12, 'm2': 0},
     )
-    chosen = weighed(ledgers, counted).model(
-        'm0',
-        NOW_S,
-        store_loads=True,
-        gain=5.0,
+    chosen = weighed(ledgers, counted).replica(store_loads=True)
+    assert (chosen.model, chosen.server_id) == ('m0', 'server-2')
+
+
+def test_replicas_follow_demand_that_has_moved():
+    """The models in demand are spread; what nobody asks for makes way."""
+    ledgers = fleet(
+        ['m0', 'm1', 'm2'],
+        ['m0', 'm1', 'm3'],
+        ['m0', 'm1', 'm4'],
+        ['m0', 'm1', 'm5'],
+        ['m6', 'm7'],
+        ['m6', 'm7'],
+    )
+    rates = {'m6': 50, 'm7': 25, **{f'm{rare}': 0.8 for rare in range(2, 6)}}
+    counted = asked(rates, running_by_model={'m6': 50, 'm7': 25})
+    for _ in range(12):
+        chosen = weighed(ledgers, counted).replica(store_loads=True)
+        if chosen is None:
+            break
+        carry_out(ledgers, chosen)
+    assert chosen is None
+    replicas = {
+        name: sum(name in one.adapters_by_model for one in ledgers)
+        for name in rates
+    }
+    assert replicas['m6'] >= 4
+    assert replicas['m7'] >= 2
+    assert all(replicas[f'm{rare}'] for rare in range(2, 6))
+
+
+def test_a_model_in_demand_is_loaded_at_several_servers_at_once():
+    """A load that is decided counts, and so does what makes way for it."""
+    ledgers = fleet(['m0', 'm1', 'm2'], ['m3'], ['m4'], ['m5'])
+    counted = asked({'m0': 70}, running_by_model={'m0': 70})
+    servers = set()
+    for _ in range(3):
+        chosen = weighed(ledgers, counted).replica(store_loads=True)
+        assert chosen.model == 'm0'
+        servers.add(chosen.server_id)
+        (one,) = (
+            found
+            for found in ledgers
+            if found.listed.server_id == chosen.server_id
+        )
+        one.claim = ledger.Claim(load='m0')
+    assert len(servers) == 3
+    assert weighed(ledgers, counted).replica(store_loads=True) is None
+
+
+def test_an_unload_that_would_wait_for_long_runs_is_avoided():
+    """While it waits, its server takes no other order."""
+    ledgers = fleet(['m0', 'm1', 'm2'], ['m0', 'm3', 'm4'])
+    counted = asked(
+        {'m0': 2, 'm1': 0.5, 'm2': 0.5, 'm3': 0.5, 'm4': 0.5, 'm5': 1},
+        running_by_model={'m1': 4, 'm2': 4, 'm3': 0, 'm4': 4},
     )
-    assert chosen.server_id == 'server-2'
+    for one in ledgers:
+        del one.adapters_by_model['m0']
+        one.adapters_by_model['m6'] = set()
+    chosen = weighed(ledgers, counted).missing('m5', store_loads=True)
+    assert chosen.server_id in {'server-0', 'server-1'}
+    assert chosen.load_s < 2
 
 
 def test_an_adapter_goes_where_a_place_is_free():
@@ -209,8 +300,8 @@
         {'m0': ('a1', 'a2', 'a3', 'a4')},
         {'m0': ('a5',)},
     )
-    chosen = weighed(ledgers, asked({})).adapter('m0', NOW_S)
-    assert (chosen.server_id, chosen.unload) == ('server-1', ())
+    chosen = adapters(ledgers, asked({})).best('m0', NOW_S)
+    assert (chosen.server_id, chosen.unload) == ('server-1', None)
 
 
 def test_the_adapter_asked_for_longest_ago_makes_way():
@@ -221,8 +312,8 @@
             need.Need(SERVICE, 'm0', f'a{number}'),
             NOW_S - age_s,
         )
-    chosen = weighed(ledgers, counted).adapter('m0', NOW_S)
-    assert chosen.unload == (('m0', 'a2'),)
+    chosen = adapters(ledgers, counted).best('m0', NOW_S)
+    assert chosen.unload == ('m0', 'a2')
 
 
 def test_adapters_in_use_do_not_make_way():
@@ -230,7 +321,7 @@
     counted = asked({})
     for number in range(1, 5):
         counted.note_use(need.Need(SERVICE, 'm0', f'a{number}'), NOW_S - 0.1)
-    assert weighed(ledgers, counted).adapter('m0', NOW_S) is None
+    assert adapters(ledgers, counted).best('m0', NOW_S) is None
 
 
 def test_a_model_whose_requests_wait_does_not_make_way():
@@ -239,14 +330,12 @@
     counted = asked(
         {'m0': 2, 'm1': 1, 'm2': 1, 'm3': 1, 'm4': 1, 'm5': 1},
     )
-    free = weighed(ledgers, counted).model('m5', NOW_S, store_loads=True)
-    crowded = placement.Placement(
+    free = weighed(ledgers, counted).missing('m5', store_loads=True)
+    crowded = weighed(
         ledgers,
-        ENGINE,
         counted,
-        SERVICE,
         crowded=frozenset((free.server_id,)),
-    ).model('m5', NOW_S, store_loads=True)
+    ).missing('m5', store_loads=True)
     assert crowded.server_id != free.server_id
 
 
@@ -268,25 +357,23 @@
     counted = asked(
         {'m0': 20, 'm1': 3, 'm2': 3, 'm3': 3, 'm4': 3, 'm5': 1},
     )
-    assert (
-        weighed(ledgers, counted).model('m5', NOW_S, store_loads=True) is None
-    )
+    assert weighed(ledgers, counted).missing('m5', store_loads=True) is None
 
 
 @pytest.mark.parametrize('load_s', [1.0, 6.0])
-def test_a_hot_model_wants_a_spare_where_loads_are_long(load_s):
+@pytest.mark.parametrize(('rate', 'spared'), [(30, True), (5, False)])
+def test_a_hot_model_wants_a_spare(rate, spared, load_s):
     """A server that is lost takes its models with it for as long as a load."""
     held = routing_parts.engine(
         routing_parts.model('m0', store_load_s=load_s),
         routing_parts.model('m1'),
     )
-    counted = asked({'m0': 30, 'm1': 0.1}, running_by_model={'m0': 3})
-    shortages = placement.Placement(
+    counted = asked({'m0': rate, 'm1': 0.1}, running_by_model={'m0': 3})
+    chosen = placement.Placement(
         fleet(['m0'], ['m1']),
         held,
         counted,
         SERVICE,
-    ).shortages(NOW_S)
-    rate = counted.model_rate(need.Need(SERVICE, 'm0'), NOW_S)
-    worth = placement.SECOND_REPLICA_PER_S * load_s * rate
-    assert shortages == [(pytest.approx(worth), 'm0')]
+        NOW_S,
+    ).replica(store_loads=True)
+    assert (chosen is not None) is spared
--- a/tests/worker_fleet.py
+++ b/tests/worker_fleet.py
@@ -43,6 +43,7 @@
         self.cached: set[str] = set()
         self.in_use: set[tuple[str, str]] = set()
         self.past: list[tuple[float, order.Report]] = []
+        self.reachable = True
         self.remember()
 
     def listed(self) -> listing.Listing:
@@ -220,6 +221,8 @@
     async def send(self, listed, one, may_send):
         await asyncio.sleep(0.002)
         worker = self.workers[listed.port - 20000]
+        if not worker.reachable:
+            return order.Outcome.unsent
         fate = self.fate
         if fate == 'lost':
             return order.Outcome.unknown
@@ -235,7 +238,8 @@
 
     async def report(self, listed):
         await asyncio.sleep(0.002)
-        return self.workers[listed.port - 20000].report()
+        worker = self.workers[listed.port - 20000]
+        return worker.report() if worker.reachable else None
 
     async def _later(self, worker, one, pause_s) -> None:
         await asyncio.sleep(pause_s)
