Send an order without an answer again at once

Change: the same order, with the same count, is sent up to three times. A server takes one of the copies only: those that arrive later name a count that is past. An answer is waited for 0.2 s.

--- a/oatcrank/orders/order_line.py
+++ b/oatcrank/orders/order_line.py
@@ -9,6 +9,8 @@
 
 ASK_AGAIN_S = 0.25
 SOONEST_S = 0.05
+# Sends of one order in all; a server takes at most one of them.
+MOST_SENDS = 3
 ANSWERED = frozenset(
     (
         order.Outcome.accepted,
@@ -77,20 +79,45 @@
             holder=self._instance_id,
             fence=ids.Fence(turn.fence),
         )
+        outcome = await self._send_again_if_unknown(one, wish)
+        self._settle(one, wish, outcome, takes_s)
+
+    async def _send_again_if_unknown(
+        self,
+        one: ledger.Ledger,
+        wish: order.Order,
+    ) -> order.Outcome:
+        """Send an order until its outcome is known, a few times at most.
+
+        The count that it names has a server take one of the copies only, and
+        refuse those that arrive later.
+        """
+        outcome = order.Outcome.unknown
+        for _ in range(MOST_SENDS):
+            outcome = await self._send_once(one, wish)
+            if outcome is not order.Outcome.unknown or not self.may_send():
+                break
+        return outcome
+
+    async def _send_once(
+        self,
+        one: ledger.Ledger,
+        wish: order.Order,
+    ) -> order.Outcome:
         self._note_sent(one)
         outcome = await self._sender.send(one.listed, wish, self.may_send)
         self._note_sent(one)
         logs.event(
             'order',
             server=one.listed.server_id,
-            action=action.value,
-            model=model,
-            adapter=adapter or '',
+            action=wish.action.value,
+            model=wish.model,
+            adapter=wish.adapter or '',
             orders_taken=wish.orders_taken,
             fence=wish.fence,
             outcome=outcome.name,
         )
-        self._settle(one, wish, outcome, takes_s)
+        return outcome
 
     def _settle(
         self,
--- a/oatcrank/platform/orders.py
+++ b/oatcrank/platform/orders.py
@@ -12,7 +12,7 @@
 from oatcrank.routing import listing
 from oatcrank.transport import calls, connection_pool
 
-ORDER_WITHIN_S = 0.3
+ORDER_WITHIN_S = 0.2
 REPORT_WITHIN_S = 0.3
 OPERATION_BY_ACTION = {
     order.Action.load: 'model_load',
--- a/tests/test_order_desk.py
+++ b/tests/test_order_desk.py
@@ -153,3 +153,20 @@
         assert 'm0' in fleet.workers[2].holds
 
     play(work, workers=3)
+
+
+def test_an_order_without_an_answer_is_sent_again_at_once():
+    """Waiting for a report would leave the server without orders meanwhile."""
+
+    async def work(fleet, desk):
+        fleet.fates = ['late']
+        placed = await desk.arrange(need.Need(SERVICE, 'm0'), ())
+        assert placed.wait_s <= 1.1
+        await asyncio.sleep(1.2)
+        assert holders(fleet, 'm0') == 1
+        # The first copy arrives by now, and is refused.
+        await asyncio.sleep(7)
+        assert holders(fleet, 'm0') == 1
+        assert len(fleet.store_loads) == 1
+
+    play(work, workers=1)
--- a/tests/worker_fleet.py
+++ b/tests/worker_fleet.py
@@ -191,6 +191,8 @@
         self.table = server_table.ServerTable()
         self.workers = [ModelWorker(number, self) for number in range(count)]
         self.fate = 'answered'
+        # Those of the next orders, before the fate of all others.
+        self.fates: list[str] = []
         self.broken: list[str] = []
         self.store_loads: list[float] = []
         self._tasks: set[asyncio.Task] = set()
@@ -223,7 +225,7 @@
         worker = self.workers[listed.port - 20000]
         if not worker.reachable:
             return order.Outcome.unsent
-        fate = self.fate
+        fate = self.fates.pop(0) if self.fates else self.fate
         if fate == 'lost':
             return order.Outcome.unknown
         if fate == 'late':
