Move replays and the policy harness out of the product package

Change: oatcrank/replaying is emulator/replaying now; the commands policy, trace and replay are words of `python -m emulator` (policy, trace, replay-running). No behaviour changes; `oatcrank` loses the three words.

Checks: tests of replays, traces, policies and commands pass; lint clean.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(BIN)/python -m emulator prove $(PROVE_OPTIONS)
 
 policy: setup
-	$(BIN)/python -m oatcrank policy
+	$(BIN)/python -m emulator policy
 
 slopes: setup
 	$(BIN)/python -m emulator slopes
--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -18,6 +18,9 @@
     'prove': 'prove',
     'replay': 'replay_site',
     'slopes': 'slopes',
+    'policy': 'replaying.policy_command',
+    'replay-running': 'replaying.replay_command',
+    'trace': 'replaying.trace_command',
 }
 
 
--- a/emulator/replay_site.py
+++ b/emulator/replay_site.py
@@ -15,11 +15,11 @@
     running_site,
     trace_site,
 )
+from emulator.replaying import replay, replay_text, trace
 from oatcrank import errors, rpc
 from oatcrank.commands import command
 from oatcrank.configuration import change, operator_messages, profile
 from oatcrank.placing import placement_kind
-from oatcrank.replaying import replay, replay_text, trace
 from oatcrank.settings import settings
 
 ENTRY_COUNT = 3
--- a/oatcrank/replaying/_fake_fleet.py
+++ b/emulator/replaying/_fake_fleet.py
@@ -2,10 +2,10 @@
 
 import collections
 
+from emulator.replaying import _fake_server, trace_head
 from oatcrank import errors, ids
 from oatcrank.control import plan
 from oatcrank.placing import placement
-from oatcrank.replaying import _fake_server, trace_head
 
 States = plan.ReplicaState
 
--- a/oatcrank/replaying/_fake_queues.py
+++ b/emulator/replaying/_fake_queues.py
@@ -2,9 +2,9 @@
 
 import collections
 
+from emulator.replaying import _fake_request
 from oatcrank import ids
 from oatcrank.entry import slack_queue
-from oatcrank.replaying import _fake_request
 
 QUEUE_BOUND = 256
 IN_TIME = 0
--- a/oatcrank/replaying/_fake_request.py
+++ b/emulator/replaying/_fake_request.py
@@ -1,7 +1,7 @@
 """Hold a request of a trace while it is replayed."""
 
+from emulator.replaying import trace_event, trace_head
 from oatcrank.configuration import profile
-from oatcrank.replaying import trace_event, trace_head
 
 MS_PER_S = 1000
 
--- a/oatcrank/replaying/_fake_store.py
+++ b/emulator/replaying/_fake_store.py
@@ -1,6 +1,6 @@
 """Time the loads of a weight store during a replay."""
 
-from oatcrank.replaying import trace_head
+from emulator.replaying import trace_head
 
 
 class FakeStore:
--- a/oatcrank/replaying/_harness_moves.py
+++ b/emulator/replaying/_harness_moves.py
@@ -3,16 +3,16 @@
 import functools
 from collections.abc import Callable
 
-from oatcrank import ids
-from oatcrank.control import plan
-from oatcrank.placing import placement
-from oatcrank.replaying import (
+from emulator.replaying import (
     _fake_fleet,
     _fake_server,
     _fake_store,
     _harness_timeline,
     policy_score,
 )
+from oatcrank import ids
+from oatcrank.control import plan
+from oatcrank.placing import placement
 
 UNLOAD_S = 0.25
 
--- a/oatcrank/replaying/_harness_service.py
+++ b/emulator/replaying/_harness_service.py
@@ -3,10 +3,7 @@
 import functools
 import math
 
-from oatcrank import ids, refusal
-from oatcrank.control import plan
-from oatcrank.entry import admission
-from oatcrank.replaying import (
+from emulator.replaying import (
     _fake_fleet,
     _fake_queues,
     _fake_request,
@@ -15,6 +12,9 @@
     _harness_timeline,
     policy_score,
 )
+from oatcrank import ids, refusal
+from oatcrank.control import plan
+from oatcrank.entry import admission
 
 SAME_SPELL_S = 10.0
 
--- a/oatcrank/replaying/_harness_view.py
+++ b/emulator/replaying/_harness_view.py
@@ -2,15 +2,15 @@
 
 import collections
 
-from oatcrank import ids
-from oatcrank.placing import placement
-from oatcrank.replaying import (
+from emulator.replaying import (
     _fake_fleet,
     _fake_queues,
     _fake_request,
     _fake_store,
     trace_head,
 )
+from oatcrank import ids
+from oatcrank.placing import placement
 
 FIRST_SERVICE_S = 2.0
 SMOOTHING = 0.05
--- a/oatcrank/replaying/_known_demand.py
+++ b/emulator/replaying/_known_demand.py
@@ -4,8 +4,8 @@
 import collections
 import itertools
 
+from emulator.replaying import trace
 from oatcrank import ids
-from oatcrank.replaying import trace
 
 
 class KnownDemand:
--- a/oatcrank/replaying/_replay_caller.py
+++ b/emulator/replaying/_replay_caller.py
@@ -8,8 +8,8 @@
 import msgspec
 from tornado import httpclient, simple_httpclient
 
+from emulator.replaying import _replay_stream, trace_event
 from oatcrank import clock, errors, ids, refusal, rpc
-from oatcrank.replaying import _replay_stream, trace_event
 
 ANSWER_LIMIT_S = 120.0
 DIRECTORY_TIMEOUT_S = 2.0
--- a/oatcrank/replaying/_replay_events.py
+++ b/emulator/replaying/_replay_events.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from emulator.replaying import _replay_watch, trace_event
 from oatcrank import errors, rpc
-from oatcrank.replaying import _replay_watch, trace_event
 from oatcrank.settings import settings
 
 TIMEOUT_S = 5.0
--- a/oatcrank/replaying/informed_placement.py
+++ b/emulator/replaying/informed_placement.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from emulator.replaying import _known_demand, policy_harness, trace
 from oatcrank import ids
 from oatcrank.placing import placement, server_room
-from oatcrank.replaying import _known_demand, policy_harness, trace
 
 START_MARGIN_S = 1.0
 WINDOW_S = 8.0
--- a/oatcrank/replaying/policies.py
+++ b/emulator/replaying/policies.py
@@ -3,18 +3,18 @@
 import collections
 import enum
 
+from emulator.replaying import (
+    informed_placement,
+    policy_harness,
+    static_placement,
+    trace,
+)
 from oatcrank import ids
 from oatcrank.placing import (
     expected_gain_placement,
     on_demand_placement,
     placement,
 )
-from oatcrank.replaying import (
-    informed_placement,
-    policy_harness,
-    static_placement,
-    trace,
-)
 from oatcrank.settings import policy_settings
 
 TRILHA_ACCELERATOR_WEIGHT = 0.5
--- a/oatcrank/commands/policy_command.py
+++ b/emulator/replaying/policy_command.py
@@ -1,4 +1,4 @@
-"""Replay traces under all policies: `oatcrank policy`."""
+"""Replay traces under all policies: `python -m emulator policy`."""
 
 import argparse
 import pathlib
@@ -7,16 +7,17 @@
 
 import msgspec
 
-from oatcrank.commands import command
-from oatcrank.replaying import (
+from emulator.replaying import (
     plots,
     policies,
     policy_front,
     policy_harness,
     policy_table,
+    tool,
     trace,
     trace_generator,
 )
+from oatcrank.commands import command
 
 TRACES = pathlib.Path('traces')
 PERCENT = 100
@@ -93,7 +94,7 @@
         try:
             _run(options)
         except (trace.TraceError, plots.PlotError) as error:
-            sys.stderr.write(f'oatcrank policy: {error}\n')
+            sys.stderr.write(f'emulator policy: {error}\n')
             return command.ExitStatus.failed
         return command.ExitStatus.success
 
@@ -190,3 +191,8 @@
     if label == 'moves':
         return sample.moves
     return PERCENT * sample.met / max(1, sample.arrived)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the tool with its arguments."""
+    return tool.run(PolicyCommand(), arguments)
--- a/oatcrank/replaying/policy_front.py
+++ b/emulator/replaying/policy_front.py
@@ -3,7 +3,7 @@
 import pathlib
 from collections.abc import Sequence
 
-from oatcrank.replaying import plots, policies, trace
+from emulator.replaying import plots, policies, trace
 from oatcrank.settings import policy_settings
 
 WEIGHTS = (
--- a/oatcrank/replaying/policy_harness.py
+++ b/emulator/replaying/policy_harness.py
@@ -5,10 +5,7 @@
 
 import msgspec
 
-from oatcrank import ids
-from oatcrank.entry import admission
-from oatcrank.placing import placement
-from oatcrank.replaying import (
+from emulator.replaying import (
     _fake_fleet,
     _fake_request,
     _fake_store,
@@ -19,6 +16,9 @@
     policy_score,
     trace,
 )
+from oatcrank import ids
+from oatcrank.entry import admission
+from oatcrank.placing import placement
 
 ROUND_S = 0.25
 DRAIN_LIMIT_S = 60.0
--- a/oatcrank/replaying/policy_table.py
+++ b/emulator/replaying/policy_table.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank.replaying import policy_score
+from emulator.replaying import policy_score
 
 HEADER = (
     'trace',
--- a/oatcrank/replaying/replay.py
+++ b/emulator/replaying/replay.py
@@ -4,9 +4,7 @@
 
 import msgspec
 
-from oatcrank import clock
-from oatcrank.configuration import profile
-from oatcrank.replaying import (
+from emulator.replaying import (
     _replay_caller,
     _replay_events,
     _replay_watch,
@@ -15,6 +13,8 @@
     trace,
     trace_event,
 )
+from oatcrank import clock
+from oatcrank.configuration import profile
 from oatcrank.settings import settings
 
 SAMPLE_S = 1.0
--- a/oatcrank/commands/replay_command.py
+++ b/emulator/replaying/replay_command.py
@@ -1,4 +1,4 @@
-"""Replay a trace against the running system: `oatcrank replay`."""
+"""Replay a trace against the running system: `emulator replay-running`."""
 
 import argparse
 import asyncio
@@ -8,9 +8,16 @@
 import jsonc
 import msgspec
 
+from emulator.replaying import (
+    plots,
+    policy_harness,
+    replay,
+    replay_text,
+    tool,
+    trace,
+)
 from oatcrank import errors
 from oatcrank.commands import command
-from oatcrank.replaying import plots, policy_harness, replay, replay_text, trace
 from oatcrank.settings import settings
 
 PERCENT = 100
@@ -19,7 +26,7 @@
 HELP = """\
 Replay a trace against the running system and say whether the outcomes that it
 states held.  The requests go to the instance of the settings and to those that
-it names.  Traces are in traces/; `oatcrank trace` writes others.
+it names.  Traces are in traces/; `emulator trace` writes others.
 
 exit status: 0 the stated outcomes held, 1 one did not, 2 a file is wrong or the
 system could not be reached
@@ -29,7 +36,7 @@
 class ReplayCommand(command.Command):
     """Replay a trace and say whether its stated outcomes held."""
 
-    name = 'replay'
+    name = 'replay-running'
     summary = 'replay a trace against the running system'
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
@@ -72,7 +79,7 @@
         try:
             report = _run(options)
         except errors.OatcrankError as error:
-            sys.stderr.write(f'oatcrank replay: {error}\n')
+            sys.stderr.write(f'emulator replay-running: {error}\n')
             return command.ExitStatus.usage
         if report.held:
             return command.ExitStatus.success
@@ -132,3 +139,8 @@
         )
         for label, figures in figures_by_label.items()
     ]
+
+
+def main(arguments: list[str]) -> int:
+    """Run the tool with its arguments."""
+    return tool.run(ReplayCommand(), arguments)
--- a/oatcrank/replaying/replay_text.py
+++ b/emulator/replaying/replay_text.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import TypeVar
 
-from oatcrank.replaying import policy_table, replay
+from emulator.replaying import policy_table, replay
 
 SYSTEM = 'system'
 
--- a/oatcrank/replaying/trace.py
+++ b/emulator/replaying/trace.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from emulator.replaying import trace_event, trace_head
 from oatcrank import errors
-from oatcrank.replaying import trace_event, trace_head
 
 Line = TypeVar('Line')
 
--- a/oatcrank/commands/trace_command.py
+++ b/emulator/replaying/trace_command.py
@@ -1,16 +1,17 @@
-"""Write a seeded trace to a file: `oatcrank trace`."""
+"""Write a seeded trace to a file: `python -m emulator trace`."""
 
 import argparse
 import pathlib
 import sys
 
+from emulator.replaying import tool, trace, trace_generator
 from oatcrank.commands import command
-from oatcrank.replaying import trace, trace_generator
 
 HELP = """\
 Write a made-up trace: requests over some time, with the outcomes that a
 replay must reach.  The same seed gives the same file.  Spells and the format
-are described in docs/TRACES.md; `oatcrank replay` and `oatcrank policy` use it.
+are described in docs/TRACES.md; `emulator replay-running` and `emulator policy`
+use it.
 """
 
 
@@ -59,6 +60,11 @@
         try:
             trace.write(options.file, trace_generator.with_faults(usual))
         except OSError as error:
-            sys.stderr.write(f'oatcrank trace: {options.file}: {error}\n')
+            sys.stderr.write(f'emulator trace: {options.file}: {error}\n')
             return command.ExitStatus.failed
         return command.ExitStatus.success
+
+
+def main(arguments: list[str]) -> int:
+    """Run the tool with its arguments."""
+    return tool.run(TraceCommand(), arguments)
--- a/oatcrank/replaying/trace_generator.py
+++ b/emulator/replaying/trace_generator.py
@@ -4,9 +4,7 @@
 
 import msgspec
 
-from oatcrank import ids
-from oatcrank.configuration import profile
-from oatcrank.replaying import (
+from emulator.replaying import (
     _trace_spell,
     trace,
     trace_event,
@@ -14,6 +12,8 @@
     trace_site,
     trace_sites,
 )
+from oatcrank import ids
+from oatcrank.configuration import profile
 
 SITES = tuple(trace_sites.SIZE_BY_SITE)
 SPELLS = tuple(spell.value for spell in _trace_spell.Spell)
--- a/oatcrank/replaying/trace_site.py
+++ b/emulator/replaying/trace_site.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
+from emulator.replaying import trace_head
 from oatcrank import ids
 from oatcrank.configuration import profile, target
-from oatcrank.replaying import trace_head
 
 MEMORY_MB = 68_000
 SLOTS = 8
--- a/oatcrank/replaying/trace_sites.py
+++ b/emulator/replaying/trace_sites.py
@@ -1,7 +1,7 @@
 """Hold the figures of both sites."""
 
+from emulator.replaying import trace_head, trace_site
 from oatcrank import ids
-from oatcrank.replaying import trace_head, trace_site
 
 YARD_ADAPTERS = 40
 YARD_LOADS_PER_S = 1.5
--- a/emulator/slope_plots.py
+++ b/emulator/slope_plots.py
@@ -3,7 +3,7 @@
 import pathlib
 
 from emulator import slope
-from oatcrank.replaying import plots
+from emulator.replaying import plots
 
 NAMES_BY_FILE = {
     'fleet': (
--- a/emulator/trace_site.py
+++ b/emulator/trace_site.py
@@ -3,8 +3,8 @@
 import collections
 
 from emulator import site, site_pool
+from emulator.replaying import policies, trace, trace_head
 from oatcrank.placing import placement_kind
-from oatcrank.replaying import policies, trace, trace_head
 from oatcrank.store import weight_store
 
 MS_PER_S = 1000
--- a/oatcrank/commands/commands.py
+++ b/oatcrank/commands/commands.py
@@ -4,12 +4,9 @@
     audit_command,
     check_settings_command,
     command,
-    policy_command,
     profile_command,
-    replay_command,
     serve_command,
     status_command,
-    trace_command,
     version_command,
 )
 from oatcrank.platform import platform_command
@@ -21,8 +18,5 @@
     status_command.StatusCommand(),
     audit_command.AuditCommand(),
     check_settings_command.CheckSettingsCommand(),
-    replay_command.ReplayCommand(),
-    policy_command.PolicyCommand(),
-    trace_command.TraceCommand(),
     version_command.VersionCommand(),
 )
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,13 +7,13 @@
 import pytest
 from hypothesis import given, settings, strategies
 
+from emulator.replaying import static_placement
 from oatcrank import ids
 from oatcrank.placing import (
     expected_gain_placement,
     on_demand_placement,
     placement,
 )
-from oatcrank.replaying import static_placement
 from oatcrank.settings import policy_settings
 
 MEMORY_MB = 100
--- a/tests/test_policy_command.py
+++ b/tests/test_policy_command.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from oatcrank.commands import (
-    command,
+from emulator.replaying import (
     policy_command,
     replay_command,
+    trace,
     trace_command,
 )
-from oatcrank.replaying import trace
+from oatcrank.commands import command
 
 
 def _run(word: command.Command, *arguments: object) -> command.ExitStatus:
--- a/tests/test_policy_harness.py
+++ b/tests/test_policy_harness.py
@@ -4,13 +4,7 @@
 import pytest
 from hypothesis import Phase, given, settings, strategies
 
-from oatcrank import ids
-from oatcrank.placing import (
-    expected_gain_placement,
-    on_demand_placement,
-    placement,
-)
-from oatcrank.replaying import (
+from emulator.replaying import (
     policy_harness,
     static_placement,
     trace,
@@ -18,6 +12,12 @@
     trace_generator,
     trace_head,
 )
+from oatcrank import ids
+from oatcrank.placing import (
+    expected_gain_placement,
+    on_demand_placement,
+    placement,
+)
 from oatcrank.settings import policy_settings
 
 MAKERS = {
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,14 +8,14 @@
 import xxhash
 from tornado import httpserver, netutil, web
 
-from oatcrank import ids
-from oatcrank.replaying import (
+from emulator.replaying import (
     policy_score,
     replay,
     trace,
     trace_event,
     trace_generator,
 )
+from oatcrank import ids
 from oatcrank.settings import (
     listen_settings,
     platform_settings,
--- a/tests/test_replay_site.py
+++ b/tests/test_replay_site.py
@@ -9,6 +9,7 @@
     site_configs,
     trace_site,
 )
+from emulator.replaying import trace_generator
 from oatcrank.placing import (
     expected_gain_placement,
     on_demand_placement,
@@ -16,7 +17,6 @@
     placement_choice,
     placement_kind,
 )
-from oatcrank.replaying import trace_generator
 from oatcrank.settings import (
     listen_settings,
     platform_settings,
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from oatcrank.replaying import trace, trace_event, trace_generator
+from emulator.replaying import trace, trace_event, trace_generator
 
 
 @pytest.mark.parametrize('site', trace_generator.SITES)
