Report what runs where; keep adapters that run; count adapters in a replica's worth

Cause: an adapter was taken for idle when it had not been asked for in 0.8 s. What an unload of a model waits for was a guess from mean run times.

Change: each instance reports twice a second what it has at servers (a module of notes takes that out of the arranger); an adapter makes way only if nothing runs with it, and a model's unload is priced by what runs at that server. Requests that miss their adapter count in what one replica more gains.

--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -4,7 +4,7 @@
 
 from oatcrank import ids
 from oatcrank.cluster import holding
-from oatcrank.orders import demand
+from oatcrank.orders import demand, runs
 from oatcrank.routing import need
 
 
@@ -33,10 +33,15 @@
 
 
 class DemandReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Tell what callers have asked for since the last report, or longer."""
+    """Tell what callers have asked for since the last report, or longer.
 
+    running is all that the reporting instance has at servers now.
+    """
+
+    reporter: ids.InstanceId
     span_s: float
     asked: tuple[demand.Asked, ...]
+    running: tuple[runs.Running, ...] = ()
 
 
 class CrashReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/cluster/remote_arranger.py
+++ b/oatcrank/cluster/remote_arranger.py
@@ -1,11 +1,11 @@
 """Ask the holder of the order lease for what no server holds."""
 
 import asyncio
-import collections
 import time
 
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
+    demand_notes,
     holding,
     members,
     order_turn,
@@ -37,11 +37,7 @@
         self._members = known
         self._servers = servers
         self._client = peers.Client()
-        self._times_by_need: collections.Counter[need.Need] = (
-            collections.Counter()
-        )
-        self._busy_s_by_need: dict[need.Need, float] = {}
-        self._last_s_by_need: dict[need.Need, float] = {}
+        self._notes = demand_notes.DemandNotes()
         self._recent = demand.Demand()
         self._told: holding.Holding | None = None
         self._question_by_need: dict[
@@ -52,15 +48,22 @@
     def note_demand(self, wanted: need.Need) -> None:
         """Count a request for a model."""
         if wanted.model is not None:
-            self._times_by_need[wanted] += 1
-            self._last_s_by_need[wanted] = time.monotonic()
+            self._notes.note_demand(wanted, time.monotonic())
 
-    def note_run(self, wanted: need.Need, seconds: float) -> None:
-        """Count how long a server was busy with a request."""
+    def note_start(self, server_id: ids.ServerId, wanted: need.Need) -> None:
+        """Note that a server begins with a request for a model."""
         if wanted.model is not None:
-            self._busy_s_by_need[wanted] = (
-                self._busy_s_by_need.get(wanted, 0) + seconds
-            )
+            self._notes.note_start(server_id, wanted)
+
+    def note_end(
+        self,
+        server_id: ids.ServerId,
+        wanted: need.Need,
+        seconds: float,
+    ) -> None:
+        """Note that it has ended, and how long the server was busy."""
+        if wanted.model is not None:
+            self._notes.note_end(server_id, wanted, seconds)
 
     async def arrange(self, wanted: need.Need) -> arranger.Arrangement:
         """Have something loaded; the same wish joins one under way."""
@@ -147,27 +150,16 @@
     ) -> peer_messages.DemandReport:
         """Return the demand since the last report; a new holder gets all."""
         now_s = time.monotonic()
-        wants = self._times_by_need.keys() | self._busy_s_by_need.keys()
-        news = tuple(
-            demand.Asked(
-                wanted,
-                self._times_by_need[wanted],
-                self._busy_s_by_need.get(wanted, 0),
-                now_s - self._last_s_by_need.get(wanted, now_s),
-            )
-            for wanted in wants
-        )
-        self._times_by_need.clear()
-        self._busy_s_by_need.clear()
-        self._last_s_by_need.clear()
+        news = self._notes.take_news(now_s)
         for asked in news:
             self._recent.note(asked, now_s)
-        if holder == self._told:
-            return peer_messages.DemandReport(asked=news, span_s=REPORT_S)
+        is_new = holder != self._told
         self._told = holder
         return peer_messages.DemandReport(
-            asked=self._recent.summary(now_s),
-            span_s=self._recent.age_s(now_s),
+            reporter=self._members.own.instance_id,
+            asked=self._recent.summary(now_s) if is_new else news,
+            span_s=self._recent.age_s(now_s) if is_new else REPORT_S,
+            running=self._notes.running(),
         )
 
     async def _report(self) -> None:
@@ -175,7 +167,7 @@
         if holder is None:
             return
         report = self._news(holder)
-        if not report.asked:
+        if not (report.asked or report.running):
             return
         if holder.instance_id == self._members.own.instance_id:
             take(self._desk, report)
@@ -226,6 +218,7 @@
 ) -> None:
     """Add a report to the demand that the desk weighs."""
     now_s = boot_clock.now()
+    desk.runs.take(report.reporter, report.running, now_s)
     desk.asked.reaches_back(report.span_s, now_s)
     for one in report.asked:
         desk.asked.note(one, now_s)
--- a/oatcrank/forwarding/arranger.py
+++ b/oatcrank/forwarding/arranger.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from oatcrank import ids
 from oatcrank.routing import need
 
 
@@ -31,5 +32,14 @@
         """Count a request for a model."""
 
     @abc.abstractmethod
-    def note_run(self, wanted: need.Need, seconds: float) -> None:
-        """Count how long a server was busy with a request."""
+    def note_start(self, server_id: ids.ServerId, wanted: need.Need) -> None:
+        """Note that a server begins with a request for a model."""
+
+    @abc.abstractmethod
+    def note_end(
+        self,
+        server_id: ids.ServerId,
+        wanted: need.Need,
+        seconds: float,
+    ) -> None:
+        """Note that it has ended, and how long the server was busy."""
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -162,21 +162,19 @@
             self._cutter,
         )
         began_s = self._shared.now()
+        self._shared.arranger.note_start(chosen.server_id, self._wanted)
         try:
             return await one.run(self._ends_s)
         finally:
-            self._note_attempt(one.progress, began_s)
+            self._shared.arranger.note_end(
+                chosen.server_id,
+                self._wanted,
+                self._shared.now() - began_s,
+            )
+            self._note_attempt(one.progress)
 
-    def _note_attempt(
-        self,
-        progress: attempt_state.Progress,
-        began_s: float,
-    ) -> None:
+    def _note_attempt(self, progress: attempt_state.Progress) -> None:
         self._history.note(progress)
-        self._shared.arranger.note_run(
-            self._wanted,
-            self._shared.now() - began_s,
-        )
         request_metrics.ATTEMPTS.labels(
             self._wanted.service,
             progress.name,
--- a/oatcrank/orders/adapter_placement.py
+++ b/oatcrank/orders/adapter_placement.py
@@ -1,7 +1,8 @@
 """Decide which server loads an adapter, and which adapter makes way.
 
 Answers callers that ask for more adapters than servers have places for: what
-was asked for longest ago makes way, and nothing that is probably in use.
+was asked for longest ago makes way, and nothing that is in use, for its server
+takes no other order until all runs with it have ended.
 """
 
 from collections.abc import Collection
@@ -9,11 +10,11 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.orders import demand, ledger
+from oatcrank.orders import ledger, seen
 from oatcrank.routing import need, route
 
-# An adapter asked for this lately is probably in use.
-IN_USE_S = 0.8
+# An adapter asked for this lately may run where no report tells of it yet.
+UNREPORTED_S = 0.6
 
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True):
@@ -30,13 +31,13 @@
         self,
         ledgers: Collection[ledger.Ledger],
         engine: route.Engine,
-        asked: demand.Demand,
+        demanded: seen.Seen,
         service: ids.ServiceName,
     ) -> None:
         """Decide for the servers of a service."""
         self._ledgers = ledgers
         self._engine = engine
-        self._asked = asked
+        self._seen = demanded
         self._service = service
 
     def best(self, model: ids.ModelName, now_s: float) -> Choice | None:
@@ -77,20 +78,28 @@
         one: ledger.Ledger,
         now_s: float,
     ) -> tuple[ids.ModelName, ids.AdapterName] | None:
-        held = [
+        idle = [
             (model, adapter)
             for model, adapters in one.adapters_by_model.items()
             for adapter in adapters
+            if self._is_idle(
+                one, need.Need(self._service, model, adapter), now_s
+            )
         ]
-        if not held:
-            return None
-        oldest = min(held, key=self._last_asked_s)
-        if now_s - self._last_asked_s(oldest) < IN_USE_S:
-            return None
-        return oldest
+        return min(idle, key=self._last_asked_s, default=None)
+
+    def _is_idle(
+        self,
+        one: ledger.Ledger,
+        wanted: need.Need,
+        now_s: float,
+    ) -> bool:
+        if now_s - self._seen.asked.last_s(wanted) < UNREPORTED_S:
+            return False
+        return not self._seen.runs.at(one.listed.server_id, wanted, now_s)
 
     def _last_asked_s(
         self,
         pair: tuple[ids.ModelName, ids.AdapterName],
     ) -> float:
-        return self._asked.last_s(need.Need(self._service, *pair))
+        return self._seen.asked.last_s(need.Need(self._service, *pair))
--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -34,12 +34,15 @@
     """Say how much a model is asked for, its adapters included.
 
     rate counts requests a second, running those that run at a time, and
-    adapters those of them that need an adapter.
+    adapters those of them that need an adapter.  Of the requests a second,
+    adapter_rate need an adapter, one of so many distinct_adapters.
     """
 
     rate: float
     running: float = 0
     adapters: float = 0
+    adapter_rate: float = 0
+    distinct_adapters: int = 0
 
     def part(self, share: float) -> 'ModelDemand':
         """Return a share of this demand."""
@@ -60,6 +63,8 @@
     recent: int = 0
     busy_s: float = 0
     adapters_s: float = 0
+    adapter_times: int = 0
+    distinct_adapters: int = 0
 
     def add(
         self,
@@ -72,6 +77,8 @@
         self.busy_s += busy_s
         if adapter is not None:
             self.adapters_s += busy_s
+            self.adapter_times += times
+            self.distinct_adapters += 1
 
 
 class Demand:
@@ -231,4 +238,6 @@
         # For as long as those of the window have run.
         running=rate * one.busy_s / one.times,
         adapters=one.adapters_s / span_s,
+        adapter_rate=rate * one.adapter_times / one.times,
+        distinct_adapters=one.distinct_adapters,
     )
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -15,6 +15,8 @@
     order,
     order_line,
     placement,
+    runs,
+    seen,
     tenure,
 )
 from oatcrank.routing import need, route, route_table, server_table
@@ -45,6 +47,7 @@
     ) -> None:
         """Order servers of a table by way of a sender."""
         self.asked = demand.Demand()
+        self.runs = runs.Runs()
         self._line = order_line.OrderLine(instance_id, sender)
         self._book = ledger_book.LedgerBook(servers, sender)
         self._servers = servers
@@ -296,7 +299,7 @@
         weighed = adapter_placement.AdapterPlacement(
             self._usable(wanted.service, unusable),
             engine,
-            self.asked,
+            seen.Seen(self.asked, self.runs),
             wanted.service,
         )
         chosen = weighed.best(wanted.model, boot_clock.now())
@@ -392,7 +395,7 @@
         return placement.Placement(
             self._usable(service, unusable),
             engine,
-            self.asked,
+            seen.Seen(self.asked, self.runs),
             service,
             boot_clock.now(),
             crowded=crowded,
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.orders import demand, ledger
+from oatcrank.orders import demand, ledger, seen
 from oatcrank.orders import spread as spreading
-from oatcrank.routing import route
+from oatcrank.routing import need, route
 
 # What was loaded this lately is kept, so that two models don't take turns.
 RESIDENCE_S = 2.0
@@ -78,7 +78,7 @@
         self,
         ledgers: Collection[ledger.Ledger],
         engine: route.Engine,
-        asked: demand.Demand,
+        demanded: seen.Seen,
         service: ids.ServiceName,
         now_s: float,
         *,
@@ -91,7 +91,8 @@
         self._crowded = crowded
         self._ledgers = ledgers
         self._engine = engine
-        self._asked = asked
+        self._asked = demanded.asked
+        self._runs = demanded.runs
         self._service = service
         self._now_s = now_s
 
@@ -231,11 +232,11 @@
         if self._asked.age_s(self._now_s) < YOUNG_DEMAND_S:
             return None
         server_id = one.listed.server_id
-        by_loss = sorted(
+        by_cost = sorted(
             one.adapters_by_model,
-            key=lambda model: self._loss(self._spread, model, server_id),
+            key=lambda model: self._unload_cost(model, server_id),
         )
-        for model in by_loss:
+        for model in by_cost:
             if not self._may_leave(one, model):
                 continue
             victims.append(model)
@@ -244,6 +245,15 @@
                 return victims
         return None
 
+    def _unload_cost(
+        self,
+        model: ids.ModelName,
+        server_id: ids.ServerId,
+    ) -> float:
+        """Return what an unload costs, its wait included."""
+        waits = LOADING_WEIGHT * self._unload_s(model, server_id)
+        return self._loss(self._spread, model, server_id) + waits
+
     def _may_leave(self, one: ledger.Ledger, model: ids.ModelName) -> bool:
         if self._now_s - one.loaded_s(model) < RESIDENCE_S:
             return False
@@ -278,13 +288,18 @@
     ) -> float:
         """Return how long an unload probably waits for the last run to end."""
         wanted = self.wanted(victim)
-        running = self._spread.running_at(server_id, victim)
-        if running <= 0:
+        running = self._runs.at(
+            server_id,
+            need.Need(self._service, victim),
+            self._now_s,
+        )
+        if not running or not wanted.rate:
             return UNLOAD_S
         mean_s = wanted.running / wanted.rate
-        any_runs = 1 - math.exp(-running)
-        runs_s = mean_s * any_runs * (1 + math.log(max(1, running)))
-        return UNLOAD_S + min(LONGEST_RUNS_S, runs_s)
+        return UNLOAD_S + min(
+            LONGEST_RUNS_S,
+            mean_s * (1 + math.log(running)),
+        )
 
     def _adapter_rate(self, one: ledger.Ledger) -> float:
         """Return the requests a second for adapters at a server."""
--- a/oatcrank/orders/spread.py
+++ b/oatcrank/orders/spread.py
@@ -19,6 +19,8 @@
 MOST_LATE = 0.8
 # Places for adapters weigh half as much as slots.
 ADAPTER_WEIGHT = 0.5
+# The share of requests that are late where their adapter is loaded for them.
+ADAPTER_MISS = 0.3
 
 
 Parts = dict[ids.ServerId, demand.ModelDemand]
@@ -122,7 +124,8 @@
 
     def lateness(self, model: ids.ModelName) -> float:
         """Return a model's requests a second that are late where they run."""
-        return sum(
+        missed = self._adapter_misses(model, self._holders(model))
+        return missed + sum(
             part.rate * self._place_by_id[server_id].late_share()
             for server_id, part in self._parts_by_model.get(model, {}).items()
         )
@@ -141,8 +144,26 @@
     ) -> float:
         present = self._holders(model)
         touched = {*present, *holders}
-        before = self.moved(model, present, touched)
-        return self.moved(model, holders, touched).on_time() - before.on_time()
+        before = self.moved(model, present, touched).on_time()
+        after = self.moved(model, holders, touched).on_time()
+        before -= self._adapter_misses(model, present)
+        after -= self._adapter_misses(model, holders)
+        return after - before
+
+    def _adapter_misses(
+        self,
+        model: ids.ModelName,
+        holders: Collection[ids.ServerId],
+    ) -> float:
+        """Return the requests a second that are late for want of an adapter."""
+        wanted = self.wanted(model)
+        if not wanted.distinct_adapters:
+            return 0
+        places = sum(
+            self._place_by_id[holder].adapter_places for holder in holders
+        )
+        missing = max(0, 1 - places / wanted.distinct_adapters)
+        return ADAPTER_MISS * wanted.adapter_rate * missing
 
     def _holders(self, model: ids.ModelName) -> list[ids.ServerId]:
         return list(self._parts_by_model.get(model, ()))
--- /dev/null
+++ b/tests/test_order_runs.py
@@ -0,0 +1,65 @@
+"""Test what is known of runs."""
+
+import pytest
+
+from oatcrank.cluster import demand_notes
+from oatcrank.orders import runs
+from oatcrank.routing import need
+
+MODEL = need.Need('words', 'm0')
+ADAPTED = need.Need('words', 'm0', 'a1')
+OTHER = need.Need('words', 'm0', 'a2')
+
+
+@pytest.mark.parametrize(
+    ('server_id', 'wanted', 'expected'),
+    [
+        ('server-0', MODEL, 4),
+        ('server-0', ADAPTED, 3),
+        ('server-0', OTHER, 0),
+        ('server-1', MODEL, 1),
+        ('server-2', MODEL, 0),
+    ],
+)
+def test_runs_of_all_instances_are_summed(server_id, wanted, expected):
+    found = runs.Runs()
+    found.take(
+        'instance-1',
+        [
+            runs.Running('server-0', ADAPTED, 2),
+            runs.Running('server-0', MODEL, 1),
+        ],
+        5.0,
+    )
+    found.take(
+        'instance-2',
+        [
+            runs.Running('server-0', ADAPTED, 1),
+            runs.Running('server-1', OTHER, 1),
+        ],
+        5.5,
+    )
+    assert found.at(server_id, wanted, 6.0) == expected
+
+
+def test_a_newer_report_takes_the_place_of_the_one_before():
+    found = runs.Runs()
+    found.take('instance-1', [runs.Running('server-0', MODEL, 5)], 5.0)
+    found.take('instance-1', [runs.Running('server-0', MODEL, 1)], 5.5)
+    assert found.at('server-0', MODEL, 5.6) == 1
+    assert found.at('server-0', MODEL, 5.6 + runs.STALE_S) == 0
+
+
+def test_notes_tell_what_runs_and_what_was_asked_since():
+    notes = demand_notes.DemandNotes()
+    for _ in range(3):
+        notes.note_demand(ADAPTED, 1.0)
+        notes.note_start('server-0', ADAPTED)
+    notes.note_end('server-0', ADAPTED, 0.7)
+    assert notes.running() == (runs.Running('server-0', ADAPTED, 2),)
+    ((asked),) = notes.take_news(1.5)
+    assert (asked.times, asked.busy_s, asked.age_s) == (3, 0.7, 0.5)
+    assert not notes.take_news(2.0)
+    notes.note_end('server-0', ADAPTED, 0.1)
+    notes.note_end('server-0', ADAPTED, 0.1)
+    assert not notes.running()
