Weigh a load by how late it is; let declined requests try further servers

Cause: a load that must wait for long runs gained as much as a quick one, so a model in demand was placed where it took seven seconds. What an absent model loses did not depend on how long its load takes (1 s at one site, 6 s at the other). A request that two servers had declined, without running it, was refused "no server to use" although others held what it needed.

Change: what a load gains shrinks with the time until it is done; an absent model loses half of its demand and a fifth more for each second of its load. Only servers on which a request may have run count as its servers.

--- a/oatcrank/forwarding/attempt_state.py
+++ b/oatcrank/forwarding/attempt_state.py
@@ -49,6 +49,11 @@
     return Step.send_again
 
 
+def may_have_run(progress: Progress) -> bool:
+    """Tell whether the server may have run what was sent."""
+    return progress in {Progress.written, Progress.answered}
+
+
 class History:
     """Keep what all attempts of one request amount to."""
 
@@ -58,7 +63,7 @@
 
     def note(self, progress: Progress) -> None:
         """Take the end of one attempt."""
-        if progress in {Progress.written, Progress.answered}:
+        if may_have_run(progress):
             self._may_have_run = True
 
     @property
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -49,8 +49,9 @@
         self._route = on_route
         self._out = out
         self._history = attempt_state.History()
-        self._sends = 0
         self._paced_s = float(0)
+        self._sent_to: list[ids.ServerId] = []
+        # Those of them on which it may have run.
         self._tried: list[ids.ServerId] = []
         self._failed_answer: attempt.HeldAnswer | None = None
         self._cutter = event_cutter.EventCutter(request.last_event_id)
@@ -109,10 +110,9 @@
             if not await self._has_turn(chosen, search):
                 continue
             self._account()
-            if chosen.server_id not in self._tried:
-                self._tried.append(chosen.server_id)
-            self._sends += 1
+            self._sent_to.append(chosen.server_id)
             ended = await self._attempt(chosen)
+            self._note_tried(chosen.server_id, ended.progress)
             if await self._settle(ended, chosen, search):
                 return
 
@@ -142,12 +142,22 @@
             self._paced_s += self._shared.now() - now_s
         return chosen.usable(self._shared.now())
 
+    def _note_tried(
+        self,
+        server_id: ids.ServerId,
+        progress: attempt_state.Progress,
+    ) -> None:
+        """Count the servers on which the request may have run."""
+        if attempt_state.may_have_run(progress):
+            if server_id not in self._tried:
+                self._tried.append(server_id)
+
     def _account(self) -> None:
         """Count a first send, or spend one of the retries."""
         now_s = self._shared.now()
-        if self._sends >= MOST_SENDS:
+        if len(self._sent_to) >= MOST_SENDS:
             raise refusal.Refused('sent too often', FAILED_RETURN_S)
-        if not self._sends:
+        if not self._sent_to:
             self._shared.retries.note_first(self._wanted.service, now_s)
         elif not self._shared.retries.spend(self._wanted.service, now_s):
             raise refusal.Refused('no retries left', FAILED_RETURN_S)
@@ -223,8 +233,7 @@
         if ended.progress is attempt_state.Progress.written:
             search.avoid(chosen.server_id)
         elif ended.progress is attempt_state.Progress.unsent:
-            # Nothing has reached it: it doesn't count as one of the servers.
-            self._tried.remove(chosen.server_id)
+            return
         elif ended.not_held:
             chosen.forget(self._wanted)
         elif self._wanted.model is not None:
@@ -322,8 +331,8 @@
             route=self._route.name,
             model=self._wanted.model or '',
             adapter=self._wanted.adapter or '',
-            servers=','.join(self._tried),
-            sends=self._sends,
+            servers=','.join(self._sent_to),
+            sends=len(self._sent_to),
             paced_ms=round(self._paced_s * 1000),
             outcome=self._outcome,
             ms=round(took_s * 1000),
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -22,9 +22,12 @@
 DISPLACING_DEMAND = 1.3
 # Requests a second that a last replica is worth beyond its demand.
 LAST_REPLICA = 0.05
-# The share of a model's demand that suffers while it is loaded again, from the
-# copy that its server keeps.
-RELOAD_SHARE = 0.75
+# The share of a model's demand that suffers where it is loaded again and again:
+# that of a quick load, more for each second of it, up to all.
+QUICK_RELOAD_SHARE = 0.5
+RELOAD_SHARE_PER_S = 0.2
+# How long what a load gains lasts: a later one gains for a shorter time.
+GAIN_LASTS_S = 10.0
 # The share of a model's demand that its second replica is worth for each second
 # that a load takes: the first may be lost.
 SECOND_REPLICA_PER_S = 0.01
@@ -215,7 +218,8 @@
                 choice=choice,
                 gained=gained,
                 lost=lost,
-                effort=(LOADING_WEIGHT + blocked) * load_s,
+                effort=(LOADING_WEIGHT + blocked) * load_s
+                + gained * load_s / GAIN_LASTS_S,
             ),
         ]
 
@@ -269,17 +273,25 @@
         """Return the requests a second that a replica's unload costs."""
         replicas = spread.replicas(model)
         if replicas <= 1:
-            return RELOAD_SHARE * spread.wanted(model).rate + LAST_REPLICA
+            share = self._reload_share(model)
+            return share * spread.wanted(model).rate + LAST_REPLICA
         lost = spread.loss(model, server_id)
         if replicas == 2:
             lost += self._spare_worth(model)
         return lost
 
+    def _reload_share(self, name: ids.ModelName) -> float:
+        load_s = self._store_load_s(name)
+        return min(1, QUICK_RELOAD_SHARE + RELOAD_SHARE_PER_S * load_s)
+
     def _spare_worth(self, name: ids.ModelName) -> float:
         """Return what a second replica is worth in requests a second."""
+        spared_s = SECOND_REPLICA_PER_S * self._store_load_s(name)
+        return self.wanted(name).rate * spared_s
+
+    def _store_load_s(self, name: ids.ModelName) -> float:
         found = self._engine.model_by_name.get(name)
-        load_s = 0 if found is None else found.store_load_s
-        return self.wanted(name).rate * SECOND_REPLICA_PER_S * load_s
+        return 0 if found is None else found.store_load_s
 
     def _unload_s(
         self,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -37,6 +37,14 @@
         (IDEMPOTENT, [MANNER.reset, MANNER.reset], 502, b'', 2),
         (IDEMPOTENT, [MANNER.reset, MANNER.full], 200, b'whole', 2),
         (IDEMPOTENT, [MANNER.reset, *FULL], 502, b'', 1),
+        # Servers that declined don't count as servers of its own.
+        (
+            IDEMPOTENT,
+            [MANNER.full, MANNER.full, MANNER.reset],
+            200,
+            b'whole',
+            2,
+        ),
         (IDEMPOTENT, FULL, 503, b'', 0),
         (ONCE, FULL, 503, b'', 0),
         # What may run once runs once, and no refusal claims otherwise.
