Keep servers from long unloads for rare models; let bursts wait their turn

Cause: each swap of a rarely wanted model kept its server from all other orders for the 2 to 4 s that runs take to end, and its callers were late all the same. After a restart of all instances everybody asks at once; prompts that had waited half of their target were sent together, and all streams paused for 350 ms.

Change: a model that callers wait for is loaded only where its demand outweighs what makes way and the time that the load keeps its server; each time it is denied it is worth more. A prompt that must go waits for its turn up to 1.5 s.

test_models_asked_for_now_and_then_share_a_place said that a model makes way for one wanted as much at once; now it does so when that one was denied before, and a table row and a test of its own say so.

--- a/oatcrank/forwarding/pacer.py
+++ b/oatcrank/forwarding/pacer.py
@@ -17,5 +17,5 @@
     ) -> float:
         """Return how long a prompt waits for its turn, in seconds.
 
-        It has no turn where that is longer than it waits.
+        It has no turn where that is longer than it would wait.
         """
--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -133,7 +133,7 @@
         chosen.in_flight += 1
         try:
             wait_s = await self._shared.pacer.reserve(chosen.server_id, prompt)
-            if wait_s > prompt.most_s:
+            if wait_s > prompt.most_s and not prompt.must:
                 search.pass_behind(chosen.server_id, wait_s)
                 return False
             await asyncio.sleep(wait_s)
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -1,6 +1,7 @@
 """Give orders while this instance holds the lease for it."""
 
 import asyncio
+import collections
 import time
 
 from oatcrank import ids, logs
@@ -60,6 +61,10 @@
             need.Need, asyncio.Task[arrangement.Placed]
         ] = {}
         self._ready_s_by_need: dict[need.Need, float] = {}
+        # How often models had no place since they were last given one.
+        self._denied_by_need: collections.Counter[need.Need] = (
+            collections.Counter()
+        )
         self._replicas: set[asyncio.Task[arrangement.Placed]] = set()
 
     @property
@@ -207,8 +212,10 @@
         chosen = self._placement(wanted.service, engine, unusable).missing(
             wanted.model,
             store_loads=ceiling.has_room(boot_clock.now()),
+            denied=self._denied_by_need[wanted],
         )
         if chosen is None:
+            self._denied_by_need[wanted] += 1
             raise arrangement.NoPlace(
                 'no place for the model', NO_PLACE_RETURN_S
             )
@@ -222,6 +229,7 @@
         chosen: placement.Choice,
     ) -> None:
         """Keep the chosen server for one load, so that no other takes it."""
+        self._denied_by_need.pop(wanted, None)
         now_s = boot_clock.now()
         self._log_place(wanted, chosen)
         self._ready_s_by_need[wanted] = now_s + chosen.load_s
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -31,6 +31,8 @@
 # The share of a model's demand that its second replica is worth for each second
 # that a load takes: the first may be lost.
 SECOND_REPLICA_PER_S = 0.01
+# Requests a second that a model is worth more for each time it had no place.
+DENIED = 0.1
 # What gains less, in requests a second, is not worth an order.
 LEAST_GAIN = 0.1
 # Models that are weighed for one more replica at a time, the latest first.
@@ -108,16 +110,19 @@
         name: ids.ModelName,
         *,
         store_loads: bool,
+        denied: int = 0,
     ) -> Choice | None:
         """Return where to load a model that callers wait for, if anywhere.
 
-        Its demand is all gained, as none of it is served now.
+        Its demand is all gained, as none of it is served now.  The more often
+        it was denied a place, the more it is worth one.
         """
-        gained = LAST_REPLICA + self.wanted(name).rate
+        gained = LAST_REPLICA + self.wanted(name).rate + DENIED * denied
         options = [
             one
             for one in self._options(name, store_loads=store_loads)
-            if not one.choice.unload or one.lost * DISPLACING_DEMAND <= gained
+            if not one.choice.unload
+            or one.lost * DISPLACING_DEMAND + one.effort <= gained
         ]
         return _best(options)
 
--- a/oatcrank/routing/pace.py
+++ b/oatcrank/routing/pace.py
@@ -11,12 +11,15 @@
 READ_TOKENS_PER_S = 38_000
 # The share of a server's time that may go to reading prompts.
 READING_SHARE = 0.5
+# The longest that a prompt waits that must go: its caller is still there then.
+LONGEST_WAIT_S = 1.5
 
 
 class Prompt(msgspec.Struct, frozen=True, kw_only=True):
     """Describe a prompt that wants its turn at a server.
 
-    It waits most_s seconds at most; one that must go does so then, in any case.
+    One that would wait longer than most_s seconds rather has no turn, unless it
+    must go.
     """
 
     tokens: int
@@ -34,13 +37,12 @@
     def reserve(self, prompt: Prompt, now_s: float) -> float:
         """Return how long a prompt waits for its turn, in seconds.
 
-        It has no turn where that is longer than it waits.
+        It has no turn where that is longer than it would wait.
         """
         wait_s = max(0, self._free_s - now_s)
-        if wait_s > prompt.most_s:
-            if not prompt.must:
-                return wait_s
-            wait_s = prompt.most_s
+        if wait_s > prompt.most_s and not prompt.must:
+            return wait_s
+        wait_s = min(LONGEST_WAIT_S, wait_s)
         takes_s = prompt.tokens / READ_TOKENS_PER_S / READING_SHARE
         self._free_s = max(self._free_s, now_s + wait_s + takes_s)
         return wait_s
