Split the order desk; unload nothing before all have told what runs

In the first 0.7 s of a turn nothing makes way; what has room is loaded. A load keeps the ledger that it was claimed on, also across turns.

--- /dev/null
+++ b/oatcrank/orders/adapter_orders.py
@@ -0,0 +1,74 @@
+"""Have adapters loaded at servers that hold their model."""
+
+from oatcrank.orders import (
+    adapter_placement,
+    arrangement,
+    boot_clock,
+    ledger,
+    ledger_book,
+    order,
+    order_line,
+    weighing,
+)
+from oatcrank.routing import need
+
+# How long an adapter takes to arrive, and how soon to ask again for one.
+LOAD_S = 0.02
+AGAIN_S = 0.1
+
+
+class AdapterOrders:
+    """Order adapters, one at a time at each server."""
+
+    def __init__(
+        self,
+        line: order_line.OrderLine,
+        book: ledger_book.LedgerBook,
+        weighed: weighing.Weighing,
+    ) -> None:
+        """Send by a line what the weighing decides."""
+        self._line = line
+        self._book = book
+        self._weighing = weighed
+
+    async def load(
+        self,
+        wanted: need.Need,
+        unusable: weighing.Unusable,
+    ) -> arrangement.Placed:
+        """Return where an adapter is, or raise NotOrdered."""
+        if wanted.model is None or wanted.adapter is None:
+            raise arrangement.NotOrdered('no adapter named', 0, hopeless=True)
+        weighed = self._weighing.adapters(wanted.service, unusable)
+        chosen = weighed.best(wanted.model, boot_clock.now())
+        if chosen is None:
+            raise arrangement.NotOrdered('no place for the adapter', AGAIN_S)
+        one = self._book.by_id[chosen.server_id]
+        async with self._book.lock_by_id[chosen.server_id]:
+            held = self._book.held(wanted, unusable)
+            if held is not None:
+                return held
+            # Others may have had orders sent while this one waited.
+            chosen = weighed.at(one, wanted.model, boot_clock.now())
+            if chosen is None:
+                raise arrangement.NotOrdered('the place is taken', AGAIN_S)
+            await self._send(one, wanted, chosen)
+        return arrangement.Placed(wait_s=LOAD_S, server_id=chosen.server_id)
+
+    async def _send(
+        self,
+        one: ledger.Ledger,
+        wanted: need.Need,
+        chosen: adapter_placement.Choice,
+    ) -> None:
+        if chosen.unload is not None:
+            await self._line.send(one, order.Action.unload, *chosen.unload, 0)
+        if one.work is not None or wanted.model is None:
+            raise arrangement.NotOrdered('the place is in use', AGAIN_S)
+        await self._line.send(
+            one,
+            order.Action.load,
+            wanted.model,
+            wanted.adapter,
+            0,
+        )
--- /dev/null
+++ b/oatcrank/orders/model_orders.py
@@ -0,0 +1,246 @@
+"""Have models loaded, one load at a time at each server."""
+
+import asyncio
+import collections
+
+from oatcrank import ids, logs
+from oatcrank.orders import (
+    arrangement,
+    boot_clock,
+    ledger,
+    ledger_book,
+    load_ceiling,
+    order,
+    order_line,
+    placement,
+    weighing,
+)
+from oatcrank.routing import need, route, server_table
+
+ASK_AGAIN_S = 0.25
+NO_PLACE_RETURN_S = 1.0
+UNLOAD_WAIT_S = 6.0
+LOOK_S = 0.05
+
+
+class ModelOrders:
+    """Order loads of models, and what makes way for them."""
+
+    def __init__(
+        self,
+        line: order_line.OrderLine,
+        book: ledger_book.LedgerBook,
+        weighed: weighing.Weighing,
+        servers: server_table.ServerTable,
+    ) -> None:
+        """Send by a line what the weighing decides."""
+        self._line = line
+        self._book = book
+        self._weighing = weighed
+        self._servers = servers
+        self._ceiling_by_service: dict[
+            ids.ServiceName,
+            load_ceiling.LoadCeiling,
+        ] = {}
+        self._ready_s_by_need: dict[need.Need, float] = {}
+        # How often models had no place since they were last given one.
+        self._denied_by_need: collections.Counter[need.Need] = (
+            collections.Counter()
+        )
+        self._replicas: set[asyncio.Task[arrangement.Placed]] = set()
+
+    def begin(self) -> None:
+        """Forget what was counted in an earlier turn."""
+        self._ceiling_by_service.clear()
+
+    def store_loads(self) -> int | None:
+        """Return how many loads of the last seconds count, if that is known."""
+        now_s = boot_clock.now()
+        known = [one.recent(now_s) for one in self._ceiling_by_service.values()]
+        if known:
+            return sum(known)
+        turn = self._line.turn
+        return 0 if turn is None else turn.former_loads
+
+    def left_s(self, model: need.Need) -> float:
+        """Return how much longer a load under way probably takes."""
+        ready_s = self._ready_s_by_need.get(model, float('-inf'))
+        return max(ASK_AGAIN_S, ready_s - boot_clock.now())
+
+    async def load(
+        self,
+        wanted: need.Need,
+        unusable: weighing.Unusable,
+    ) -> arrangement.Placed:
+        """Load a model that no server holds, or raise NotOrdered."""
+        self._line.check_turn()
+        if self._is_claimed(wanted):
+            return arrangement.Placed(wait_s=self.left_s(wanted))
+        if wanted.model is None:
+            raise arrangement.NotOrdered('no model named', 0, hopeless=True)
+        engine = self._weighing.engine(wanted.service)
+        ceiling = self._ceiling(wanted.service, engine)
+        weighed = self._weighing.models(wanted.service, unusable)
+        chosen = weighed.missing(
+            wanted.model,
+            store_loads=ceiling.has_room(boot_clock.now()),
+            denied=self._denied_by_need[wanted],
+        )
+        if chosen is None:
+            self._denied_by_need[wanted] += 1
+            raise arrangement.NoPlace(
+                'no place for the model', NO_PLACE_RETURN_S
+            )
+        _log_place(wanted, weighed, chosen)
+        one = self._claim(wanted, engine, chosen)
+        return await self._place(one, engine, chosen)
+
+    def replicate(self, service: ids.ServiceName) -> None:
+        """Begin to load the replica that gains most, if any does."""
+        engine = self._weighing.engine(service)
+        ceiling = self._ceiling(service, engine)
+        weighed = self._weighing.models(service)
+        chosen = weighed.replica(
+            store_loads=ceiling.has_room(boot_clock.now()),
+        )
+        if chosen is None:
+            return
+        wanted = need.Need(service, chosen.model)
+        _log_place(wanted, weighed, chosen)
+        one = self._claim(wanted, engine, chosen)
+        work = asyncio.ensure_future(self._place(one, engine, chosen))
+        self._replicas.add(work)
+        work.add_done_callback(
+            lambda ended: self._forget_replica(wanted, ended),
+        )
+
+    def _forget_replica(
+        self,
+        wanted: need.Need,
+        ended: asyncio.Task[arrangement.Placed],
+    ) -> None:
+        self._replicas.discard(ended)
+        log_failure(wanted, ended)
+
+    def _claim(
+        self,
+        wanted: need.Need,
+        engine: route.Engine,
+        chosen: placement.Choice,
+    ) -> ledger.Ledger:
+        """Keep the chosen server for one load, so that no other takes it."""
+        self._denied_by_need.pop(wanted, None)
+        now_s = boot_clock.now()
+        self._ready_s_by_need[wanted] = now_s + chosen.load_s
+        if chosen.from_store:
+            self._ceiling(wanted.service, engine).note(now_s)
+        one = self._book.by_id[chosen.server_id]
+        one.claim = ledger.Claim(load=chosen.model, unload=chosen.unload)
+        return one
+
+    def _is_claimed(self, wanted: need.Need) -> bool:
+        """Tell whether a place for a model is being made."""
+        return any(
+            one.claim is not None and one.claim.load == wanted.model
+            for one in self._book.of_service(wanted.service)
+        )
+
+    async def _place(
+        self,
+        one: ledger.Ledger,
+        engine: route.Engine,
+        chosen: placement.Choice,
+    ) -> arrangement.Placed:
+        """Have a model loaded at the server that is kept for it."""
+        found = engine.model_by_name[chosen.model]
+        try:
+            await self._carry_out(one, chosen, found)
+        finally:
+            one.claim = None
+        return arrangement.Placed(wait_s=one.load_s(found))
+
+    async def _carry_out(
+        self,
+        one: ledger.Ledger,
+        chosen: placement.Choice,
+        wanted: route.Model,
+    ) -> None:
+        for model in chosen.unload:
+            await self._order(one, order.Action.unload, model, None, 0)
+            await self._idle(one)
+        await self._order(
+            one,
+            order.Action.load,
+            wanted.name,
+            None,
+            one.load_s(wanted),
+        )
+
+    async def _idle(self, one: ledger.Ledger) -> None:
+        """Wait until a server has carried out an order."""
+        ends_s = boot_clock.now() + UNLOAD_WAIT_S
+        while one.work is not None:
+            if boot_clock.now() > ends_s:
+                one.distrust()
+                raise arrangement.NotOrdered(
+                    'an unload takes too long', ASK_AGAIN_S
+                )
+            await self._servers.changed(LOOK_S)
+            self._book.follow(one.listed.service)
+
+    async def _order(
+        self,
+        one: ledger.Ledger,
+        action: order.Action,
+        model: ids.ModelName,
+        adapter: ids.AdapterName | None,
+        takes_s: float,
+    ) -> None:
+        async with self._book.lock_by_id[one.listed.server_id]:
+            await self._line.send(one, action, model, adapter, takes_s)
+
+    def _ceiling(
+        self,
+        service: ids.ServiceName,
+        engine: route.Engine,
+    ) -> load_ceiling.LoadCeiling:
+        found = self._ceiling_by_service.get(service)
+        if found is None:
+            found = load_ceiling.LoadCeiling(engine.store_loads_per_s)
+            turn = self._line.turn
+            if turn is not None:
+                found.inherit(turn.former_loads, turn.acquired_s)
+            self._ceiling_by_service[service] = found
+        return found
+
+
+def _log_place(
+    wanted: need.Need,
+    weighed: placement.Placement,
+    chosen: placement.Choice,
+) -> None:
+    asked = weighed.wanted(chosen.model)
+    logs.event(
+        'model_placed',
+        service=wanted.service,
+        model=chosen.model,
+        server=chosen.server_id,
+        unload=','.join(chosen.unload),
+        load_s=round(chosen.load_s, 2),
+        from_store=chosen.from_store,
+        demand=round(asked.rate, 2),
+        running=round(asked.running, 2),
+        replicas=weighed.replicas(chosen.model),
+    )
+
+
+def log_failure(
+    wanted: need.Need,
+    ended: asyncio.Task[arrangement.Placed],
+) -> None:
+    """Log why a load that was begun has failed, if it has."""
+    if ended.cancelled():
+        return
+    error = ended.exception()
+    if error is not None:
+        logs.event('not_loaded', model=wanted.model, reason=error)
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -88,12 +88,15 @@
         now_s: float,
         *,
         crowded: frozenset[ids.ServerId] = NONE_CROWDED,
+        told: bool = True,
     ) -> None:
         """Decide for the servers of a service at a moment.
 
-        At crowded ones requests wait: an unload would turn them away.
+        At crowded ones requests wait: an unload would turn them away.  Unless
+        all instances have told what runs, nothing makes way.
         """
         self._crowded = crowded
+        self._told = told
         self._ledgers = ledgers
         self._engine = engine
         self._asked = demanded.asked
@@ -105,6 +108,10 @@
         """Return the demand for a model."""
         return self._spread.wanted(name)
 
+    def replicas(self, name: ids.ModelName) -> int:
+        """Return how many servers hold a model, or will by what is decided."""
+        return self._spread.replicas(name)
+
     def missing(
         self,
         name: ids.ModelName,
@@ -238,7 +245,8 @@
         victims: list[ids.ModelName] = []
         if missing_mb <= 0:
             return victims
-        if self._asked.age_s(self._now_s) < YOUNG_DEMAND_S:
+        young = self._asked.age_s(self._now_s) < YOUNG_DEMAND_S
+        if young or not self._told:
             return None
         server_id = one.listed.server_id
         by_cost = sorted(
--- /dev/null
+++ b/oatcrank/orders/weighing.py
@@ -0,0 +1,124 @@
+"""Put together what placement weighs for one service at a moment."""
+
+import time
+
+from oatcrank import ids
+from oatcrank.orders import (
+    adapter_placement,
+    arrangement,
+    boot_clock,
+    ledger,
+    ledger_book,
+    order_line,
+    placement,
+    seen,
+)
+from oatcrank.routing import route, route_table, server_table
+
+# With more requests per slot, some wait at the server.
+CROWDED_LOAD = 0.7
+# All instances have told a new holder by then what is asked for and what runs.
+TOLD_WITHIN_S = 0.7
+Unusable = tuple[ids.ServerId, ...]
+
+
+class Weighing:
+    """Weigh the servers of a service against what is seen of requests."""
+
+    def __init__(
+        self,
+        book: ledger_book.LedgerBook,
+        servers: server_table.ServerTable,
+        routes: route_table.RouteTable,
+        demanded: seen.Seen,
+        line: order_line.OrderLine,
+    ) -> None:
+        """Take servers and configuration from tables, the turn from a line."""
+        self._line = line
+        self._book = book
+        self._servers = servers
+        self._routes = routes
+        self._seen = demanded
+
+    def engine(self, service: ids.ServiceName) -> route.Engine:
+        """Return what a service's servers can hold, or raise NotOrdered."""
+        configuration = self._routes.configuration
+        found = (
+            configuration and configuration.service_by_name.get(service)
+        ) or None
+        if found is None or found.engine is None:
+            raise arrangement.NotOrdered(
+                'the service has no models', 0, hopeless=True
+            )
+        return found.engine
+
+    def engine_services(self) -> tuple[ids.ServiceName, ...]:
+        """Return the services whose servers hold models."""
+        configuration = self._routes.configuration
+        if configuration is None:
+            return ()
+        return tuple(
+            one.name
+            for one in configuration.service_by_name.values()
+            if one.engine is not None
+        )
+
+    def models(
+        self,
+        service: ids.ServiceName,
+        unusable: Unusable = (),
+    ) -> placement.Placement:
+        """Return the placement of models among usable servers."""
+        now_s = time.monotonic()
+        crowded = frozenset(
+            one.server_id
+            for one in self._servers.of_service(service)
+            if one.load(now_s) > CROWDED_LOAD
+        )
+        return placement.Placement(
+            self._usable(service, unusable),
+            self.engine(service),
+            self._seen,
+            service,
+            boot_clock.now(),
+            crowded=crowded,
+            told=self._is_told(),
+        )
+
+    def adapters(
+        self,
+        service: ids.ServiceName,
+        unusable: Unusable,
+    ) -> adapter_placement.AdapterPlacement:
+        """Return the placement of adapters among usable servers."""
+        return adapter_placement.AdapterPlacement(
+            self._usable(service, unusable),
+            self.engine(service),
+            self._seen,
+            service,
+        )
+
+    def _is_told(self) -> bool:
+        """Tell whether the other instances have had time to report."""
+        turn = self._line.turn
+        if turn is None:
+            return False
+        return boot_clock.now() - turn.acquired_s >= TOLD_WITHIN_S
+
+    def _usable(
+        self,
+        service: ids.ServiceName,
+        unusable: Unusable,
+    ) -> list[ledger.Ledger]:
+        """Return the ledgers of servers that nobody has found unusable."""
+        now_s = time.monotonic()
+        own = {
+            one.server_id
+            for one in self._servers.of_service(service)
+            if one.usable(now_s)
+        }
+        return [
+            one
+            for one in self._book.of_service(service)
+            if one.listed.server_id in own.difference(unusable)
+        ]
