Keep changed bounds at once; name the reading speed on the command line

How fast servers read prompts was a constant in the code.

Check: tests/test_retry_window.py, tests/test_pace.py.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -69,6 +69,7 @@
         own: member.Member,
         bounds: Bounds,
         ports: Ports,
+        read_tokens_per_s: float,
     ) -> None:
         """Build all parts; nothing runs yet."""
         self._bounds = bounds
@@ -109,7 +110,10 @@
             self.members,
             self.servers,
         )
-        self._pace = pace_keepers.PaceKeepers(self.members)
+        self._pace = pace_keepers.PaceKeepers(
+            self.members,
+            read_tokens_per_s,
+        )
         crashes = crash_record.CrashRecord()
         self.peer = own_peer.OwnPeer(
             self._desk,
@@ -119,18 +123,19 @@
             self.servers,
         )
         self._desk.tell_unloads(self.peer.tell_unload)
+        self._retries = retry_budgets.RetryBudgets(
+            ratio=bounds.retry_ratio,
+            allowance=bounds.retry_allowance,
+            window_s=bounds.retry_window_s,
+            instances=lambda: self.members.most,
+        )
         self._forwarder = forwarder.Forwarder(
             parts.Parts(
                 dialect=ports.dialect,
                 routes=self.routes,
                 servers=self.servers,
                 chooser=choice.Chooser(own.failure_domain, dice),
-                retries=retry_budgets.RetryBudgets(
-                    ratio=bounds.retry_ratio,
-                    allowance=bounds.retry_allowance,
-                    window_s=bounds.retry_window_s,
-                    instances=lambda: self.members.most,
-                ),
+                retries=self._retries,
                 arranger=self._arranger,
                 pacer=self._pace,
                 crashes=crashes,
@@ -150,6 +155,16 @@
         """Tell whether callers should come here."""
         return self.members.own.ready
 
+    def renew(self, bounds: Bounds) -> None:
+        """Keep other bounds from now on."""
+        self._bounds = bounds
+        self._turn.turn_s = bounds.order_turn_s
+        self._retries.renew(
+            ratio=bounds.retry_ratio,
+            allowance=bounds.retry_allowance,
+            window_s=bounds.retry_window_s,
+        )
+
     async def start(self, host: str, port: int) -> None:
         """Listen for callers and begin to follow the store."""
         self._listening = await asyncio.get_running_loop().create_server(
--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -56,7 +56,7 @@
         self._members = known
         self._session = own_session
         self._desk = desk
-        self._turn_s = turn_s
+        self.turn_s = turn_s
         self._client = client
         self._wanted = True
         self._lease: store.LeaseId | None = None
@@ -281,7 +281,7 @@
             fence=revision,
             sent_s=sent_s,
             now_s=boot_clock.now(),
-            own_orders_end_s=self._desk.last_order_s + self._turn_s,
+            own_orders_end_s=self._desk.last_order_s + self.turn_s,
             first=former is None,
         )
         self._lease = lease
--- a/oatcrank/cluster/pace_keepers.py
+++ b/oatcrank/cluster/pace_keepers.py
@@ -51,9 +51,14 @@
 class PaceKeepers(pacer.Pacer, asyncio.DatagramProtocol):
     """Keep the pace of some servers, and ask others for the rest."""
 
-    def __init__(self, known: members.Members) -> None:
+    def __init__(
+        self,
+        known: members.Members,
+        read_tokens_per_s: float = pace.READ_TOKENS_PER_S,
+    ) -> None:
         """Share the servers among the members."""
         self._members = known
+        self._read_tokens_per_s = read_tokens_per_s
         self._pace_by_id: dict[ids.ServerId, pace.Pace] = {}
         self._keeper_by_id: dict[ids.InstanceId, _Keeper] = {}
         self._numbers = itertools.count(1)
@@ -179,7 +184,7 @@
         found = self._pace_by_id.get(server_id)
         if found is None:
             self._forget_free(now_s)
-            found = pace.Pace()
+            found = pace.Pace(self._read_tokens_per_s)
             self._pace_by_id[server_id] = found
         return found.reserve(prompt, now_s)
 
--- a/oatcrank/platform/platform_command.py
+++ b/oatcrank/platform/platform_command.py
@@ -8,6 +8,7 @@
 from oatcrank import errors, logs
 from oatcrank.commands import command
 from oatcrank.platform import serve, settings
+from oatcrank.routing import pace
 
 METRICS_PORT = 9464
 
@@ -33,6 +34,14 @@
             metavar='PORT',
             help='where /metrics is served',
         )
+        parser.add_argument(
+            '--read-tokens-per-s',
+            type=float,
+            default=pace.READ_TOKENS_PER_S,
+            metavar='TOKENS',
+            help='tokens of prompts that a model server reads in a second, '
+            'by which prompts are spaced (default: %(default)s)',
+        )
         parser.add_argument(
             '--check',
             action='store_true',
@@ -49,8 +58,17 @@
         except errors.SettingsError as error:
             sys.stderr.write(f'{error}\n')
             return command.ExitStatus.usage
+        if options.read_tokens_per_s <= 0:
+            sys.stderr.write('--read-tokens-per-s must be above 0\n')
+            return command.ExitStatus.usage
         if options.check:
             return command.ExitStatus.success
         logs.start_standard_output(chosen.node_name)
-        asyncio.run(serve.serve(options.settings, options.metrics_port))
+        asyncio.run(
+            serve.serve(
+                options.settings,
+                options.metrics_port,
+                options.read_tokens_per_s,
+            ),
+        )
         return command.ExitStatus.success
--- a/oatcrank/platform/serve.py
+++ b/oatcrank/platform/serve.py
@@ -31,7 +31,11 @@
         self.write(prometheus_client.generate_latest())
 
 
-async def serve(path: str, metrics_port: int) -> None:
+async def serve(
+    path: str,
+    metrics_port: int,
+    read_tokens_per_s: float,
+) -> None:
     """Serve by the settings at a path until told to stop."""
     chosen = settings.read(path)
     told = asyncio.Event()
@@ -46,11 +50,11 @@
         front=chosen.listen.front,
         process_s=round(time.process_time(), 3),
     )
-    serving = _instance(chosen)
+    serving = _instance(chosen, read_tokens_per_s)
     _listen(serving, chosen, metrics_port)
     host, _, port = chosen.listen.front.rpartition(':')
     await serving.start(host, int(port))
-    following = asyncio.ensure_future(_follow(path, chosen, reload))
+    following = asyncio.ensure_future(_follow(path, chosen, reload, serving))
     await told.wait()
     logs.event('stop_begins')
     following.cancel()
@@ -58,7 +62,10 @@
     logs.event('stop')
 
 
-def _instance(chosen: settings.Settings) -> instance.Instance:
+def _instance(
+    chosen: settings.Settings,
+    read_tokens_per_s: float,
+) -> instance.Instance:
     return instance.Instance(
         chosen.member(int(time.time() * 1000)),
         chosen.shared_bounds(),
@@ -68,6 +75,7 @@
             dialect=dialect.PlatformDialect(),
             sender=orders.WorkerOrders(),
         ),
+        read_tokens_per_s,
     )
 
 
@@ -99,8 +107,12 @@
     path: str,
     chosen: settings.Settings,
     reload: asyncio.Event,
+    serving: instance.Instance,
 ) -> None:
-    """Read the settings anew on SIGHUP, and when the file has changed."""
+    """Read the settings anew on SIGHUP, and when the file has changed.
+
+    Bounds are kept from then on, all else from the next start.
+    """
     seen = _stamp(path)
     while True:
         try:
@@ -116,8 +128,13 @@
         except settings.errors.SettingsError as error:
             logs.event('reload_failed', error=error)
             continue
-        logs.event('reload', changed=newest != chosen)
+        logs.event(
+            'reload',
+            changed=newest != chosen,
+            bounds_changed=newest.bounds != chosen.bounds,
+        )
         chosen = newest
+        serving.renew(chosen.shared_bounds())
 
 
 def _stamp(path: str) -> int:
--- a/oatcrank/routing/pace.py
+++ b/oatcrank/routing/pace.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-# Tokens of prompts that a server reads in a second.
+# Tokens of prompts that a server reads in a second, if no setting says else.
 READ_TOKENS_PER_S = 38_000
 # The share of a server's time that may go to reading prompts.
 READING_SHARE = 0.5
@@ -30,8 +30,9 @@
 class Pace:
     """Hold when the next prompt may go to a server."""
 
-    def __init__(self) -> None:
+    def __init__(self, read_tokens_per_s: float = READ_TOKENS_PER_S) -> None:
         """Let the first prompt go at once."""
+        self._read_tokens_per_s = read_tokens_per_s
         self._free_s = float(0)
 
     def reserve(self, prompt: Prompt, now_s: float) -> float:
@@ -43,7 +44,7 @@
         if wait_s > prompt.most_s and not prompt.must:
             return wait_s
         wait_s = min(LONGEST_WAIT_S, wait_s)
-        takes_s = prompt.tokens / READ_TOKENS_PER_S / READING_SHARE
+        takes_s = prompt.tokens / self._read_tokens_per_s / READING_SHARE
         self._free_s = max(self._free_s, now_s + wait_s + takes_s)
         return wait_s
 
--- a/oatcrank/routing/retry_window.py
+++ b/oatcrank/routing/retry_window.py
@@ -20,6 +20,12 @@
         self._firsts: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def renew(self, *, ratio: float, allowance: float, window_s: float) -> None:
+        """Change the bound; what was counted goes on to count."""
+        self._ratio = ratio
+        self._allowance = allowance
+        self._window_s = window_s
+
     def note_first(self, now_s: float) -> None:
         """Count the first send of a request."""
         self._firsts.append(now_s)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -170,3 +170,13 @@
     gaps = [prompt.longest_gap_s for prompt in together]
     paused = [gap_s for gap_s in gaps if gap_s > GAP_TARGET_S]
     assert len(paused) < len(together) / 4
+
+
+@pytest.mark.parametrize(
+    ('tokens_per_s', 'wait_s'),
+    [(38_000, 0.1), (190_000, 0.02)],
+)
+def test_a_faster_server_takes_prompts_sooner(tokens_per_s, wait_s):
+    one = pace.Pace(tokens_per_s)
+    one.reserve(prompt_of(1900), 5.0)
+    assert one.reserve(prompt_of(380), 5.0) == pytest.approx(wait_s)
--- a/tests/test_retry_window.py
+++ b/tests/test_retry_window.py
@@ -88,3 +88,18 @@
     assert budgets.spend('words', 0.0)
     assert not budgets.spend('words', 0.0)
     assert budgets.spend('bookings', 0.0)
+
+
+def test_a_changed_bound_counts_at_once_and_spent_retries_stay_spent():
+    budgets = retry_budgets.RetryBudgets(
+        ratio=RATIO,
+        allowance=ALLOWANCE,
+        window_s=WINDOW_S,
+        instances=lambda: 1,
+    )
+    before = sum(budgets.spend('words', 1.0) for _ in range(20))
+    assert before == 20
+    budgets.renew(ratio=RATIO, allowance=30.0, window_s=WINDOW_S)
+    after = sum(budgets.spend('words', 1.0) for _ in range(100))
+    assert before + after <= 30
+    assert after
