Take the turns of prompts out of the trip; check the new option

Change: prompt_turn.PromptTurn waits for turns; no behaviour changes. A table checks the command line.

--- a/oatcrank/forwarding/trip.py
+++ b/oatcrank/forwarding/trip.py
@@ -10,11 +10,12 @@
     caller_request,
     event_cutter,
     parts,
+    prompt_turn,
     refusal,
     request_metrics,
     server_search,
 )
-from oatcrank.routing import crash_record, need, pace, route, server
+from oatcrank.routing import crash_record, need, route, server
 from oatcrank.transport import message, reply
 
 # An answer that a server gives at the very end still reaches its caller.
@@ -25,11 +26,6 @@
 SHORTEST_ATTEMPT_S = 0.02
 # Sends in all, also those that servers decline.
 MOST_SENDS = 5
-# A prompt waits for its turn for this share of its latency target at most.
-PACE_SHARE = 0.5
-LONGEST_PACE_S = 0.5
-# With fewer requests per slot a prompt goes to a server also late.
-BEHIND_LOAD = 0.6
 SERVER_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR
 
 
@@ -49,7 +45,7 @@
         self._route = on_route
         self._out = out
         self._history = attempt_state.History()
-        self._paced_s = float(0)
+        self._turn = prompt_turn.PromptTurn(shared, request, on_route)
         self._sent_to: list[ids.ServerId] = []
         # Those of them on which it may have run.
         self._tried: list[ids.ServerId] = []
@@ -124,22 +120,10 @@
         """Wait until the server may read another prompt, if it soon may."""
         if self._wanted.model is None:
             return True
-        now_s = self._shared.now()
-        prompt = pace.Prompt(
-            tokens=self._request.prompt_tokens,
-            most_s=min(LONGEST_PACE_S, self._route.target_s * PACE_SHARE),
-            must=self._out.started or chosen.load(now_s) < BEHIND_LOAD,
-        )
-        chosen.in_flight += 1
-        try:
-            wait_s = await self._shared.pacer.reserve(chosen.server_id, prompt)
-            if wait_s > prompt.most_s and not prompt.must:
-                search.pass_behind(chosen.server_id, wait_s)
-                return False
-            await asyncio.sleep(wait_s)
-        finally:
-            chosen.in_flight -= 1
-            self._paced_s += self._shared.now() - now_s
+        late_s = await self._turn.wait(chosen, must=self._out.started)
+        if late_s is not None:
+            search.pass_behind(chosen.server_id, late_s)
+            return False
         return chosen.usable(self._shared.now())
 
     def _note_tried(
@@ -333,7 +317,7 @@
             adapter=self._wanted.adapter or '',
             servers=','.join(self._sent_to),
             sends=len(self._sent_to),
-            paced_ms=round(self._paced_s * 1000),
+            paced_ms=round(self._turn.waited_s * 1000),
             outcome=self._outcome,
             ms=round(took_s * 1000),
             first_ms=self._first_ms(),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Test the translation between the platform's words and the project's."""
 
+import argparse
 import json
 
 import pytest
@@ -8,8 +9,9 @@
 from oatcrank import errors
 from oatcrank.cluster import codec as cluster_codec
 from oatcrank.cluster import store
+from oatcrank.commands import command
 from oatcrank.forwarding import dialect as forwarding_dialect
-from oatcrank.platform import codec, dialect, settings
+from oatcrank.platform import codec, dialect, platform_command, settings
 from oatcrank.routing import listing, route
 from oatcrank.transport import message
 
@@ -67,6 +69,26 @@
         settings.read(str(path))
 
 
+@pytest.mark.parametrize(
+    ('arguments', 'expected'),
+    [
+        ([], command.ExitStatus.success),
+        (['--read-tokens-per-s', '90000'], command.ExitStatus.success),
+        (['--read-tokens-per-s', '0'], command.ExitStatus.usage),
+    ],
+)
+def test_the_command_line_is_checked(tmp_path, arguments, expected):
+    path = tmp_path / 'settings.toml'
+    path.write_text(SETTINGS)
+    one = platform_command.PlatformCommand()
+    parser = argparse.ArgumentParser()
+    one.add_arguments(parser)
+    options = parser.parse_args(
+        ['--settings', str(path), '--check', *arguments],
+    )
+    assert one.run(options) is expected
+
+
 def test_missing_settings_are_told(tmp_path):
     with pytest.raises(errors.SettingsError):
         settings.read(str(tmp_path / 'nothing.toml'))
