Take talk between instances out of the order turn

Change: holder_talk asks and tells other instances, holding has the record of the store; no behaviour changes, but that a former holder whose process is gone is logged as stopped too. Check: tests of the order turn, of the order machine and of log events pass, lint clean.

--- a/oatcrank/cluster/order_turn.py
+++ b/oatcrank/cluster/order_turn.py
@@ -8,6 +8,7 @@
 
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
+    holder_talk,
     holding,
     members,
     mirror,
@@ -21,21 +22,12 @@
 HOLDER_KEY = 'orders/holder'
 LAST_KEY = 'orders/last'
 LOOK_S = 0.25
-ASK_WITHIN_S = 0.3
 KEEP_WITHIN_S = 0.3
 RENEW_S = 0.3
 BALANCE_S = 0.25
 FIRST_WAIT_S = 0.3
 
 
-class HolderRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Name the holder of the order lease, and where to ask it."""
-
-    instance_id: ids.InstanceId
-    started_ms: int
-    peer: str
-
-
 class OrderTurn:
     """Try for the order lease, renew it, and hand it on."""
 
@@ -57,7 +49,7 @@
         self._session = own_session
         self._desk = desk
         self.turn_s = turn_s
-        self._client = client
+        self._talk = holder_talk.HolderTalk(client)
         self._wanted = True
         self._lease: store.LeaseId | None = None
         self._told: holding.Holding | None = None
@@ -84,7 +76,7 @@
 
     def _seen(self) -> holding.Holding | None:
         item = self._mirror.get(HOLDER_KEY)
-        record = None if item is None else _decoded(item)
+        record = None if item is None else holding.decoded(item)
         if item is None or record is None:
             return None
         return holding.Holding(
@@ -201,32 +193,25 @@
         held = self._own_holding(turn)
         others = self._members.others()
         told = await asyncio.gather(
-            *(self._ask_vouch(other.peer, held) for other in others),
+            *(self._talk.ask_vouch(other.peer, held) for other in others),
         )
-        if others and all(told) and self._desk.turn is turn:
+        for answer in told:
+            self._heed(answer, held)
+        vouched = all(one is not None and one.newest for one in told)
+        if others and vouched and self._desk.turn is turn:
             turn.renew(sent_s)
             logs.event('order_lease_vouched', fence=turn.fence)
 
-    async def _ask_vouch(
+    def _heed(
         self,
-        address: str,
+        told: peer_messages.Vouched | None,
         held: holding.Holding,
-    ) -> bool:
-        try:
-            told = await self._client.ask(
-                address,
-                'vouch',
-                peer_messages.VouchQuery(holder=held),
-                peer_messages.Vouched,
-                ASK_WITHIN_S,
-            )
-        except peers.PeerUnreachable as error:
-            logs.event('vouch_failed', error=error)
-            return False
-        if told.holder is not None and told.holder.fence > held.fence:
-            self.take_told(told.holder)
+    ) -> None:
+        """Stop where another instance knows a newer holder."""
+        newer = None if told is None else told.holder
+        if newer is not None and newer.fence > held.fence:
+            self.take_told(newer)
             self._desk.stop()
-        return told.newest
 
     def _own_holding(self, turn: tenure.Tenure) -> holding.Holding:
         return holding.Holding(
@@ -246,7 +231,7 @@
     async def _take(self, lease: store.LeaseId) -> None:
         sent_s = boot_clock.now()
         former = self._mirror.get(LAST_KEY)
-        own = HolderRecord(
+        own = holding.HolderRecord(
             instance_id=self._members.own.instance_id,
             started_ms=self._members.own.started_ms,
             peer=self._members.own.peer,
@@ -292,7 +277,9 @@
             waits_s=round(turn.starts_s - turn.acquired_s, 3),
         )
         for other in self._members.others():
-            self._spawn(self._tell_holder(other.peer, turn))
+            self._spawn(
+                self._talk.tell_holder(other.peer, self._own_holding(turn)),
+            )
         if former is not None:
             self._spawn(self._ask_former(former, turn))
 
@@ -301,18 +288,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _tell_holder(self, address: str, turn: tenure.Tenure) -> None:
-        try:
-            await self._client.ask(
-                address,
-                'holder',
-                self._own_holding(turn),
-                peer_messages.Done,
-                ASK_WITHIN_S,
-            )
-        except peers.PeerUnreachable as error:
-            logs.event('holder_untold', error=error)
-
     async def _settled(self, encoded: bytes) -> ids.Revision | None:
         """Return the revision of a write whose answer was lost."""
         found = await self._store.read(HOLDER_KEY)
@@ -326,32 +301,14 @@
         turn: tenure.Tenure,
     ) -> None:
         """Shorten the wait if the former holder says that it has stopped."""
-        record = _decoded(last)
+        record = holding.decoded(last)
         if record is None:
             return
         asked_s = boot_clock.now()
-        try:
-            told = await self._client.ask(
-                record.peer,
-                'stop',
-                peer_messages.StopQuery(
-                    successor=self._own_holding(turn),
-                    started_ms=record.started_ms,
-                ),
-                peer_messages.Stopped,
-                ASK_WITHIN_S,
-            )
-        except peers.PeerGone as error:
-            logs.event('former_holder_ended', error=error)
-            turn.follow(boot_clock.now(), None)
+        told = await self._talk.ask_stop(record, self._own_holding(turn))
+        if told is None:
             return
-        except peers.PeerUnreachable as error:
-            logs.event('former_holder_silent', error=error)
-            return
-        turn.follow(
-            boot_clock.now() + told.waits_s,
-            told.store_loads,
-        )
+        turn.follow(boot_clock.now() + told.waits_s, told.store_loads)
         logs.event(
             'former_holder_stopped',
             former=record.instance_id,
@@ -364,11 +321,3 @@
             own.instance_id,
             own.started_ms,
         )
-
-
-def _decoded(item: store.Item) -> HolderRecord | None:
-    try:
-        return msgspec.json.decode(item.value or b'', type=HolderRecord)
-    except msgspec.MsgspecError as error:
-        logs.event('holder_record_unreadable', key=item.key, error=error)
-        return None
