Take demand that rises to rise on

Cause: demand was judged by ten seconds with more weight for the last three; a model that rose from nothing to 45 requests a second within six seconds was seen at a third of its demand while its load, of one to six seconds, had to begin.

Change: where the last three seconds hold significantly more than those before (two standard deviations), demand is taken to rise on as much. A summary for a new holder tells of the middle of each second, so that it looks steady there too.

--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -11,9 +11,14 @@
 
 WINDOW_S = 10.0
 SHORTEST_AGE_S = 1.0
+# What is summed over a second is told as if asked for in the middle of it.
+MIDDLE_OF_SECOND_S = 0.5
 # The seconds that are counted as they are, and the weight of the window's mean.
 RECENT_S = 3.0
 MEAN_WEIGHT_S = 2.0
+# Demand rises where the last seconds have more than this many standard
+# deviations beyond what came before; it is then taken to rise on as much.
+SIGNIFICANT_DEVIATIONS = 2.0
 
 
 class Asked(msgspec.Struct, frozen=True):
@@ -177,7 +182,7 @@
                 asked.times + known.times,
                 asked.busy_s + known.busy_s,
                 now_s - self._last_s_by_need.get(wanted, now_s),
-                seconds_ago,
+                seconds_ago + MIDDLE_OF_SECOND_S,
             )
         return tuple(found.values())
 
@@ -233,6 +238,7 @@
         return NO_DEMAND
     mean = one.times / span_s
     rate = (one.recent + mean * MEAN_WEIGHT_S) / (RECENT_S + MEAN_WEIGHT_S)
+    rate = max(rate, _rising_rate(one, span_s))
     return ModelDemand(
         rate=rate,
         # For as long as those of the window have run.
@@ -241,3 +247,17 @@
         adapter_rate=rate * one.adapter_times / one.times,
         distinct_adapters=one.distinct_adapters,
     )
+
+
+def _rising_rate(one: _Sum, span_s: float) -> float:
+    """Return the rate that demand rises to, or 0 if it doesn't rise."""
+    before_s = span_s - RECENT_S
+    if before_s < RECENT_S:
+        return 0
+    before = (one.times - one.recent) / before_s
+    expected = before * RECENT_S
+    deviation = math.sqrt(expected + 1)
+    if one.recent <= expected + SIGNIFICANT_DEVIATIONS * deviation:
+        return 0
+    recent = one.recent / RECENT_S
+    return recent + (recent - before)
--- a/tests/test_order_demand.py
+++ b/tests/test_order_demand.py
@@ -51,6 +51,28 @@
     assert wanted(found, BUSY, 10.0).rate > 2
 
 
+@pytest.mark.parametrize(
+    ('counts', 'least', 'most'),
+    [
+        # A model that rises to ten a second within five seconds.
+        ([0, 0, 0, 0, 0, 0, 0, 2, 4, 6], 6, 10),
+        # Steady demand, with its chance, is not taken to rise.
+        ([1, 0, 1, 2, 0, 1, 1, 2, 1, 1], 0.8, 1.6),
+        ([10, 11, 9, 10, 12, 9, 10, 11, 12, 11], 9, 12),
+        ([0, 0, 1, 0, 0, 0, 0, 1, 0, 1], 0, 0.8),
+    ],
+)
+def test_demand_that_rises_is_taken_to_rise_on(counts, least, most):
+    """A load takes seconds: it is begun for what will be asked for then."""
+    found = counted(
+        *(
+            (demand.Asked(BUSY, count), float(second))
+            for second, count in enumerate(counts)
+        ),
+    )
+    assert least <= wanted(found, BUSY, 9.5).rate <= most
+
+
 def test_running_follows_demand_and_the_length_of_runs():
     found = counted(
         (demand.Asked(BUSY, 5, busy_s=15.0), 0.0),
