Take no stream into a full server that would begin late there

Cause: streams were admitted as long as the caller's patience lasted, two seconds.

Change: where a server's slots are taken and answers lately began too late for the route's target, a stream is refused at once with when to come back. One that goes on from elsewhere counts patience only.

--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -10,6 +10,8 @@
 LONGEST_IDLE_S = 0.8
 EXPECTED_PLAIN_S = 0.05
 EXPECTED_STREAM_S = 0.3
+# How long a stream takes to begin where a slot is free.
+BEGIN_S = 0.1
 
 
 class ServerSearch:
@@ -30,6 +32,7 @@
         self._wanted = wanted
         self._ends_s = ends_s
         self._starts_by_s = ends_s
+        self._on_time_by_s = request.began_s + on_route.target_s
         self.count_patience(request.began_s)
         self._avoided: set[ids.ServerId] = set()
         self._disliked: set[ids.ServerId] = set()
@@ -56,7 +59,12 @@
         )
 
     def count_patience(self, from_s: float) -> None:
-        """Count the caller's patience from what it has seen last."""
+        """Count the caller's patience from what it has seen last.
+
+        A stream that goes on elsewhere has begun: only patience counts then.
+        """
+        if from_s > self._request.began_s:
+            self._on_time_by_s = self._ends_s
         if self._route.patience_s is not None:
             patient_s = from_s + self._route.patience_s
             self._starts_by_s = min(self._ends_s, patient_s)
@@ -108,14 +116,16 @@
         pressure = admission.Pressure(
             requests=chosen.load(now_s) * slots,
             slots=slots,
-            service_s=(
-                EXPECTED_STREAM_S if self._route.streaming else EXPECTED_PLAIN_S
-            ),
+            service_s=BEGIN_S if self._route.streaming else EXPECTED_PLAIN_S,
             seen_wait_s=chosen.seen_wait_s(now_s),
         )
+        begins_by_s = self._starts_by_s
+        if self._route.streaming:
+            # One more in a full server makes all of them late.
+            begins_by_s = min(begins_by_s, self._on_time_by_s)
         return_s = admission.return_s(
             pressure,
-            self._starts_by_s - now_s,
+            begins_by_s - now_s,
             self._shared.dice.random(),
         )
         if return_s is not None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -446,3 +446,35 @@
             assert site.runs() == 0
 
     forwarding_site.play(work, **STREAM)
+
+
+@pytest.mark.parametrize(
+    ('running', 'seen_wait_s', 'status'),
+    [
+        # All slots are taken and answers begin late: one more helps nobody.
+        (64, 1.0, 503),
+        # All slots are taken, but answers begin in time.
+        (64, 0.05, 200),
+        # A slot is free, whatever was seen before.
+        (20, 1.0, 200),
+    ],
+)
+def test_a_full_server_takes_no_stream_that_would_begin_late(
+    running,
+    seen_wait_s,
+    status,
+):
+    async def work(site):
+        now_s = site.shared.now()
+        for one in site.servers.by_id.values():
+            one.learn(need.Need(routing_parts.SERVICE, 'm0'))
+            one.note_load(running + 4, 0, now_s)
+            for _ in range(20):
+                one.note_wait(seen_wait_s, now_s)
+        told = await site.ask(x_model='m0', x_token_usage='500,80')
+        assert told.status == status
+        if status == 503:
+            assert float(told.header_by_name['retry-after']) > 0.5
+            assert site.runs() == 0
+
+    forwarding_site.play(work, **STREAM)
