Name the spread and the use of servers for what they are

Renames spread to demand_spread and seen to usage, and removes a method that nothing calls. No behaviour changes; lint and the tests of orders pass.

--- a/oatcrank/orders/adapter_placement.py
+++ b/oatcrank/orders/adapter_placement.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.orders import ledger, seen
+from oatcrank.orders import ledger, usage
 from oatcrank.routing import need, route
 
 # An adapter asked for this lately may run where no report tells of it yet.
@@ -31,13 +31,13 @@
         self,
         ledgers: Collection[ledger.Ledger],
         engine: route.Engine,
-        demanded: seen.Seen,
+        used: usage.Usage,
         service: ids.ServiceName,
     ) -> None:
         """Decide for the servers of a service."""
         self._ledgers = ledgers
         self._engine = engine
-        self._seen = demanded
+        self._usage = used
         self._service = service
 
     def best(self, model: ids.ModelName, now_s: float) -> Choice | None:
@@ -94,12 +94,12 @@
         wanted: need.Need,
         now_s: float,
     ) -> bool:
-        if now_s - self._seen.asked.last_s(wanted) < UNREPORTED_S:
+        if now_s - self._usage.asked.last_s(wanted) < UNREPORTED_S:
             return False
-        return not self._seen.runs.at(one.listed.server_id, wanted, now_s)
+        return not self._usage.runs.at(one.listed.server_id, wanted, now_s)
 
     def _last_asked_s(
         self,
         pair: tuple[ids.ModelName, ids.AdapterName],
     ) -> float:
-        return self._seen.asked.last_s(need.Need(self._service, *pair))
+        return self._usage.asked.last_s(need.Need(self._service, *pair))
--- a/oatcrank/orders/spread.py
+++ b/oatcrank/orders/demand_spread.py
@@ -22,7 +22,6 @@
 # The share of requests that are late where their adapter is loaded for them.
 ADAPTER_MISS = 0.3
 
-
 Parts = dict[ids.ServerId, demand.ModelDemand]
 
 
@@ -75,15 +74,6 @@
         """Return the whole demand for a model."""
         return self._demand_by_model.get(model, demand.NO_DEMAND)
 
-    def running_at(
-        self,
-        server_id: ids.ServerId,
-        model: ids.ModelName,
-    ) -> float:
-        """Return the requests for a model that run at a server."""
-        part = self._parts_by_model.get(model, {}).get(server_id)
-        return 0 if part is None else part.running
-
     def gain(self, model: ids.ModelName, server_id: ids.ServerId) -> float:
         """Return the requests a second on time that one more replica gains."""
         return self._difference(model, [*self._holders(model), server_id])
--- a/oatcrank/orders/order_desk.py
+++ b/oatcrank/orders/order_desk.py
@@ -13,8 +13,8 @@
     order,
     order_line,
     runs,
-    seen,
     tenure,
+    usage,
     weighing,
 )
 from oatcrank.routing import need, route_table, server_table
@@ -43,7 +43,7 @@
             self._book,
             servers,
             routes,
-            seen.Seen(self.asked, self.runs),
+            usage.Usage(self.asked, self.runs),
             self._line,
         )
         self._models = model_orders.ModelOrders(
--- a/oatcrank/orders/placement.py
+++ b/oatcrank/orders/placement.py
@@ -12,8 +12,7 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.orders import demand, ledger, seen
-from oatcrank.orders import spread as spreading
+from oatcrank.orders import demand, demand_spread, ledger, usage
 from oatcrank.routing import need, route
 
 # What was loaded this lately is kept, so that two models don't take turns.
@@ -83,7 +82,7 @@
         self,
         ledgers: Collection[ledger.Ledger],
         engine: route.Engine,
-        demanded: seen.Seen,
+        used: usage.Usage,
         service: ids.ServiceName,
         now_s: float,
         *,
@@ -99,8 +98,8 @@
         self._told = told
         self._ledgers = ledgers
         self._engine = engine
-        self._asked = demanded.asked
-        self._runs = demanded.runs
+        self._asked = used.asked
+        self._runs = used.runs
         self._service = service
         self._now_s = now_s
 
@@ -150,18 +149,18 @@
         return _best(options)
 
     @functools.cached_property
-    def _spread(self) -> spreading.Spread:
+    def _spread(self) -> demand_spread.Spread:
         holders_by_model: dict[ids.ModelName, list[ids.ServerId]] = {}
-        place_by_id: dict[ids.ServerId, spreading.Place] = {}
+        place_by_id: dict[ids.ServerId, demand_spread.Place] = {}
         for one in self._ledgers:
             server_id = one.listed.server_id
-            place_by_id[server_id] = spreading.Place(
+            place_by_id[server_id] = demand_spread.Place(
                 slots=max(1, one.listed.slots),
                 adapter_places=self._engine.max_adapters,
             )
             for model in one.planned():
                 holders_by_model.setdefault(model, []).append(server_id)
-        return spreading.spread(
+        return demand_spread.spread(
             place_by_id,
             holders_by_model,
             self._asked.by_model(self._service, self._now_s),
@@ -279,7 +278,7 @@
 
     def _loss(
         self,
-        spread: spreading.Spread,
+        spread: demand_spread.Spread,
         model: ids.ModelName,
         server_id: ids.ServerId,
     ) -> float:
--- a/oatcrank/orders/weighing.py
+++ b/oatcrank/orders/weighing.py
@@ -11,7 +11,7 @@
     ledger_book,
     order_line,
     placement,
-    seen,
+    usage,
 )
 from oatcrank.routing import route, route_table, server_table
 
@@ -30,7 +30,7 @@
         book: ledger_book.LedgerBook,
         servers: server_table.ServerTable,
         routes: route_table.RouteTable,
-        demanded: seen.Seen,
+        used: usage.Usage,
         line: order_line.OrderLine,
     ) -> None:
         """Take servers and configuration from tables, the turn from a line."""
@@ -38,7 +38,7 @@
         self._book = book
         self._servers = servers
         self._routes = routes
-        self._seen = demanded
+        self._usage = used
 
     def engine(self, service: ids.ServiceName) -> route.Engine:
         """Return what a service's servers can hold, or raise NotOrdered."""
@@ -78,7 +78,7 @@
         return placement.Placement(
             self._usable(service, unusable),
             self.engine(service),
-            self._seen,
+            self._usage,
             service,
             boot_clock.now(),
             crowded=crowded,
@@ -94,7 +94,7 @@
         return adapter_placement.AdapterPlacement(
             self._usable(service, unusable),
             self.engine(service),
-            self._seen,
+            self._usage,
             service,
         )
 
--- a/tests/test_order_placement.py
+++ b/tests/test_order_placement.py
@@ -10,7 +10,7 @@
     order,
     placement,
     runs,
-    seen,
+    usage,
 )
 from oatcrank.routing import need
 
@@ -79,7 +79,7 @@
     return placement.Placement(
         ledgers,
         ENGINE,
-        seen.Seen(counted, running(*uses)),
+        usage.Usage(counted, running(*uses)),
         SERVICE,
         now_s,
         **changes,
@@ -90,7 +90,7 @@
     return adapter_placement.AdapterPlacement(
         ledgers,
         ENGINE,
-        seen.Seen(counted, running(*uses)),
+        usage.Usage(counted, running(*uses)),
         SERVICE,
     )
 
@@ -456,7 +456,7 @@
     chosen = placement.Placement(
         fleet(['m0'], ['m1']),
         held,
-        seen.Seen(counted, runs.Runs()),
+        usage.Usage(counted, runs.Runs()),
         SERVICE,
         NOW_S,
     ).replica(store_loads=True)
