Log and count how the streams of servers end

Callers got cut streams framed as complete, and the logs couldn't tell why: neither request_done nor attempt_failed said what marks the end of the server's answer, whether that end was reached, how many events came, or how many bytes were left after the last one.

Both lines now carry framing, ending, events and partial_bytes of a stream, and oatcrank_streams_total counts streams by framing and ending. No line is added, so the volume of the log stays bounded as before. The stand-in worker gains streams that end with the connection, whole and cut. What callers see is unchanged.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -9,6 +9,7 @@
 import msgspec
 
 OK = b'HTTP/1.1 200 OK'
+CLOSE = b'Connection: close'
 LONG_BODY = b'a long body that is not sent to its end'
 MISSING_BYTES = 20
 
@@ -26,6 +27,8 @@
     wrong_address = 'not run: another worker has the address'
     truncated = 'closes within the answer'
     truncated_stream = 'closes within the stream'
+    stream_without_length = 'a stream that ends with the connection'
+    truncated_stream_without_length = 'the same, closed within an event'
     duplicated = 'the same answer twice'
     late_answer_first = 'a late answer to an earlier request, then the answer'
     unsigned = 'without the signature'
@@ -36,6 +39,23 @@
     closing = 'a whole answer, then it closes'
 
 
+WITHOUT_LENGTH_MODES = frozenset(
+    (
+        AnswerMode.stream_without_length,
+        AnswerMode.truncated_stream_without_length,
+    )
+)
+TRUNCATED_STREAM_MODES = frozenset(
+    (
+        AnswerMode.truncated_stream,
+        AnswerMode.truncated_stream_without_length,
+    )
+)
+STREAM_MODES = (
+    WITHOUT_LENGTH_MODES | TRUNCATED_STREAM_MODES | {AnswerMode.stream}
+)
+
+
 class ReceivedRequest(msgspec.Struct):
     """Request as a worker read it."""
 
@@ -148,7 +168,7 @@
         if build is not None:
             writer.write(build(self._answer_headers(request)))
             return mode is not AnswerMode.closing
-        if mode in {AnswerMode.stream, AnswerMode.truncated_stream}:
+        if mode in STREAM_MODES:
             return await self._send_stream(mode, request, writer)
         if mode is AnswerMode.no_answer:
             await asyncio.Event().wait()
@@ -174,21 +194,25 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        chunked = mode not in WITHOUT_LENGTH_MODES
+        write = _write_chunk if chunked else _write_bytes
         headers = self._answer_headers(request)
-        head = [OK, b'Transfer-Encoding: chunked']
+        framing = b'Transfer-Encoding: chunked' if chunked else CLOSE
+        head = [OK, framing]
         head.extend(f'{key}: {text}'.encode() for key, text in headers.items())
         writer.write(b'\r\n'.join((*head, b'', b'')))
         start = int(request.header_by_name.get('last-event-id', '0'))
         for number in range(start + 1, self.event_count + 1):
             event = b'id: %d\ndata: word%d\n\n' % (number, number)
-            if mode is AnswerMode.truncated_stream and number == start + 2:
-                _write_chunk(writer, event[:9])
+            if mode in TRUNCATED_STREAM_MODES and number == start + 2:
+                write(writer, event[:9])
                 await writer.drain()
                 return False
-            _write_chunk(writer, event)
+            write(writer, event)
             await writer.drain()
-        writer.write(b'0\r\n\r\n')
-        return True
+        if chunked:
+            writer.write(b'0\r\n\r\n')
+        return chunked
 
     def _answer_headers(self, request: ReceivedRequest) -> Headers:
         return {
@@ -231,6 +255,10 @@
     writer.write(b'%x\r\n%s\r\n' % (len(body), body))
 
 
+def _write_bytes(writer: asyncio.StreamWriter, body: bytes) -> None:
+    writer.write(body)
+
+
 def _whole(headers: Headers) -> bytes:
     return _encode_answer(HTTPStatus.OK, headers, b'whole')
 
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from oatcrank.forwarding import (
+    answer_end,
     attempt_state,
     caller_request,
     event_splitter,
@@ -40,11 +41,15 @@
 
 
 class AttemptResult(msgspec.Struct, frozen=True, kw_only=True):
-    """Result of an attempt; answer is None if it was already forwarded."""
+    """Result of an attempt; answer is None if it was already forwarded.
+
+    end is None if no stream was received.
+    """
 
     progress: attempt_state.Progress
     reason: str = ''
     answer: BufferedAnswer | None = None
+    end: answer_end.AnswerEnd | None = None
     misdirected: bool = False
 
 
@@ -77,6 +82,7 @@
         self._idle_timeout_s: float | None = None
         self._began_s = float(0)
         self._wait_recorded = False
+        self._end: answer_end.AnswerEnd | None = None
         self.progress = attempt_state.Progress.unsent
 
     async def run(self, deadline_s: float) -> AttemptResult:
@@ -182,7 +188,9 @@
                 self._out.write(complete_events)
                 await self._out.drain()
             event = await connection.next_event()
-        if event is not backend_connection.Ending.complete:
+        ending = backend_connection.ending_of(event)
+        self._record_stream_end(head, ending)
+        if ending is not backend_connection.Ending.complete:
             raise _InvalidAnswer('incomplete stream')
         self._start_answer(head, None)
         self._out.write(self._splitter.take_remainder())
@@ -235,6 +243,21 @@
             raise _InvalidAnswer('incomplete answer')
         return self._finish()
 
+    def _record_stream_end(
+        self, head: message.ResponseHead, ending: backend_connection.Ending
+    ) -> None:
+        self._end = answer_end.AnswerEnd(
+            framing=head.framing,
+            ending=ending,
+            event_count=self._splitter.event_count,
+            partial_bytes=self._splitter.partial_bytes,
+        )
+        request_metrics.STREAMS.labels(
+            self._server.registration.service,
+            head.framing.name,
+            ending.name,
+        ).inc()
+
     def _record_first_event(self) -> None:
         if not self._wait_recorded:
             self._wait_recorded = True
@@ -267,7 +290,7 @@
         self._out.end()
         self.progress = attempt_state.Progress.answered
         self._record_outcome(failed=False)
-        return AttemptResult(progress=self.progress)
+        return AttemptResult(progress=self.progress, end=self._end)
 
     def _failure(
         self, reason: str, *, misdirected: bool = False
@@ -276,6 +299,7 @@
             progress=self.progress,
             reason=reason,
             misdirected=misdirected,
+            end=self._end,
         )
 
     def _is_own_answer(self, head: message.ResponseHead) -> bool:
--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -15,6 +15,11 @@
         self.event_count = 0
         self._partial = b''
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._partial)
+
     def discard_partial(self) -> None:
         """Drop the incomplete event of an interrupted run."""
         self._partial = b''
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -5,6 +5,7 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import (
+    answer_end,
     attempt,
     attempt_state,
     caller_request,
@@ -51,6 +52,7 @@
         self._sent_to_ids: list[ids.ServerId] = []
         # The servers on which the request may have run.
         self._tried_ids: list[ids.ServerId] = []
+        self._last_end: answer_end.AnswerEnd | None = None
         self._failed_answer: attempt.BufferedAnswer | None = None
         self._splitter = event_splitter.EventSplitter(request.last_event_id)
         timeout_s = request_route.timeout_s
@@ -112,6 +114,7 @@
             self._check_send_limits()
             self._sent_to_ids.append(chosen.server_id)
             result = await self._attempt(chosen)
+            self._last_end = result.end
             self._record_tried(chosen.server_id, result.progress)
             if await self._settle(result, chosen, search):
                 return
@@ -210,6 +213,7 @@
             progress=result.progress.name,
             reason=result.reason,
             step=step.name,
+            **_end_fields(result.end),
         )
         if result.progress is attempt_state.Progress.written:
             self._dependencies.crash_detector.record_interruption(
@@ -341,6 +345,7 @@
             ms=round(duration_s * 1000),
             first_byte_ms=self._first_byte_ms(),
             pause_ms=round(self._out.longest_pause_s * 1000),
+            **_end_fields(self._last_end),
         )
 
     def _first_byte_ms(self) -> int:
@@ -351,6 +356,18 @@
         return round((first_s - self._request.began_s) * 1000)
 
 
+def _end_fields(end: answer_end.AnswerEnd | None) -> dict[str, str | int]:
+    """Return the log fields of a stream's end; none without a stream."""
+    if end is None:
+        return {}
+    return {
+        'framing': end.framing.name,
+        'ending': end.ending.name,
+        'events': end.event_count,
+        'partial_bytes': end.partial_bytes,
+    }
+
+
 def retry_after_headers(retry_after_s: float) -> message.Headers:
     """Return a Retry-After header; the delay is in seconds."""
     return [(b'Retry-After', b'%.2f' % retry_after_s)]
--- a/oatcrank/forwarding/request_metrics.py
+++ b/oatcrank/forwarding/request_metrics.py
@@ -12,6 +12,11 @@
     'Sends to backend servers by how far they got.',
     ('service', 'progress'),
 )
+STREAMS = prometheus_client.Counter(
+    'oatcrank_streams',
+    'Streams of backend servers by framing and by how they ended.',
+    ('service', 'framing', 'ending'),
+)
 REQUEST_SECONDS = prometheus_client.Histogram(
     'oatcrank_request_seconds',
     'Seconds from the first byte read to the end of the answer.',
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -133,6 +133,7 @@
             reason=self._reason,
             headers=self._headers,
             keep_alive=self._parser.should_keep_alive(),
+            framing=_framing(status, self._headers),
         )
         if not self._accepts_head(head):
             # This is a late answer to an earlier request; the answer to the
@@ -140,11 +141,7 @@
             self._unusable = True
             self._head_done = False
             return
-        self._until_close = (
-            status not in BODYLESS_STATUSES
-            and head.header(b'content-length') is None
-            and head.header(b'transfer-encoding') is None
-        )
+        self._until_close = head.framing is message.Framing.connection_end
         if not head.keep_alive:
             self._unusable = True
         self._put(head)
@@ -228,6 +225,22 @@
             self._arrived.set_result(None)
 
 
+def ending_of(event: Event) -> Ending:
+    """Return how a response ended; a second head ends it as broken."""
+    return event if isinstance(event, Ending) else Ending.broken
+
+
+def _framing(status: int, headers: message.Headers) -> message.Framing:
+    if message.find_header(headers, b'transfer-encoding') is not None:
+        return message.Framing.chunks
+    if (
+        status in BODYLESS_STATUSES
+        or message.find_header(headers, b'content-length') is not None
+    ):
+        return message.Framing.length
+    return message.Framing.connection_end
+
+
 def _set_tcp_timeouts(sock: socket.socket) -> None:
     """Detect a peer that disappeared without closing the connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/oatcrank/transport/message.py
+++ b/oatcrank/transport/message.py
@@ -1,5 +1,7 @@
 """Define parsed HTTP messages."""
 
+import enum
+
 import msgspec
 
 Headers = list[tuple[bytes, bytes]]
@@ -26,6 +28,14 @@
         return find_header(self.headers, name)
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response body."""
+
+    length = 'length'
+    chunks = 'chunks'
+    connection_end = 'connection_end'
+
+
 class ResponseHead(msgspec.Struct):
     """Status and headers of a response."""
 
@@ -33,6 +43,7 @@
     reason: bytes
     headers: Headers
     keep_alive: bool
+    framing: Framing
 
     def header(self, name: bytes) -> bytes | None:
         """Return a header's value by its name in lower case."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -223,6 +223,7 @@
             (key.encode(), text.encode()) for key, text in headers.items()
         ],
         keep_alive=True,
+        framing=message.Framing.length,
     )
 
 
