Test that a stream cut within an event isn't framed as complete

The server ends a cut stream like a whole one: by closing its connection, or by its last chunk. The instance forwards the partial event, writes its own last chunk, and the caller takes the answer as complete. Where the route may resume, the stream isn't resumed.

The stand-in worker gains streams that end before their first event and streams whose last chunk comes within an event.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -29,6 +29,8 @@
     truncated_stream = 'closes within the stream'
     stream_without_length = 'a stream that ends with the connection'
     truncated_stream_without_length = 'the same, closed within an event'
+    empty_stream_without_length = 'the same, closed before the first event'
+    ended_within_event = 'the last chunk comes within an event'
     duplicated = 'the same answer twice'
     late_answer_first = 'a late answer to an earlier request, then the answer'
     unsigned = 'without the signature'
@@ -43,17 +45,20 @@
     (
         AnswerMode.stream_without_length,
         AnswerMode.truncated_stream_without_length,
+        AnswerMode.empty_stream_without_length,
     )
 )
 TRUNCATED_STREAM_MODES = frozenset(
     (
         AnswerMode.truncated_stream,
         AnswerMode.truncated_stream_without_length,
+        AnswerMode.ended_within_event,
     )
 )
 STREAM_MODES = (
     WITHOUT_LENGTH_MODES | TRUNCATED_STREAM_MODES | {AnswerMode.stream}
 )
+LAST_CHUNK = b'0\r\n\r\n'
 
 
 class ReceivedRequest(msgspec.Struct):
@@ -201,17 +206,21 @@
         head = [OK, framing]
         head.extend(f'{key}: {text}'.encode() for key, text in headers.items())
         writer.write(b'\r\n'.join((*head, b'', b'')))
+        if mode is AnswerMode.empty_stream_without_length:
+            return False
         start = int(request.header_by_name.get('last-event-id', '0'))
         for number in range(start + 1, self.event_count + 1):
             event = b'id: %d\ndata: word%d\n\n' % (number, number)
             if mode in TRUNCATED_STREAM_MODES and number == start + 2:
                 write(writer, event[:9])
+                if mode is AnswerMode.ended_within_event:
+                    writer.write(LAST_CHUNK)
                 await writer.drain()
                 return False
             write(writer, event)
             await writer.drain()
         if chunked:
-            writer.write(b'0\r\n\r\n')
+            writer.write(LAST_CHUNK)
         return chunked
 
     def _answer_headers(self, request: ReceivedRequest) -> Headers:
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -55,3 +55,67 @@
         assert end == [framing, ending, event_count, partial_bytes]
 
     forwarding_site.run(work, **STREAM_ONCE)
+
+
+@pytest.mark.parametrize(
+    'mode', [MODE.truncated_stream_without_length, MODE.ended_within_event]
+)
+def test_a_stream_cut_within_an_event_is_not_framed_as_complete(mode):
+    """A server may end a cut stream like a whole one."""
+
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_mode = mode
+        answer = await site.ask()
+        assert answer.status == 200
+        assert not answer.whole
+        assert EVENTS.startswith(answer.body)
+        assert answer.body.endswith(b'\n\n')
+        assert site.runs() == 1
+
+    forwarding_site.run(work, **STREAM_ONCE)
+
+
+@pytest.mark.parametrize(
+    'modes',
+    [
+        [MODE.truncated_stream_without_length, MODE.stream_without_length],
+        [MODE.truncated_stream_without_length, MODE.stream],
+        [MODE.ended_within_event, MODE.stream],
+        [MODE.empty_stream_without_length, MODE.stream],
+        [MODE.truncated_stream, MODE.stream_without_length],
+    ],
+)
+def test_a_cut_stream_resumes_on_another_server(modes):
+    async def work(site):
+        shared = list(modes)
+        for worker in site.workers:
+            worker.next_answer_modes = shared
+        answer = await site.ask()
+        assert (answer.body, answer.whole) == (EVENTS, True)
+        assert site.runs() == 2
+
+    forwarding_site.run(work, **STREAM)
+
+
+def test_a_stream_closed_before_its_first_event_is_not_framed_as_complete():
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_mode = MODE.empty_stream_without_length
+        answer = await site.ask()
+        assert (answer.status, answer.body) == (502, b'')
+        assert site.runs() == 1
+
+    forwarding_site.run(work, **STREAM_ONCE)
+
+
+def test_a_resumed_stream_that_is_cut_again_is_not_framed_as_complete():
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_mode = MODE.truncated_stream_without_length
+        answer = await site.ask()
+        assert answer.status == 200
+        assert not answer.whole
+        assert site.runs() == 2
+
+    forwarding_site.run(work, **STREAM)
