Judge a stream's end by its events, not only by its framing

Cause: a server may send a stream with neither a length nor chunks; its end is then the end of the connection, and a server that breaks off closes in the same way. The connection reported Ending.complete, and the attempt trusted that: it forwarded the bytes of the incomplete event as the remainder of a complete stream and wrote its last chunk. Class: success is concluded from the transport alone, where the content says otherwise. The failing tests logged framing=connection_end ending=complete partial_bytes=9 (hypothesis 1); a last chunk within an event (hypothesis 2) led to the same end and is covered too.

Now AnswerEnd.fault decides, for every framing: a stream is whole only if its framing ended and no event is incomplete; one that ends with its connection must hold at least one event. Otherwise it has been broken off: it resumes at another server where the route allows it, else the caller's connection is aborted.

Stand-in workers of streaming routes answer with streams in the forwarder's tests: seven tests of prompt slots and admission had used a whole answer without any event, which is not a stream; what they check is unchanged.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -179,6 +179,7 @@
         head: message.ResponseHead,
     ) -> AttemptResult:
         self._splitter.discard_partial()
+        events_before = self._splitter.event_count
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
             complete_events = self._splitter.feed(event.body)
@@ -188,10 +189,15 @@
                 self._out.write(complete_events)
                 await self._out.drain()
             event = await connection.next_event()
-        ending = backend_connection.ending_of(event)
-        self._record_stream_end(head, ending)
-        if ending is not backend_connection.Ending.complete:
-            raise _InvalidAnswer('incomplete stream')
+        end = answer_end.AnswerEnd(
+            framing=head.framing,
+            ending=backend_connection.ending_of(event),
+            event_count=self._splitter.event_count - events_before,
+            partial_bytes=self._splitter.partial_bytes,
+        )
+        self._record_stream_end(end)
+        if end.fault is not None:
+            raise _InvalidAnswer(end.fault)
         self._start_answer(head, None)
         self._out.write(self._splitter.take_remainder())
         return self._finish()
@@ -243,19 +249,12 @@
             raise _InvalidAnswer('incomplete answer')
         return self._finish()
 
-    def _record_stream_end(
-        self, head: message.ResponseHead, ending: backend_connection.Ending
-    ) -> None:
-        self._end = answer_end.AnswerEnd(
-            framing=head.framing,
-            ending=ending,
-            event_count=self._splitter.event_count,
-            partial_bytes=self._splitter.partial_bytes,
-        )
+    def _record_stream_end(self, end: answer_end.AnswerEnd) -> None:
+        self._end = end
         request_metrics.STREAMS.labels(
             self._server.registration.service,
-            head.framing.name,
-            ending.name,
+            end.framing.name,
+            end.ending.name,
         ).inc()
 
     def _record_first_event(self) -> None:
--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -3,6 +3,7 @@
 import re
 
 EVENT_END = b'\n\n'
+LINE_ENDS = b'\r\n'
 EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
 
 
@@ -17,8 +18,8 @@
 
     @property
     def partial_bytes(self) -> int:
-        """Return the number of bytes after the last complete event."""
-        return len(self._partial)
+        """Return the size of the incomplete event, without line ends."""
+        return len(self._partial.strip(LINE_ENDS))
 
     def discard_partial(self) -> None:
         """Drop the incomplete event of an interrupted run."""
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -94,6 +94,9 @@
         self.routes = route_table.RouteTable()
         self.route = routing_parts.a_route(**route_changes)
         self.routes.replace(routing_parts.configuration(self.route))
+        if self.route.streaming:
+            for worker in self.workers:
+                worker.answer_mode = platform_worker.AnswerMode.stream
         self.servers = server_table.ServerTable()
         self.placement_requester = StubPlacementRequester()
         self.prompt_scheduler = StubPromptScheduler()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -387,7 +387,6 @@
         for worker in site.workers:
             worker.answer_delay_s = 0.2
             worker.next_answer_modes = [MODE.truncated_stream]
-            worker.answer_mode = MODE.stream
         site.workers[0].next_answer_modes = site.workers[1].next_answer_modes
         answer = await site.ask()
         assert (answer.body, answer.whole) == (EVENTS, True)
