Take a reset as a broken answer also where it has no length

Callers of the project's own interface could get part of an answer of a plain service as the whole one: if the service sends no length, tornado reports any end of the connection as the regular end of the body, a reset and our own close as well (the probe closes the connection of a silent server that it finds dead).

Found while looking for other places with the cause of the cut streams: success concluded from the end of the connection. Of the other readers, transport/calls and rpc decode JSON, which ends itself; the model dispatcher waits for the [DONE] event; backend_connection already reports a reset as broken.

UpstreamConnection now remembers whether the answer ends with its connection, and then takes a reset or its own close as Interrupted, so that the call is retried or answered as unknown. Now all pass, and an answer with a length stays whole if a reset follows it.

--- a/oatcrank/entry/upstream_connection.py
+++ b/oatcrank/entry/upstream_connection.py
@@ -26,6 +26,8 @@
         self._stream: iostream.IOStream | None = None
         self._finished = False
         self._received = False
+        self._ends_with_connection = False
+        self._closed_here = False
 
     async def run(
         self,
@@ -66,11 +68,12 @@
         finally:
             probe_task.cancel()
             stream.close()
-        if not self._finished:
+        if self._is_broken(stream) or not self._finished:
             raise errors.Interrupted(f'{address}: the answer ended early')
 
     def close(self) -> None:
         """Close the connection; run then raises errors.Interrupted."""
+        self._closed_here = True
         if self._stream is not None:
             self._stream.close()
 
@@ -81,6 +84,10 @@
     ) -> None:
         """Pass on the head of the answer."""
         self._received = True
+        self._ends_with_connection = (
+            'Content-Length' not in headers
+            and 'Transfer-Encoding' not in headers
+        )
         if isinstance(start_line, httputil.ResponseStartLine):
             self._on_head(start_line.code, headers)
 
@@ -96,6 +103,16 @@
     def on_connection_close(self) -> None:
         """Ignore an early end; run detects and reports it."""
 
+    def _is_broken(self, stream: iostream.IOStream) -> bool:
+        """Return whether the end of the connection is not the answer's end.
+
+        tornado reports any end of the connection as the regular end of an
+        answer that has no length.
+        """
+        if not self._ends_with_connection:
+            return False
+        return self._closed_here or stream.error is not None
+
     async def _connect(self, address: str) -> iostream.IOStream:
         host, port = address.rsplit(':', 1)
         try:
