Forward events as they arrive also where lines end in CRLF

A server-sent event may end its lines with CRLF. The splitter knew only LF: such a stream was held back until its end, and since the end is judged by the events, it would have counted as ended within an event. The pattern for a complete event now takes both. The new row of the table failed before (no event was recognised).

--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -2,7 +2,8 @@
 
 import re
 
-EVENT_END = b'\n\n'
+# End of an event's last line, and the empty line after it.
+EVENT_END = re.compile(rb'\n\r?\n')
 LINE_ENDS = b'\r\n'
 EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
 
@@ -27,11 +28,14 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that this chunk completes."""
-        *events, partial = (self._partial + chunk).split(EVENT_END)
-        self._partial = partial
-        return b''.join(
-            event + EVENT_END for event in events if self._is_new(event)
-        )
+        buffered = self._partial + chunk
+        events = []
+        start = 0
+        for match in EVENT_END.finditer(buffered):
+            events.append(buffered[start : match.end()])
+            start = match.end()
+        self._partial = buffered[start:]
+        return b''.join(event for event in events if self._is_new(event))
 
     def take_remainder(self) -> bytes:
         """Return the bytes after the last event of a complete stream."""
--- a/tests/test_event_cutter.py
+++ b/tests/test_event_cutter.py
@@ -21,6 +21,12 @@
         # A server that does not resume at the last event sends events twice.
         (2, [event(1) + event(2) + event(3)], event(3), 3),
         (None, [b'data: no id\n\n'], b'data: no id\n\n', None),
+        (
+            1,
+            [b'id: 2\r\ndata: x\r\n\r', b'\n', b'id: 3\r\n'],
+            b'id: 2\r\ndata: x\r\n\r\n',
+            2,
+        ),
         (
             None,
             [b'x-weight-versions: 2\nid: 7\ndata: x\n\n'],
