Log the software versions of a stream's servers and what it resumes

Callers got streams from two software versions, and the logs couldn't tell how: no line named a server's version, or said that a request takes up a stream. So a stream resumed by the instance (hypothesis 1), one taken up by the caller (2) and a server that came back with another version (3) looked alike.

server_registered and attempt_failed now have the version, request_done the versions of all sends and, of a stream that the caller takes up again, the request that began it and the last event. Registrations and Resumes are decoded in the platform's folder; nothing is decided by them yet.

--- a/oatcrank/forwarding/caller_request.py
+++ b/oatcrank/forwarding/caller_request.py
@@ -11,6 +11,8 @@
 
     timeout_s is how long the caller waits from began_s, in seconds.
     prompt_tokens excludes the prefix that other requests may share.
+    last_event_id is the last event that the caller has of a stream that it
+    takes up again; resumed_id is the caller's request that brought the first.
     """
 
     request_id: ids.RequestId
@@ -28,3 +30,4 @@
     prefix: str = ''
     prompt_tokens: int = 0
     last_event_id: int | None = None
+    resumed_id: ids.RequestId | None = None
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -50,6 +50,7 @@
             dependencies, request, request_route
         )
         self._sent_to_ids: list[ids.ServerId] = []
+        self._sent_to_versions: list[ids.SoftwareVersion] = []
         # The servers on which the request may have run.
         self._tried_ids: list[ids.ServerId] = []
         self._last_end: answer_end.AnswerEnd | None = None
@@ -113,6 +114,7 @@
                 continue
             self._check_send_limits()
             self._sent_to_ids.append(chosen.server_id)
+            self._sent_to_versions.append(chosen.registration.software_version)
             result = await self._attempt(chosen)
             self._last_end = result.end
             self._record_tried(chosen.server_id, result.progress)
@@ -210,6 +212,7 @@
             'attempt_failed',
             request=self._request.request_id,
             server=chosen.server_id,
+            version=chosen.registration.software_version,
             progress=result.progress.name,
             reason=result.reason,
             step=step.name,
@@ -339,6 +342,7 @@
             model=self._wanted.model or '',
             adapter=self._wanted.adapter or '',
             servers=','.join(self._sent_to_ids),
+            versions=','.join(self._sent_to_versions),
             sends=len(self._sent_to_ids),
             prompt_wait_ms=round(self._slot_waiter.waited_s * 1000),
             outcome=self._outcome,
@@ -346,6 +350,7 @@
             first_byte_ms=self._first_byte_ms(),
             pause_ms=round(self._out.longest_pause_s * 1000),
             **_end_fields(self._last_end),
+            **_resumption_fields(self._request),
         )
 
     def _first_byte_ms(self) -> int:
@@ -368,6 +373,18 @@
     }
 
 
+def _resumption_fields(
+    request: caller_request.CallerRequest,
+) -> dict[str, str | int]:
+    """Return the log fields of a stream that a caller takes up again."""
+    if request.last_event_id is None:
+        return {}
+    return {
+        'resumes': request.resumed_id or '',
+        'last_event': request.last_event_id,
+    }
+
+
 def retry_after_headers(retry_after_s: float) -> message.Headers:
     """Return a Retry-After header; the delay is in seconds."""
     return [(b'Retry-After', b'%.2f' % retry_after_s)]
--- a/oatcrank/platform/codec.py
+++ b/oatcrank/platform/codec.py
@@ -159,6 +159,7 @@
         failure_domain=ids.FailureDomain(entry.zone),
         slots=entry.slots,
         leaving=entry.state == 'draining',
+        software_version=ids.SoftwareVersion(entry.version),
         orders_taken=entry.seq,
         adapters_by_model=registration_messages.held_adapters(entry.models),
         cached_in_memory=tuple(map(ids.ModelName, entry.at_hand.in_memory)),
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -10,6 +10,7 @@
 PREFIX = b'x-prompt-prefix'
 TOKENS = b'x-token-usage'
 LAST_EVENT_ID = b'last-event-id'
+RESUMED_ID = b'resumes'
 EXPECTED_INSTANCE = b'x-expected-instance'
 PRIORITY = b'x-request-priority'
 SIGNATURE = b'x-response-signature'
@@ -77,6 +78,7 @@
                 _text(raw, TOKENS),
             ),
             last_event_id=_number(_text(raw, LAST_EVENT_ID)),
+            resumed_id=ids.RequestId(_text(raw, RESUMED_ID)) or None,
         )
 
     def encode_request(
--- a/oatcrank/platform/registration_messages.py
+++ b/oatcrank/platform/registration_messages.py
@@ -28,6 +28,8 @@
     zone: str
     slots: int
     state: str
+    # Version of the worker's software, not of its weights.
+    version: str = ''
     # Start time of the worker in Unix milliseconds.
     born: int = 0
     # Number of accepted orders.
--- a/oatcrank/routing/server_registration.py
+++ b/oatcrank/routing/server_registration.py
@@ -16,6 +16,7 @@
     failure_domain: ids.FailureDomain
     slots: int
     leaving: bool
+    software_version: ids.SoftwareVersion = ids.SoftwareVersion('')
     orders_taken: int = 0
     adapters_by_model: dict[ids.ModelName, tuple[ids.AdapterName, ...]] = (
         msgspec.field(default_factory=dict)
--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -67,6 +67,7 @@
             server=registration.server_id,
             service=registration.service,
             address=f'{registration.host}:{registration.port}',
+            version=registration.software_version,
         )
         return added
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -123,12 +123,14 @@
             x_prompt_prefix='5c1e:800,91bd:410,e440:250',
             x_deadline_ms='12000',
             last_event_id='12',
+            resumes='5d20',
         ),
     )
     assert (decoded.model, decoded.adapter) == ('words-large', 'a3')
     assert decoded.prefix == '5c1e:800,91bd:410'
     assert decoded.timeout_s == 12.0
     assert decoded.last_event_id == 12
+    assert decoded.resumed_id == '5d20'
     assert decoded.path == '/words/x'
 
 
@@ -299,6 +301,17 @@
     return store.Item(key=key, value=written, revision=5)
 
 
+@pytest.mark.parametrize(
+    ('version', 'expected'), [('v1.1', 'v1.1'), ('', ''), (None, '')]
+)
+def test_a_registration_has_the_software_version(version, expected):
+    entry = {**ENTRY, 'version': version}
+    if version is None:
+        del entry['version']
+    decoded = codec.PlatformCodec().decode(item('servers/i-1', entry))
+    assert decoded.software_version == expected
+
+
 def test_a_configuration():
     decoded = codec.PlatformCodec().decode(item('op/config', CONFIGURATION))
     (decoded_route,) = decoded.routes
