Start each log test without the messages of earlier tests

test_the_log_says_how_a_stream_ended failed after other tests: eliot hands the first destination everything that was logged before it was added, so the test saw the request_done lines of earlier tests as well. Traced: it failed each time after test_forwarder.py and never alone. The fixture now drops these messages.

--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -17,6 +17,8 @@
     """Collect the messages that are logged during a test."""
     collected: list[dict] = []
     eliot.add_destinations(collected.append)
+    # The first destination gets what was logged before it was added.
+    collected.clear()
     yield collected
     eliot.remove_destination(collected.append)
 
