--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import msgspec
 import routing_parts
@@ -129,13 +130,16 @@
         self.forwarder = forwarder.Forwarder(self.dependencies)
         self.port = 0
 
-    async def start(self, **changes) -> None:
+    async def start(self, versions: Sequence[str] = (), **changes) -> None:
+        """Start the workers, with their software versions in turn."""
         for number, worker in enumerate(self.workers):
             await worker.start()
+            version = versions[number] if versions else ''
             self.servers.put(
                 routing_parts.registration(
                     number,
                     port=worker.port,
+                    software_version=version,
                     **changes,
                 ),
             )
