Continue a stream only at the software version that began it

Cause: after a server broke off, the instance sent the rest to any server that holds the model. Servers of several versions serve side by side, what they write doesn't fit together, and servers don't check it; the instance didn't even decode the version. Class: a property of one run (here the version) isn't part of what a later run must match.

ResumableStream now holds the origin of a stream, service and software version, from the moment before its first event is forwarded. The search for a server, the selection and the request for a placement all take the required version: servers of other versions are not candidates, and count as unusable in the request to the holder of the order lease, so that a model or adapter is placed where the stream may continue. Where no usable server has the version, the stream is broken off at once and visibly.

--- a/oatcrank/cluster/remote_placement_requester.py
+++ b/oatcrank/cluster/remote_placement_requester.py
@@ -45,8 +45,8 @@
         self._counter = demand_counter.DemandCounter()
         self._recent = demand.DemandWindow()
         self._reported_to: lease_holder.LeaseHolder | None = None
-        self._request_by_need: dict[
-            need.Need,
+        self._request_by_key: dict[
+            tuple[need.Need, ids.SoftwareVersion | None],
             asyncio.Task[placement_requester.PlacementResult],
         ] = {}
 
@@ -71,15 +71,20 @@
             self._counter.record_end(server_id, wanted, seconds)
 
     async def request_placement(
-        self, wanted: need.Need
+        self,
+        wanted: need.Need,
+        required_version: ids.SoftwareVersion | None = None,
     ) -> placement_requester.PlacementResult:
         """Request a placement, or join one in progress for the same need."""
-        request = self._request_by_need.get(wanted)
+        key = (wanted, required_version)
+        request = self._request_by_key.get(key)
         if request is None:
-            request = asyncio.ensure_future(self._request(wanted))
-            self._request_by_need[wanted] = request
+            request = asyncio.ensure_future(
+                self._request(wanted, required_version)
+            )
+            self._request_by_key[key] = request
             request.add_done_callback(
-                lambda _: self._request_by_need.pop(wanted, None),
+                lambda _: self._request_by_key.pop(key, None),
             )
         return await asyncio.shield(request)
 
@@ -90,11 +95,13 @@
             await self._report()
 
     async def _request(
-        self, wanted: need.Need
+        self,
+        wanted: need.Need,
+        required_version: ids.SoftwareVersion | None,
     ) -> placement_requester.PlacementResult:
         query = peer_messages.PlacementQuery(
             wanted=wanted,
-            unusable=self._unusable(wanted),
+            unusable=self._unusable(wanted, required_version),
         )
         try:
             reply = await self._ask(query)
@@ -147,12 +154,17 @@
             REQUEST_TIMEOUT_S,
         )
 
-    def _unusable(self, wanted: need.Need) -> tuple[ids.ServerId, ...]:
+    def _unusable(
+        self,
+        wanted: need.Need,
+        required_version: ids.SoftwareVersion | None,
+    ) -> tuple[ids.ServerId, ...]:
         now_s = time.monotonic()
         return tuple(
             server.server_id
             for server in self._servers.of_service(wanted.service)
-            if server.holds(wanted) and not server.is_usable(now_s)
+            if not server.has_version(required_version)
+            or (server.holds(wanted) and not server.is_usable(now_s))
         )
 
     def _demand_report(
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -8,9 +8,9 @@
     answer_end,
     attempt_state,
     caller_request,
-    event_splitter,
     request_dependencies,
     request_metrics,
+    resumable_stream,
     wire_protocol,
 )
 from oatcrank.routing import route, server
@@ -67,18 +67,19 @@
         request_route: route.Route,
         chosen: server.Server,
         out: reply.Reply,
-        splitter: event_splitter.EventSplitter,
+        stream: resumable_stream.ResumableStream,
     ) -> None:
         """Prepare a send to the chosen server.
 
-        The splitter removes events that the caller has already received.
+        The stream holds what earlier attempts have forwarded.
         """
         self._dependencies = dependencies
         self._request = request
         self._route = request_route
         self._server = chosen
         self._out = out
-        self._splitter = splitter
+        self._stream = stream
+        self._splitter = stream.splitter
         self._idle_timeout_s: float | None = None
         self._began_s = float(0)
         self._wait_recorded = False
@@ -185,6 +186,7 @@
             complete_events = self._splitter.feed(event.body)
             if complete_events:
                 self._record_first_event()
+                self._stream.record_begin(self._server.registration)
                 self._start_answer(head, None)
                 self._out.write(complete_events)
                 await self._out.drain()
--- a/oatcrank/forwarding/placement_requester.py
+++ b/oatcrank/forwarding/placement_requester.py
@@ -25,8 +25,15 @@
     """Interface for requesting placements and reporting demand."""
 
     @abc.abstractmethod
-    async def request_placement(self, wanted: need.Need) -> PlacementResult:
-        """Request a load; equal concurrent requests share one result."""
+    async def request_placement(
+        self,
+        wanted: need.Need,
+        required_version: ids.SoftwareVersion | None = None,
+    ) -> PlacementResult:
+        """Request a load; equal concurrent requests share one result.
+
+        With required_version, servers of other software versions don't count.
+        """
 
     @abc.abstractmethod
     def record_demand(self, wanted: need.Need) -> None:
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -9,11 +9,11 @@
     attempt,
     attempt_state,
     caller_request,
-    event_splitter,
     prompt_slot_waiter,
     refusal,
     request_dependencies,
     request_metrics,
+    resumable_stream,
     server_search,
 )
 from oatcrank.routing import crash_record, need, route, server
@@ -55,7 +55,7 @@
         self._tried_ids: list[ids.ServerId] = []
         self._last_end: answer_end.AnswerEnd | None = None
         self._failed_answer: attempt.BufferedAnswer | None = None
-        self._splitter = event_splitter.EventSplitter(request.last_event_id)
+        self._stream = resumable_stream.ResumableStream(request)
         timeout_s = request_route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
@@ -109,6 +109,7 @@
             self._deadline_s,
         )
         while True:
+            search.required_version = self._stream.required_version
             chosen = await search.find(self._tried_ids)
             if not await self._wait_for_slot(chosen, search):
                 continue
@@ -170,7 +171,7 @@
             self._route,
             chosen,
             self._out,
-            self._splitter,
+            self._stream,
         )
         began_s = self._dependencies.now()
         self._dependencies.placement_requester.record_start(
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -43,6 +43,8 @@
         self._excluded_ids: set[ids.ServerId] = set()
         self._deprioritized_ids: set[ids.ServerId] = set()
         self._wait_s_by_delayed_id: dict[ids.ServerId, float] = {}
+        # Software version that the server must have; None allows any.
+        self.required_version: ids.SoftwareVersion | None = None
         self._refused_wait_s = float(0)
         self._wait_logged = False
 
@@ -115,6 +117,7 @@
                     prefix=self._request.prefix,
                     excluded_ids=frozenset(excluded),
                     allowed_ids=allowed_ids,
+                    required_version=self.required_version,
                 ),
                 self._dependencies.now(),
             )
@@ -172,14 +175,31 @@
             return False
         return self._refused_wait_s + placement.ready_in_s <= MAX_REFUSED_WAIT_S
 
+    def _check_required_version(self) -> None:
+        """Refuse a stream that no server may continue, whatever it loads."""
+        if self.required_version is None:
+            return
+        now_s = self._dependencies.now()
+        servers = self._dependencies.servers.of_service(self._wanted.service)
+        if not any(
+            candidate.has_version(self.required_version)
+            and candidate.is_usable(now_s)
+            for candidate in servers
+        ):
+            raise refusal.RequestRefused(
+                'no server has the software version of the stream',
+                NO_SERVER_RETRY_S,
+            )
+
     async def _request_placement(
         self, allowed_ids: frozenset[ids.ServerId]
     ) -> None:
         if self._wanted.model is None or allowed_ids:
             raise refusal.RequestRefused('no usable server', NO_SERVER_RETRY_S)
+        self._check_required_version()
         placement = (
             await self._dependencies.placement_requester.request_placement(
-                self._wanted
+                self._wanted, self.required_version
             )
         )
         if placement.refusal_reason and not self._may_retry_placement(
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -72,6 +72,13 @@
                 self._adapters_by_model[model] |= adapters
         self.registration = registration
 
+    def has_version(self, required: ids.SoftwareVersion | None) -> bool:
+        """Return whether a stream of the required version may continue here.
+
+        None is a stream that has not begun.
+        """
+        return required in {None, self.registration.software_version}
+
     def holds(self, wanted: need.Need) -> bool:
         """Return whether the server is known to hold what is needed."""
         if wanted.model is None:
--- a/oatcrank/routing/server_selection.py
+++ b/oatcrank/routing/server_selection.py
@@ -30,6 +30,8 @@
 class SelectionCriteria(msgspec.Struct, frozen=True, kw_only=True):
     """What a request requires and prefers of its server.
 
+    Without required_version the server may have any software version.
+
     Requests with the same prompt prefix prefer the same server.  If
     allowed_ids is empty, any server is allowed that is not in excluded_ids.
     """
@@ -38,6 +40,7 @@
     prefix: str = ''
     excluded_ids: frozenset[ids.ServerId] = frozenset()
     allowed_ids: frozenset[ids.ServerId] = frozenset()
+    required_version: ids.SoftwareVersion | None = None
 
 
 class ServerSelector:
@@ -64,6 +67,7 @@
             for candidate in servers
             if candidate.is_usable(now_s)
             and candidate.holds(criteria.wanted)
+            and candidate.has_version(criteria.required_version)
             and not candidate.is_skipped(criteria.wanted, now_s)
         ]
         if criteria.allowed_ids:
--- /dev/null
+++ b/oatcrank/routing/stream_origin.py
@@ -0,0 +1,16 @@
+"""Define what began a stream."""
+
+import msgspec
+
+from oatcrank import ids
+
+
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """Service and software version of the server that began a stream.
+
+    What two software versions write does not fit together, so a stream may
+    continue only on servers of this version.
+    """
+
+    service: ids.ServiceName
+    software_version: ids.SoftwareVersion
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -48,7 +48,7 @@
         self.ended = 0
 
     async def request_placement(
-        self, wanted: need.Need
+        self, wanted: need.Need, required_version=None
     ) -> placement_requester.PlacementResult:
         self.requested.append(wanted)
         self.on_call(wanted)
