Separate the datagram endpoint from the prompt scheduler

What callers see is unchanged. It is now a DatagramEndpoint that passes messages to handlers by type; the choice of an owner by rendezvous hashing is Members.ranked, so that both uses share it. The log events prompt_slot_datagram_lost and _malformed are datagram_lost and datagram_malformed. The tests of the scheduler open and close endpoints now and check what they checked.

--- a/oatcrank/cluster/prompt_slot_messages.py
+++ b/oatcrank/cluster/datagram_messages.py
@@ -1,4 +1,4 @@
-"""Define the datagrams that reserve slots in a server's prompt schedule."""
+"""Define the datagrams that instances exchange."""
 
 import msgspec
 
@@ -21,14 +21,17 @@
     wait_s: float
 
 
+Datagram = SlotQuery | SlotReply
+
+
 class Malformed(errors.OatcrankError):
-    """Raised for a datagram that is neither a query nor a reply."""
+    """Raised for a datagram that is none of these messages."""
 
 
-_DECODER = msgspec.json.Decoder(SlotQuery | SlotReply)
+_DECODER = msgspec.json.Decoder(Datagram)
 
 
-def decode(datagram: bytes) -> SlotQuery | SlotReply:
+def decode(datagram: bytes) -> Datagram:
     """Decode a datagram or raise Malformed."""
     try:
         return _DECODER.decode(datagram)
@@ -36,6 +39,6 @@
         raise Malformed(str(error)) from error
 
 
-def encode(message: SlotQuery | SlotReply) -> bytes:
+def encode(message: Datagram) -> bytes:
     """Encode a message as a datagram."""
     return msgspec.json.encode(message)
--- a/oatcrank/cluster/distributed_prompt_scheduler.py
+++ b/oatcrank/cluster/distributed_prompt_scheduler.py
@@ -8,10 +8,13 @@
 import asyncio
 import itertools
 
-import xxhash
-
 from oatcrank import ids, logs
-from oatcrank.cluster import member, members, prompt_slot_messages
+from oatcrank.cluster import (
+    datagram_endpoint,
+    datagram_messages,
+    member,
+    members,
+)
 from oatcrank.forwarding import prompt_scheduler, request_metrics
 from oatcrank.routing import prompt_schedule
 
@@ -24,8 +27,6 @@
 # With this many schedules, those of idle servers are dropped.
 MAX_SCHEDULES = 1024
 
-Address = tuple[str, int]
-
 
 class _OwnerState:
     """Track whether a schedule owner replies."""
@@ -49,18 +50,20 @@
         return True
 
 
-class DistributedPromptScheduler(
-    prompt_scheduler.PromptScheduler, asyncio.DatagramProtocol
-):
+class DistributedPromptScheduler(prompt_scheduler.PromptScheduler):
     """Schedule prompts of some servers; query the owners of the others."""
 
     def __init__(
         self,
         members: members.Members,
+        endpoint: datagram_endpoint.DatagramEndpoint,
         read_tokens_per_s: float = prompt_schedule.READ_TOKENS_PER_S,
     ) -> None:
         """Distribute the schedules among the members."""
         self._members = members
+        self._endpoint = endpoint
+        endpoint.set_handler(datagram_messages.SlotQuery, self._handle_query)
+        endpoint.set_handler(datagram_messages.SlotReply, self._handle_reply)
         self._read_tokens_per_s = read_tokens_per_s
         self._schedule_by_id: dict[
             ids.ServerId, prompt_schedule.PromptSchedule
@@ -68,19 +71,6 @@
         self._owner_state_by_id: dict[ids.InstanceId, _OwnerState] = {}
         self._query_numbers = itertools.count(1)
         self._reply_by_number: dict[int, asyncio.Future[float]] = {}
-        self._transport: asyncio.DatagramTransport | None = None
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen for datagrams from other instances."""
-        await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self,
-            local_addr=(host, port),
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        if self._transport is not None:
-            self._transport.close()
 
     async def reserve(
         self,
@@ -92,36 +82,22 @@
         request_metrics.PROMPT_WAIT_SECONDS.observe(wait_s)
         return wait_s
 
-    # asyncio.DatagramProtocol
+    # Datagrams
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start sending and receiving."""
-        self._transport = transport  # type: ignore
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop sending."""
-        self._transport = None
-
-    def error_received(self, exc: Exception) -> None:
-        """Log that a datagram was not delivered; its query gets no reply."""
-        logs.event('prompt_slot_datagram_lost', error=repr(exc))
+    def _handle_query(
+        self, query: datagram_messages.SlotQuery, sender: str
+    ) -> None:
+        wait_s = self._reserve(query.server_id, query.prompt)
+        self._endpoint.send(
+            datagram_messages.SlotReply(query.number, wait_s), sender
+        )
 
-    def datagram_received(self, data: bytes, addr: Address) -> None:
-        """Reply to a query, or complete a query with its reply."""
-        try:
-            message = prompt_slot_messages.decode(data)
-        except prompt_slot_messages.Malformed as error:
-            logs.event(
-                'prompt_slot_datagram_malformed', peer=addr[0], error=error
-            )
-            return
-        if isinstance(message, prompt_slot_messages.SlotReply):
-            reply = self._reply_by_number.get(message.number)
-            if reply is not None and not reply.done():
-                reply.set_result(message.wait_s)
-            return
-        wait_s = self._reserve(message.server_id, message.prompt)
-        self._send(prompt_slot_messages.SlotReply(message.number, wait_s), addr)
+    def _handle_reply(
+        self, slot_reply: datagram_messages.SlotReply, _: str
+    ) -> None:
+        reply = self._reply_by_number.get(slot_reply.number)
+        if reply is not None and not reply.done():
+            reply.set_result(slot_reply.wait_s)
 
     # Scheduling
 
@@ -130,7 +106,7 @@
         server_id: ids.ServerId,
         prompt: prompt_schedule.Prompt,
     ) -> float:
-        owner = self._owner(server_id)
+        owner = next(iter(self._members.ranked(server_id, 1)), None)
         if owner is None or owner is self._members.own:
             return self._reserve(server_id, prompt)
         state = self._owner_state_by_id.setdefault(
@@ -140,7 +116,7 @@
         now_s = asyncio.get_running_loop().time()
         if not state.is_available(now_s):
             return 0
-        query = prompt_slot_messages.SlotQuery(
+        query = datagram_messages.SlotQuery(
             next(self._query_numbers),
             server_id,
             prompt,
@@ -155,39 +131,20 @@
 
     async def _ask(
         self,
-        query: prompt_slot_messages.SlotQuery,
+        query: datagram_messages.SlotQuery,
         owner: member.Member,
     ) -> float | None:
-        host, _, port = owner.datagram_address.rpartition(':')
         reply = asyncio.get_running_loop().create_future()
         self._reply_by_number[query.number] = reply
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                self._send(query, (host, int(port)))
+                self._endpoint.send(query, owner.datagram_address)
                 return await reply
         except TimeoutError:
             return None
         finally:
             del self._reply_by_number[query.number]
 
-    def _owner(self, server_id: ids.ServerId) -> member.Member | None:
-        """Return the schedule owner by rendezvous hashing.
-
-        Instances that know the same members choose the same owner.
-        """
-        candidates = [
-            candidate
-            for candidate in (self._members.own, *self._members.others())
-            if candidate.ready and candidate.datagram_address
-        ]
-        return max(
-            candidates,
-            key=lambda candidate: xxhash.xxh3_64_intdigest(
-                f'{server_id}/{candidate.instance_id}'.encode(),
-            ),
-            default=None,
-        )
-
     def _reserve(
         self,
         server_id: ids.ServerId,
@@ -209,14 +166,3 @@
             for server_id, schedule in self._schedule_by_id.items()
             if not schedule.is_free(now_s)
         }
-
-    def _send(
-        self,
-        message: prompt_slot_messages.SlotQuery
-        | prompt_slot_messages.SlotReply,
-        address: Address,
-    ) -> None:
-        if self._transport is not None:
-            self._transport.sendto(
-                prompt_slot_messages.encode(message), address
-            )
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -8,6 +8,7 @@
 from oatcrank import background, logs, metrics
 from oatcrank.cluster import (
     codec,
+    datagram_endpoint,
     distributed_prompt_scheduler,
     member,
     members,
@@ -121,9 +122,11 @@
                 self.servers,
             )
         )
+        self._datagrams = datagram_endpoint.DatagramEndpoint()
         self._prompt_scheduler = (
             distributed_prompt_scheduler.DistributedPromptScheduler(
                 self.members,
+                self._datagrams,
                 read_tokens_per_s,
             )
         )
@@ -188,9 +191,7 @@
             port,
             backlog=1024,
         )
-        await self._prompt_scheduler.start(
-            *_host_and_port(self.members.own.datagram_address)
-        )
+        await self._datagrams.start(self.members.own.datagram_address)
         for name, work in (
             ('mirror', self._mirror.run),
             ('session', self._session.run),
@@ -223,7 +224,7 @@
                 connections=len(self._open_connections),
             )
         self._coordinator.stop()
-        self._prompt_scheduler.close()
+        self._datagrams.close()
         await self._session.close()
         await self._background.close()
 
@@ -257,8 +258,3 @@
         )
         logs.event('readiness', ready=ready)
         self._session.request_update()
-
-
-def _host_and_port(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/oatcrank/cluster/members.py
+++ b/oatcrank/cluster/members.py
@@ -1,5 +1,9 @@
 """Track the registered instances and choose those that callers should use."""
 
+import heapq
+
+import xxhash
+
 from oatcrank import ids
 from oatcrank.cluster import member
 
@@ -39,6 +43,24 @@
             if other.instance_id != self.own.instance_id
         ]
 
+    def ranked(self, key: str, count: int) -> list[member.Member]:
+        """Return the first ready instances for a key, by rendezvous hashing.
+
+        Instances that know the same members rank them alike.
+        """
+        candidates = [
+            candidate
+            for candidate in (self.own, *self.others())
+            if candidate.ready and candidate.datagram_address
+        ]
+        return heapq.nlargest(
+            count,
+            candidates,
+            key=lambda candidate: xxhash.xxh3_64_intdigest(
+                f'{key}/{candidate.instance_id}'.encode(),
+            ),
+        )
+
     def caller_addresses(self, failure_domain: str, region: str) -> list[str]:
         """Return the addresses for a caller, near ones only if enough."""
         ready = [other for other in self.others() if other.ready]
--- a/tests/test_pace_keepers.py
+++ b/tests/test_pace_keepers.py
@@ -6,10 +6,11 @@
 import pytest
 
 from oatcrank.cluster import (
+    datagram_endpoint,
+    datagram_messages,
     distributed_prompt_scheduler,
     member,
     members,
-    prompt_slot_messages,
 )
 from oatcrank.routing import prompt_schedule
 
@@ -41,22 +42,24 @@
 
     async def run():
         all_members = [a_member(n, free_port()) for n in range(instances)]
+        endpoints = []
         schedulers = []
         for own in all_members:
             known = members.Members(own)
             for other in all_members:
                 known.put(other)
+            endpoint = datagram_endpoint.DatagramEndpoint()
             scheduler = distributed_prompt_scheduler.DistributedPromptScheduler(
-                known
+                known, endpoint
             )
-            port = int(own.datagram_address.rpartition(':')[2])
-            await scheduler.start('127.0.0.1', port)
+            await endpoint.start(own.datagram_address)
+            endpoints.append(endpoint)
             schedulers.append(scheduler)
         try:
-            await scenario(schedulers)
+            await scenario(schedulers, endpoints)
         finally:
-            for scheduler in schedulers:
-                scheduler.close()
+            for endpoint in endpoints:
+                endpoint.close()
 
     asyncio.run(run())
 
@@ -69,7 +72,7 @@
 
 
 def test_prompts_of_all_instances_wait_for_each_other():
-    async def scenario(schedulers):
+    async def scenario(schedulers, _):
         for server_id in ('server-1', 'server-2', 'server-3', 'server-4'):
             waits = await asyncio.gather(
                 *(
@@ -86,10 +89,11 @@
 
 
 def test_stopped_schedule_owner_delays_only_its_first_queries():
-    async def scenario(schedulers):
-        client, *stopped = schedulers
-        for scheduler in stopped:
-            scheduler.close()
+    async def scenario(schedulers, endpoints):
+        client = schedulers[0]
+        stopped = endpoints[1:]
+        for endpoint in stopped:
+            endpoint.close()
         await asyncio.sleep(0.01)
         waits = [
             await elapsed_s(client.reserve(f'server-{number}', PROMPT))
@@ -106,11 +110,11 @@
 
 @pytest.mark.parametrize('datagram', [b'', b'{"type":"query"}', b'\xff\x00'])
 def test_malformed_datagram_is_ignored(datagram):
-    with pytest.raises(prompt_slot_messages.Malformed):
-        prompt_slot_messages.decode(datagram)
+    with pytest.raises(datagram_messages.Malformed):
+        datagram_messages.decode(datagram)
 
-    async def scenario(schedulers):
-        schedulers[0].datagram_received(datagram, ('127.0.0.1', 9))
+    async def scenario(schedulers, endpoints):
+        endpoints[0].datagram_received(datagram, ('127.0.0.1', 9))
         assert await elapsed_s(schedulers[0].reserve('server-1', PROMPT)) < 0.05
 
     run_instances(scenario, instances=1)
