Find the version of a stream that a caller takes up again

Callers take a stream up with Last-Event-Id and Resumes, mostly at another instance than the one that began it, often because that one was killed.

Now the origin of a resumable stream is recorded before its first event is forwarded, and copied by datagram to two instances, chosen by rendezvous hashing of the request's id. An instance that a caller asks to go on looks the origin up in its own table, then asks the four first in the ranking, and takes the first that knows. The work grows with the streams, not with the number of instances. Where no instance knows the origin (copies lost, Resumes not sent), the stream goes on only if the service has had a single version while any such stream may have begun: by the instance's own table, by records in the store for an instance that has just started, and by the word of others while it is cut off from the store. Else it is refused as not run. A restored origin also keeps the service where a route is split.

--- a/oatcrank/cluster/datagram_messages.py
+++ b/oatcrank/cluster/datagram_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.routing import prompt_schedule
+from oatcrank.routing import prompt_schedule, stream_origin
 
 
 class SlotQuery(msgspec.Struct, frozen=True, tag='query'):
@@ -21,7 +21,14 @@
     wait_s: float
 
 
-Datagram = SlotQuery | SlotReply
+class OriginCopy(msgspec.Struct, frozen=True, tag='origin'):
+    """Copy the origin of a stream; request_id brings its first event."""
+
+    request_id: ids.RequestId
+    origin: stream_origin.StreamOrigin
+
+
+Datagram = SlotQuery | SlotReply | OriginCopy
 
 
 class Malformed(errors.OatcrankError):
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -17,9 +17,11 @@
     peers,
     remote_placement_requester,
     session,
+    shared_stream_origins,
     store,
     store_mirror,
     table_updater,
+    version_records,
 )
 from oatcrank.forwarding import (
     crash_detector,
@@ -130,6 +132,18 @@
                 read_tokens_per_s,
             )
         )
+        self._version_records = version_records.VersionRecords(
+            dependencies.store,
+            self._mirror,
+            self.members,
+            self.servers,
+        )
+        origins = shared_stream_origins.SharedStreamOrigins(
+            self.members,
+            self._version_records,
+            self._datagrams,
+            peers.Client(),
+        )
         crashes = crash_record.CrashRecord()
         self.peer = peer_service.PeerService(
             self._coordinator,
@@ -137,6 +151,7 @@
             crashes,
             self.members,
             self.servers,
+            origins,
         )
         self._coordinator.set_unload_listener(self.peer.broadcast_unload)
         self._retries = retry_budgets.RetryBudgets(
@@ -156,6 +171,7 @@
                 retry_budgets=self._retries,
                 placement_requester=self._placement_requester,
                 prompt_scheduler=self._prompt_scheduler,
+                stream_origins=origins,
                 crash_record=crashes,
                 crash_detector=crash_detector.CrashDetector(
                     crashes,
@@ -198,6 +214,7 @@
             ('order_lease', self._order_lease.run),
             ('replica_placement', self._order_lease.add_replicas),
             ('demand', self._placement_requester.run),
+            ('version_records', self._version_records.run),
             ('readiness', self._become_ready),
             ('connection_pruning', self._prune),
         ):
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -7,7 +7,12 @@
 from tornado import web
 
 from oatcrank import logs
-from oatcrank.cluster import lease_holder, peer_messages, peers
+from oatcrank.cluster import (
+    lease_holder,
+    peer_messages,
+    peers,
+    stream_origin_messages,
+)
 
 BAD_REQUEST = 400
 
@@ -57,6 +62,11 @@
         ('vouch', peer_messages.ConfirmQuery, peer.confirm_holder),
         ('holder', lease_holder.LeaseHolder, peer.announce_holder),
         ('stop', peer_messages.StopQuery, peer.request_stop),
+        (
+            'stream-origin',
+            stream_origin_messages.OriginQuery,
+            peer.answer_origin,
+        ),
     )
     return [
         (
--- a/oatcrank/cluster/peer_service.py
+++ b/oatcrank/cluster/peer_service.py
@@ -12,6 +12,8 @@
     peer_messages,
     peers,
     remote_placement_requester,
+    shared_stream_origins,
+    stream_origin_messages,
 )
 from oatcrank.orders import order_coordinator
 from oatcrank.routing import crash_record, need, server_table
@@ -29,6 +31,7 @@
         crash_record: crash_record.CrashRecord,
         members: members.Members,
         servers: server_table.ServerTable,
+        origins: shared_stream_origins.SharedStreamOrigins,
     ) -> None:
         """Serve the components of one instance."""
         self._coordinator = coordinator
@@ -36,6 +39,7 @@
         self._crash_record = crash_record
         self._members = members
         self._servers = servers
+        self._origins = origins
         self._client = peers.Client()
         self._broadcast_tasks: set[asyncio.Task[None]] = set()
 
@@ -99,6 +103,13 @@
         """Stop sending orders under older fences."""
         return self._lease.stop_for_successor(query)
 
+    async def answer_origin(
+        self,
+        query: stream_origin_messages.OriginQuery,
+    ) -> stream_origin_messages.OriginAnswer:
+        """Return what this instance knows of a stream."""
+        return self._origins.answer(query)
+
     def broadcast_crashes(self, fingerprints: list[int]) -> None:
         """Send requests suspected of crashing servers to all peers."""
         self._broadcast(
--- a/oatcrank/cluster/peers.py
+++ b/oatcrank/cluster/peers.py
@@ -6,7 +6,11 @@
 import msgspec
 
 from oatcrank import errors
-from oatcrank.cluster import lease_holder, peer_messages
+from oatcrank.cluster import (
+    lease_holder,
+    peer_messages,
+    stream_origin_messages,
+)
 from oatcrank.transport import calls
 from oatcrank.transport import errors as transport_errors
 
@@ -69,6 +73,13 @@
     ) -> peer_messages.Acknowledgement:
         """Stop routing requests for a model that a server is unloading."""
 
+    @abc.abstractmethod
+    async def answer_origin(
+        self,
+        query: stream_origin_messages.OriginQuery,
+    ) -> stream_origin_messages.OriginAnswer:
+        """Return what this instance knows of a stream."""
+
     @abc.abstractmethod
     async def request_stop(
         self,
--- /dev/null
+++ b/oatcrank/cluster/shared_stream_origins.py
@@ -0,0 +1,160 @@
+"""Share the origins of streams among instances.
+
+A caller takes a stream up at any instance, often because the one that began it
+has ended. So each origin is copied to other instances before the caller sees
+the first event. An origin that no instance knows is assumed only if the service
+has had a single software version while any stream that goes on may have begun.
+"""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+from oatcrank import ids, logs
+from oatcrank.cluster import (
+    datagram_endpoint,
+    datagram_messages,
+    member,
+    members,
+    peers,
+    stream_origin_messages,
+    version_records,
+)
+from oatcrank.forwarding import stream_origins
+from oatcrank.routing import stream_origin, stream_origin_table
+
+# Instances that receive a copy of an origin, besides the one that began it.
+COPIES = 2
+# More are asked than have a copy: members may have come or gone since.
+ASKED_INSTANCES = 4
+# Callers of a stream wait two seconds or more for its next event.
+ANSWER_TIMEOUT_S = 0.3
+
+
+class SharedStreamOrigins(stream_origins.StreamOrigins):
+    """Copy origins to other instances, and ask them for unknown ones."""
+
+    def __init__(
+        self,
+        members: members.Members,
+        versions: version_records.VersionRecords,
+        endpoint: datagram_endpoint.DatagramEndpoint,
+        client: peers.Client,
+    ) -> None:
+        """Share origins among the members."""
+        self._members = members
+        self._versions = versions
+        self._endpoint = endpoint
+        self._client = client
+        self._table = stream_origin_table.StreamOriginTable()
+        endpoint.set_handler(datagram_messages.OriginCopy, self._handle_copy)
+
+    def record(
+        self, request_id: ids.RequestId, origin: stream_origin.StreamOrigin
+    ) -> None:
+        """Record the origin of a stream that begins at this instance."""
+        self._table.record(request_id, origin, time.monotonic())
+        copy = datagram_messages.OriginCopy(request_id, origin)
+        for other in self._ranked_others(request_id, COPIES):
+            self._endpoint.send(copy, other.datagram_address)
+
+    async def find(
+        self,
+        request_id: ids.RequestId | None,
+        service: ids.ServiceName,
+    ) -> stream_origin.StreamOrigin | None:
+        """Return the origin of a stream, or None if it isn't known."""
+        query = stream_origin_messages.OriginQuery(
+            request_id=request_id, service=service
+        )
+        own = self.answer(query)
+        if own.origin is not None:
+            return own.origin
+        if request_id is None and self._versions.is_current:
+            return _assumed_origin(service, [own])
+        others = await self._ask_others(query)
+        for answer in others:
+            if answer.origin is not None:
+                return answer.origin
+        if not (others or self._versions.is_current):
+            return None
+        return _assumed_origin(service, [own, *others])
+
+    def answer(
+        self, query: stream_origin_messages.OriginQuery
+    ) -> stream_origin_messages.OriginAnswer:
+        """Return what this instance knows of a stream."""
+        origin = (
+            None
+            if query.request_id is None
+            else self._table.find(query.request_id, time.monotonic())
+        )
+        return stream_origin_messages.OriginAnswer(
+            origin=origin,
+            versions=tuple(self._versions.recent_versions(query.service)),
+        )
+
+    def _handle_copy(self, copy: datagram_messages.OriginCopy, _: str) -> None:
+        self._table.record(copy.request_id, copy.origin, time.monotonic())
+
+    def _ranked_others(self, key: str, count: int) -> list[member.Member]:
+        ranked = self._members.ranked(key, count + 1)
+        others = [other for other in ranked if other is not self._members.own]
+        return others[:count]
+
+    async def _ask_others(
+        self, query: stream_origin_messages.OriginQuery
+    ) -> list[stream_origin_messages.OriginAnswer]:
+        """Return the answers up to the first that has the origin."""
+        tasks = [
+            asyncio.ensure_future(self._ask(other, query))
+            for other in self._ranked_others(
+                query.request_id or query.service, ASKED_INSTANCES
+            )
+        ]
+        answers = []
+        try:
+            for next_answer in asyncio.as_completed(tasks):
+                answer = await next_answer
+                if answer is None:
+                    continue
+                answers.append(answer)
+                if answer.origin is not None:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return answers
+
+    async def _ask(
+        self,
+        other: member.Member,
+        query: stream_origin_messages.OriginQuery,
+    ) -> stream_origin_messages.OriginAnswer | None:
+        try:
+            return await self._client.send(
+                other.peer_address,
+                'stream-origin',
+                query,
+                stream_origin_messages.OriginAnswer,
+                ANSWER_TIMEOUT_S,
+            )
+        except peers.PeerUnreachable as error:
+            logs.event(
+                'stream_origin_query_failed',
+                request=query.request_id,
+                member=other.instance_id,
+                error=error,
+            )
+            return None
+
+
+def _assumed_origin(
+    service: ids.ServiceName,
+    answers: Iterable[stream_origin_messages.OriginAnswer],
+) -> stream_origin.StreamOrigin | None:
+    """Return the origin if all answers together know a single version."""
+    versions = {version for answer in answers for version in answer.versions}
+    if len(versions) != 1:
+        return None
+    return stream_origin.StreamOrigin(service, versions.pop())
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -53,6 +53,11 @@
         self._watching: asyncio.Task[store.Changes] | None = None
         self._backoff_s = FIRST_BACKOFF_S
 
+    @property
+    def is_current(self) -> bool:
+        """Return whether the copy follows the store as far as is known."""
+        return self.is_loaded and not self._is_unreachable
+
     def get(self, key: str) -> store.Item | None:
         """Return a key's newest known value, or None."""
         known = self._item_by_key.get(key)
@@ -60,6 +65,14 @@
             return None
         return known
 
+    def keys(self, prefix: str) -> list[str]:
+        """Return the known keys with a prefix."""
+        return [
+            key
+            for key, known in self._item_by_key.items()
+            if key.startswith(prefix) and known.value is not None
+        ]
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
--- a/oatcrank/forwarding/request_dependencies.py
+++ b/oatcrank/forwarding/request_dependencies.py
@@ -10,6 +10,7 @@
     crash_detector,
     placement_requester,
     prompt_scheduler,
+    stream_origins,
     wire_protocol,
 )
 from oatcrank.routing import (
@@ -31,6 +32,7 @@
     retry_budgets: retry_budgets.RetryBudgets
     placement_requester: placement_requester.PlacementRequester
     prompt_scheduler: prompt_scheduler.PromptScheduler
+    stream_origins: stream_origins.StreamOrigins
     crash_record: crash_record.CrashRecord
     crash_detector: crash_detector.CrashDetector
     rng: random.Random
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -3,6 +3,8 @@
 import asyncio
 import http
 
+import msgspec
+
 from oatcrank import ids, logs
 from oatcrank.forwarding import (
     answer_end,
@@ -55,7 +57,9 @@
         self._tried_ids: list[ids.ServerId] = []
         self._last_end: answer_end.AnswerEnd | None = None
         self._failed_answer: attempt.BufferedAnswer | None = None
-        self._stream = resumable_stream.ResumableStream(request)
+        self._stream = resumable_stream.ResumableStream(
+            dependencies, request, request_route
+        )
         timeout_s = request_route.timeout_s
         if request.timeout_s is not None:
             timeout_s = min(timeout_s, request.timeout_s)
@@ -100,6 +104,11 @@
             raise refusal.RequestRefused(
                 'the request may crash servers', CRASH_RETRY_S
             )
+        await self._stream.find_origin(self._wanted.service)
+        if self._stream.origin is not None:
+            self._wanted = msgspec.structs.replace(
+                self._wanted, service=self._stream.origin.service
+            )
         self._dependencies.placement_requester.record_demand(self._wanted)
         search = server_search.ServerSearch(
             self._dependencies,
@@ -205,7 +214,7 @@
             result.progress,
             repeatable=self._route.repeatable,
             delivered=self._out.started,
-            resumable=self._route.repeatable and self._route.streaming,
+            resumable=self._route.resumable,
         )
         if step is attempt_state.Step.deliver:
             return self._deliver(result, chosen, search)
--- a/oatcrank/forwarding/request_metrics.py
+++ b/oatcrank/forwarding/request_metrics.py
@@ -17,6 +17,11 @@
     'Streams of backend servers by framing and by how they ended.',
     ('service', 'framing', 'ending'),
 )
+TAKEN_UP_STREAMS = prometheus_client.Counter(
+    'oatcrank_taken_up_streams',
+    'Streams that callers take up again, by whether their origin is known.',
+    ('service', 'origin'),
+)
 REQUEST_SECONDS = prometheus_client.Histogram(
     'oatcrank_request_seconds',
     'Seconds from the first byte read to the end of the answer.',
--- a/oatcrank/forwarding/resumable_stream.py
+++ b/oatcrank/forwarding/resumable_stream.py
@@ -1,15 +1,31 @@
 """Keep a stream at the software version that began it."""
 
 from oatcrank import ids
-from oatcrank.forwarding import caller_request, event_splitter
-from oatcrank.routing import server_registration, stream_origin
+from oatcrank.forwarding import (
+    caller_request,
+    event_splitter,
+    refusal,
+    request_dependencies,
+    request_metrics,
+)
+from oatcrank.routing import route, server_registration, stream_origin
+
+UNKNOWN_ORIGIN_RETRY_S = 0.5
 
 
 class ResumableStream:
     """State of a stream to which several servers may contribute."""
 
-    def __init__(self, request: caller_request.CallerRequest) -> None:
+    def __init__(
+        self,
+        dependencies: request_dependencies.RequestDependencies,
+        request: caller_request.CallerRequest,
+        request_route: route.Route,
+    ) -> None:
         """Continue after the last event that the caller has."""
+        self._dependencies = dependencies
+        self._request = request
+        self._route = request_route
         self.splitter = event_splitter.EventSplitter(request.last_event_id)
         self.origin: stream_origin.StreamOrigin | None = None
 
@@ -18,11 +34,42 @@
         """Return the only allowed software version, or None if any is."""
         return None if self.origin is None else self.origin.software_version
 
+    async def find_origin(self, service: ids.ServiceName) -> None:
+        """Find the origin if the caller takes the stream up again.
+
+        Raises refusal.RequestRefused if it isn't known, or if the route no
+        longer leads to the service that began the stream.
+        """
+        if self._request.last_event_id is None or not self._route.resumable:
+            return
+        self.origin = await self._dependencies.stream_origins.find(
+            self._request.resumed_id, service
+        )
+        request_metrics.TAKEN_UP_STREAMS.labels(
+            service, 'unknown' if self.origin is None else 'known'
+        ).inc()
+        if self.origin is None:
+            raise refusal.RequestRefused(
+                'the software version that began the stream is not known',
+                UNKNOWN_ORIGIN_RETRY_S,
+            )
+        services = {share.service for share in self._route.shares}
+        if self.origin.service not in services:
+            raise refusal.RequestRefused(
+                'the route no longer leads to the service of the stream',
+                UNKNOWN_ORIGIN_RETRY_S,
+            )
+
     def record_begin(
         self, registration: server_registration.Registration
     ) -> None:
         """Record the server whose event is forwarded first."""
-        if self.origin is None:
-            self.origin = stream_origin.StreamOrigin(
-                registration.service, registration.software_version
+        if self.origin is not None:
+            return
+        self.origin = stream_origin.StreamOrigin(
+            registration.service, registration.software_version
+        )
+        if self._route.resumable:
+            self._dependencies.stream_origins.record(
+                self._request.request_id, self.origin
             )
--- a/oatcrank/routing/route.py
+++ b/oatcrank/routing/route.py
@@ -34,6 +34,11 @@
     priority: int
     patience_s: float | None = None
 
+    @property
+    def resumable(self) -> bool:
+        """Return whether another server may continue a stream."""
+        return self.repeatable and self.streaming
+
 
 class Model(msgspec.Struct, frozen=True, kw_only=True):
     """The memory that a model needs, and its load times by source."""
--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -1,10 +1,15 @@
 """Table of the registered backend servers."""
 
 import asyncio
+import time
 from collections.abc import Iterator
 
 from oatcrank import ids, logs
-from oatcrank.routing import server, server_registration
+from oatcrank.routing import (
+    server,
+    server_registration,
+    version_history,
+)
 
 
 class ServerTable:
@@ -18,6 +23,9 @@
             dict[ids.ServerId, server.Server],
         ] = {}
         self._changed = asyncio.Event()
+        self._versions = version_history.VersionHistory()
+        # Monotonic time in seconds; servers that ended before are unknown.
+        self.created_s = time.monotonic()
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Return after the next change or the timeout."""
@@ -36,11 +44,27 @@
         """Yield the servers of a service."""
         yield from self._by_id_by_service.get(name, {}).values()
 
+    def services(self) -> tuple[ids.ServiceName, ...]:
+        """Return the services that have had servers."""
+        return tuple(self._by_id_by_service)
+
+    def versions_since(
+        self, service: ids.ServiceName, since_s: float
+    ) -> set[ids.SoftwareVersion]:
+        """Return the software versions that a service has had since a time."""
+        versions = self._versions.versions_since(service, since_s)
+        versions.update(
+            registered.registration.software_version
+            for registered in self.of_service(service)
+        )
+        return versions
+
     def put(
         self, registration: server_registration.Registration
     ) -> server.Server:
         """Add a server, update it, or replace its earlier process."""
         existing = self.by_id.get(registration.server_id)
+        self._record_version(registration)
         if (
             existing is not None
             and registration.started_ms < existing.registration.started_ms
@@ -76,7 +100,17 @@
         existing = self.by_id.pop(server_id, None)
         if existing is None:
             return
+        self._record_version(existing.registration)
         existing.is_removed = True
         existing.pool.close()
         del self._by_id_by_service[existing.registration.service][server_id]
         logs.event('server_removed', server=server_id, reason=reason)
+
+    def _record_version(
+        self, registration: server_registration.Registration
+    ) -> None:
+        self._versions.record(
+            registration.service,
+            registration.software_version,
+            time.monotonic(),
+        )
--- a/tests/cluster_parts.py
+++ b/tests/cluster_parts.py
@@ -83,6 +83,7 @@
             caller_address=f'{name}:1',
             peer_address=f'{name}:2',
             ready=True,
+            datagram_address=f'{name}:3',
         )
         self.members = members.Members(own)
         self.servers = server_table.ServerTable()
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -14,6 +14,7 @@
     placement_requester,
     prompt_scheduler,
     request_dependencies,
+    stream_origins,
 )
 from oatcrank.platform import platform_protocol
 from oatcrank.routing import (
@@ -24,6 +25,7 @@
     route_table,
     server_selection,
     server_table,
+    stream_origin,
 )
 from oatcrank.transport import caller_connection, limits
 
@@ -84,6 +86,19 @@
         return self.wait_s_by_id.get(server_id, 0)
 
 
+class LocalStreamOrigins(stream_origins.StreamOrigins):
+    """Remember the streams of one instance."""
+
+    def __init__(self) -> None:
+        self.origin_by_id: dict[str, stream_origin.StreamOrigin] = {}
+
+    def record(self, request_id, origin) -> None:
+        self.origin_by_id[request_id] = origin
+
+    async def find(self, request_id, service):
+        return self.origin_by_id.get(request_id)
+
+
 class Site:
     """A forwarder with its workers."""
 
@@ -120,6 +135,7 @@
             ),
             placement_requester=self.placement_requester,
             prompt_scheduler=self.prompt_scheduler,
+            stream_origins=LocalStreamOrigins(),
             crash_record=self.crashes,
             crash_detector=crash_detector.CrashDetector(
                 self.crashes,
