Promise "not run" only if the server has said so

Cause: an answer of the server without the statement that it did not run the request was forwarded as it was, although these statuses are a promise to the caller and only that statement makes it true.

Such an answer is now an invalid one: an idempotent request is retried, any other is answered 502 without the server's signature.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import json
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -24,6 +25,10 @@
     stream = 'a stream of events'
     failure = 'an error of the worker'
     full = 'not run: full'
+    unavailable = '503 without a statement that the request was not run'
+    overloaded = '429 without a statement that the request was not run'
+    timed_out = '408 without a statement that the request was not run'
+    late_decline_first = 'a late 503 without an id, then the answer'
     wrong_address = 'not run: another worker has the address'
     truncated = 'closes within the answer'
     truncated_stream = 'closes within the stream'
@@ -62,12 +67,13 @@
 
 
 class ReceivedRequest(msgspec.Struct):
-    """Request as a worker read it."""
+    """Request as a worker read it, at a monotonic time in seconds."""
 
     method: str
     target: str
     header_by_name: Headers
     body: bytes
+    received_s: float = msgspec.field(default_factory=time.monotonic)
 
 
 class Worker:
@@ -284,6 +290,25 @@
     )
 
 
+def _unavailable(headers: Headers) -> bytes:
+    return _encode_answer(HTTPStatus.SERVICE_UNAVAILABLE, headers, b'failed')
+
+
+def _overloaded(headers: Headers) -> bytes:
+    return _encode_answer(HTTPStatus.TOO_MANY_REQUESTS, headers, b'failed')
+
+
+def _timed_out(headers: Headers) -> bytes:
+    return _encode_answer(HTTPStatus.REQUEST_TIMEOUT, headers, b'failed')
+
+
+def _late_decline_first(headers: Headers) -> bytes:
+    late = _encode_answer(
+        HTTPStatus.SERVICE_UNAVAILABLE, {'X-Not-Executed': '1'}, b''
+    )
+    return late + _whole(headers)
+
+
 def _wrong_address(headers: Headers) -> bytes:
     return _encode_answer(
         HTTPStatus.MISDIRECTED_REQUEST, {'X-Instance-Id': 'another'}, b''
@@ -315,6 +340,10 @@
     AnswerMode.closing: _whole,
     AnswerMode.failure: _failure,
     AnswerMode.full: _full,
+    AnswerMode.unavailable: _unavailable,
+    AnswerMode.overloaded: _overloaded,
+    AnswerMode.timed_out: _timed_out,
+    AnswerMode.late_decline_first: _late_decline_first,
     AnswerMode.wrong_address: _wrong_address,
     AnswerMode.duplicated: _duplicated,
     AnswerMode.late_answer_first: _late_answer_first,
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -29,6 +29,15 @@
     http.HTTPStatus.MULTIPLE_CHOICES,
 )
 SERVER_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR
+# To callers these mean that the request has not run and will not run.
+NOT_RUN_STATUSES = frozenset(
+    (
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -155,6 +164,10 @@
             or answer.content_encoded
         ):
             raise _InvalidAnswer('not a valid answer of the server')
+        if head.status in NOT_RUN_STATUSES:
+            raise _InvalidAnswer(
+                f'{head.status} without a statement that it has not run'
+            )
         if self._route.streaming and head.status in SUCCESS_STATUSES:
             return await self._forward_stream(connection, head)
         return await self._buffer_answer(connection, head)
@@ -169,8 +182,9 @@
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
             event = await connection.next_event()
+        without_id = '' if answer.request_id else ' without an id'
         return self._failure(
-            f'declined with {head.status}',
+            f'declined with {head.status}{without_id}',
             misdirected=answer.misdirected,
         )
 
--- /dev/null
+++ b/tests/test_not_run_promise.py
@@ -0,0 +1,42 @@
+"""Test that an answer promises "not run" only if a server said so."""
+
+import forwarding_site
+import pytest
+
+from emulator import platform_worker
+
+MODE = platform_worker.AnswerMode
+PROMISES = {408, 421, 429, 503}
+ONCE = {'repeatable': False, 'max_servers': 1}
+IDEMPOTENT = {'repeatable': True}
+
+
+@pytest.mark.parametrize(
+    'mode', [MODE.unavailable, MODE.overloaded, MODE.timed_out]
+)
+def test_a_request_that_may_have_run_is_not_refused_with_a_promise(mode):
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_mode = mode
+        answer = await site.ask()
+        assert site.runs() == 1
+        assert answer.status == 502
+        # Another status than the server's must not have its signature.
+        assert 'x-response-signature' not in answer.header_by_name
+
+    forwarding_site.run(work, **ONCE)
+
+
+@pytest.mark.parametrize(
+    'mode', [MODE.unavailable, MODE.overloaded, MODE.timed_out]
+)
+def test_an_idempotent_request_is_retried_after_such_an_answer(mode):
+    async def work(site):
+        shared = [mode]
+        for worker in site.workers:
+            worker.next_answer_modes = shared
+        answer = await site.ask()
+        assert (answer.status, answer.body) == (200, b'whole')
+        assert site.runs() == 2
+
+    forwarding_site.run(work, **IDEMPOTENT)
