Take a decline without an id as this request's only on a new connection

Cause: answers may arrive late, where the next one is expected, and only their id tells; one without an id was always taken for the current request's. A late 503 or 421 that declines an earlier request on a kept connection then let the current one, which runs, be sent to another server.

An answer without an id now counts only as the first answer on its connection; later it is an invalid one, after which the request may have run.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -156,6 +156,9 @@
                 answer.load.waiting,
                 self._dependencies.now(),
             )
+        if answer.request_id is None and connection.request_count > 1:
+            # It may be a late answer to an earlier request.
+            raise _InvalidAnswer('an answer without an id, maybe a late one')
         if answer.not_executed or answer.misdirected:
             return await self._finish_declined(connection, head, answer)
         if (
--- a/tests/test_not_run_promise.py
+++ b/tests/test_not_run_promise.py
@@ -40,3 +40,35 @@
         assert site.runs() == 2
 
     forwarding_site.run(work, **IDEMPOTENT)
+
+
+def test_a_late_decline_of_an_earlier_request_is_not_taken_for_this_one():
+    """Without an id it may belong to an earlier request on the connection."""
+
+    async def work(site):
+        for worker in site.workers:
+            worker.next_answer_modes = [MODE.whole, MODE.late_decline_first]
+        answers = [
+            await site.ask(x_request_id=f'request-{number}')
+            for number in range(2 * len(site.workers))
+        ]
+        run_ids = [
+            request_id
+            for worker in site.workers
+            for request_id in worker.executed_request_ids
+        ]
+        assert len(run_ids) == len(set(run_ids))
+        assert {answer.status for answer in answers} <= {200, 502}
+
+    forwarding_site.run(work, **ONCE)
+
+
+def test_a_decline_without_an_id_on_a_new_connection_counts():
+    async def work(site):
+        shared = [MODE.wrong_address]
+        for worker in site.workers:
+            worker.next_answer_modes = shared
+        answer = await site.ask()
+        assert (answer.status, site.runs()) == (200, 1)
+
+    forwarding_site.run(work, **ONCE)
