--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -14,6 +14,7 @@
     prompt_slot_waiter,
     refusal,
     request_dependencies,
+    request_log,
     request_metrics,
     resumable_stream,
     server_search,
@@ -218,16 +219,7 @@
         )
         if step is attempt_state.Step.deliver:
             return self._deliver(result, chosen, search)
-        logs.event(
-            'attempt_failed',
-            request=self._request.request_id,
-            server=chosen.server_id,
-            version=chosen.registration.software_version,
-            progress=result.progress.name,
-            reason=result.reason,
-            step=step.name,
-            **_end_fields(result.end),
-        )
+        request_log.log_failed_attempt(self._request, chosen, result, step)
         if result.progress is attempt_state.Progress.written:
             self._dependencies.crash_detector.record_interruption(
                 chosen, self._fingerprint
@@ -359,8 +351,8 @@
             ms=round(duration_s * 1000),
             first_byte_ms=self._first_byte_ms(),
             pause_ms=round(self._out.longest_pause_s * 1000),
-            **_end_fields(self._last_end),
-            **_resumption_fields(self._request),
+            **request_log.end_fields(self._last_end),
+            **request_log.resumption_fields(self._request),
         )
 
     def _first_byte_ms(self) -> int:
@@ -371,30 +363,6 @@
         return round((first_s - self._request.began_s) * 1000)
 
 
-def _end_fields(end: answer_end.AnswerEnd | None) -> dict[str, str | int]:
-    """Return the log fields of a stream's end; none without a stream."""
-    if end is None:
-        return {}
-    return {
-        'framing': end.framing.name,
-        'ending': end.ending.name,
-        'events': end.event_count,
-        'partial_bytes': end.partial_bytes,
-    }
-
-
-def _resumption_fields(
-    request: caller_request.CallerRequest,
-) -> dict[str, str | int]:
-    """Return the log fields of a stream that a caller takes up again."""
-    if request.last_event_id is None:
-        return {}
-    return {
-        'resumes': request.resumed_id or '',
-        'last_event': request.last_event_id,
-    }
-
-
 def retry_after_headers(retry_after_s: float) -> message.Headers:
     """Return a Retry-After header; the delay is in seconds."""
     return [(b'Retry-After', b'%.2f' % retry_after_s)]
--- /dev/null
+++ b/oatcrank/forwarding/request_log.py
@@ -0,0 +1,53 @@
+"""Log the attempts of a request and how streams ended."""
+
+from oatcrank import logs
+from oatcrank.forwarding import (
+    answer_end,
+    attempt,
+    attempt_state,
+    caller_request,
+)
+from oatcrank.routing import server
+
+Fields = dict[str, str | int]
+
+
+def log_failed_attempt(
+    request: caller_request.CallerRequest,
+    chosen: server.Server,
+    result: attempt.AttemptResult,
+    step: attempt_state.Step,
+) -> None:
+    """Log why an attempt failed and what follows."""
+    logs.event(
+        'attempt_failed',
+        request=request.request_id,
+        server=chosen.server_id,
+        version=chosen.registration.software_version,
+        progress=result.progress.name,
+        reason=result.reason,
+        step=step.name,
+        **end_fields(result.end),
+    )
+
+
+def end_fields(end: answer_end.AnswerEnd | None) -> Fields:
+    """Return the log fields of a stream's end; none without a stream."""
+    if end is None:
+        return {}
+    return {
+        'framing': end.framing.name,
+        'ending': end.ending.name,
+        'events': end.event_count,
+        'partial_bytes': end.partial_bytes,
+    }
+
+
+def resumption_fields(request: caller_request.CallerRequest) -> Fields:
+    """Return the log fields of a stream that a caller takes up again."""
+    if request.last_event_id is None:
+        return {}
+    return {
+        'resumes': request.resumed_id or '',
+        'last_event': request.last_event_id,
+    }
