Test placements, split routes and lost services of taken-up streams

Callers see no change. The commits that keep a stream at its software version had no test that a missing model is requested only at that version's servers, that a split route keeps the service that began the stream, and that a stream whose service has left the route is refused as not run. All pass on the code as it is.

--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self.requested: list[need.Need] = []
+        self.required_versions: list[str | None] = []
         self.answers: list[placement_requester.PlacementResult] = []
         self.on_call = print
         self.started = 0
@@ -53,6 +54,7 @@
         self, wanted: need.Need, required_version=None
     ) -> placement_requester.PlacementResult:
         self.requested.append(wanted)
+        self.required_versions.append(required_version)
         self.on_call(wanted)
         if self.answers:
             return self.answers.pop(0)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -2,8 +2,11 @@
 
 import forwarding_site
 import pytest
+import routing_parts
 
 from emulator import platform_worker
+from oatcrank.cluster import remote_placement_requester
+from oatcrank.routing import need, stream_origin
 
 MODE = platform_worker.AnswerMode
 EVENTS = b''.join(b'id: %d\ndata: word%d\n\n' % (n, n) for n in range(1, 5))
@@ -101,3 +104,77 @@
         assert site.runs() == 0
 
     forwarding_site.run(work, **STREAM, registration={'versions': TWO_VERSIONS})
+
+
+def test_a_stream_requests_its_model_at_its_software_version():
+    async def work(site):
+        origin = stream_origin.StreamOrigin(routing_parts.SERVICE, 'v1.1')
+        site.dependencies.stream_origins.record('request-1', origin)
+        other = site.servers.by_id['server-0']
+        other.add_held(need.Need(routing_parts.SERVICE, 'm0'))
+        answer = await site.ask(
+            x_request_id='request-2',
+            x_model='m0',
+            last_event_id='1',
+            resumes='request-1',
+        )
+        assert answer.status == 503
+        assert site.placement_requester.required_versions == ['v1.1']
+        assert site.runs() == 0
+
+    forwarding_site.run(work, **STREAM, registration={'versions': TWO_VERSIONS})
+
+
+@pytest.mark.parametrize(
+    ('required_version', 'unusable'),
+    [
+        (None, ()),
+        ('v1', ('server-1',)),
+        ('v1.1', ('server-0', 'server-2')),
+        ('v2', ('server-0', 'server-1', 'server-2')),
+    ],
+)
+def test_a_placement_leaves_out_servers_of_other_versions(
+    required_version, unusable
+):
+    servers = routing_parts.table(
+        *(
+            routing_parts.registration(number, software_version=version)
+            for number, version in enumerate(('v1', 'v1.1', 'v1'))
+        )
+    )
+    requester = remote_placement_requester.RemotePlacementRequester(
+        None, None, None, servers
+    )
+    wanted = need.Need(routing_parts.SERVICE, 'm0')
+    assert requester._unusable(wanted, required_version) == unusable
+
+
+def test_a_split_route_keeps_the_service_that_began_the_stream():
+    shares = (
+        routing_parts.route.Share('other', 99.0),
+        routing_parts.route.Share(routing_parts.SERVICE, 1.0),
+    )
+
+    async def work(site):
+        origin = stream_origin.StreamOrigin(routing_parts.SERVICE, 'v1')
+        site.dependencies.stream_origins.record('request-1', origin)
+        answer = await take_up(site, 'request-1')
+        assert (answer.status, answer.whole) == (200, True)
+
+    forwarding_site.run(
+        work,
+        **STREAM,
+        shares=shares,
+        registration={'versions': TWO_VERSIONS},
+    )
+
+
+def test_a_stream_whose_service_left_the_route_goes_on_at_no_server():
+    async def work(site):
+        origin = stream_origin.StreamOrigin('former', 'v1')
+        site.dependencies.stream_origins.record('request-1', origin)
+        answer = await take_up(site, 'request-1')
+        assert (answer.status, site.runs()) == (503, 0)
+
+    forwarding_site.run(work, **STREAM, registration={'versions': TWO_VERSIONS})
