Send the requests of the queue test one after the other

test_queue_and_priority failed on a busy machine: it started four requests at once and relied on the first to arrive first (traced earlier: it passes only in the 6 of 24 orders that begin with the first). The first request now runs long enough, and each other one is sent once the one before it is queued.

--- a/tests/test_engine_stand_in.py
+++ b/tests/test_engine_stand_in.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 from collections.abc import AsyncIterator
 from typing import Any
@@ -12,6 +13,7 @@
 from emulator import (
     answer_text,
     engine_app,
+    engine_batch,
     engine_config,
     poll,
     stand_in,
@@ -257,6 +259,10 @@
     assert asyncio.run(run()) == [160]
 
 
+def has_queued(batch: engine_batch.EngineBatch, count: int) -> bool:
+    return len(batch.queued) == count
+
+
 def test_queue_and_priority() -> None:
     async def run() -> list[str]:
         async with start_engine(
@@ -264,24 +270,24 @@
         ) as harness:
             await harness.send('load_model')
             await harness.wait_until_loaded()
-            requests = [
-                asyncio.create_task(
-                    harness.ask(request_id=str(place), priority=priority)
-                )
-                for place, priority in enumerate((0, 2, 1, 0))
-            ]
-            await poll.until(lambda: len(harness.engine.batch.queued) == 3)
+            batch = harness.engine.batch
+            first = harness.ask(request_id='0', max_tokens=100)
+            requests = [asyncio.create_task(first)]
+            await poll.until(lambda: len(batch.running) == 1)
+            for place, priority in ((1, 2), (2, 1), (3, 0)):
+                # Each request arrives before the next one is sent.
+                queued = harness.ask(request_id=str(place), priority=priority)
+                requests.append(asyncio.create_task(queued))
+                await poll.until(functools.partial(has_queued, batch, place))
             busy = await harness.ask()
             await asyncio.gather(*requests)
-            entries = harness.engine.batch.ledger.page().entries
+            entries = batch.ledger.page().entries
             return [
                 str(busy.code),
-                *(entry.request_id for entry in entries[1:]),
+                *(entry.request_id for entry in entries),
             ]
 
-    run_order = asyncio.run(run())
-    assert run_order[0] == '429'
-    assert run_order[1:] == sorted(run_order[1:], key='3 2 1 0'.index)
+    assert asyncio.run(run()) == ['429', '0', '3', '2', '1']
 
 
 @pytest.mark.parametrize('ending', ['cancel', 'unload', 'cut', 'down'])
