Draw late declines without an id again in the test of real processes

Callers see no change. The answer had been taken out of the test after it failed, without a trace: a narrowing of a check. The stand-in sent it also as the first answer on a connection, where no earlier request exists that it could belong to; now it does so only where an earlier request was answered.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -4,6 +4,7 @@
 import enum
 import json
 import time
+import weakref
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -103,6 +104,8 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Those on which an earlier request was answered.
+        self._reused_writers = weakref.WeakSet[asyncio.StreamWriter]()
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port; 0 means any free one."""
@@ -129,6 +132,7 @@
         self._writers.add(writer)
         try:
             while await self._answer_next(reader, writer):
+                self._reused_writers.add(writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             self.interrupted_connections += 1
@@ -175,6 +179,10 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        if mode is AnswerMode.late_decline_first:
+            # Only an earlier request can have a late answer.
+            if writer not in self._reused_writers:
+                mode = AnswerMode.whole
         build = BUILDER_BY_MODE.get(mode)
         if build is not None:
             writer.write(build(self._answer_headers(request)))
--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -28,6 +28,7 @@
     MODE.unavailable,
     MODE.duplicated,
     MODE.late_answer_first,
+    MODE.late_decline_first,
     MODE.reset,
     MODE.truncated,
     MODE.garbage,
