Log when a load is ordered and when it has ended

model_placed tells when a load was decided, not when its order left: unloads before it take seconds. load_ordered has that wait, whether the load uses the weight store, and how many loads count in the window; load_finished compares its duration with the expected one, which shows a load that was taken for one from the server's own copy. No decision changes.

--- a/oatcrank/orders/model_orders.py
+++ b/oatcrank/orders/model_orders.py
@@ -177,9 +177,11 @@
         chosen: model_placement.Choice,
         new_model: route.Model,
     ) -> None:
+        decided_s = boot_clock.now()
         for model in chosen.unload:
             await self._order(state, order.Action.unload, model, None, 0)
             await self._wait_until_idle(state)
+        self._log_load(state, chosen, decided_s)
         await self._order(
             state,
             order.Action.load,
@@ -188,6 +190,24 @@
             state.load_s(new_model),
         )
 
+    def _log_load(
+        self,
+        state: server_state.ServerState,
+        chosen: model_placement.Choice,
+        decided_s: float,
+    ) -> None:
+        """Log a load that is about to be ordered, and how many are counted."""
+        now_s = boot_clock.now()
+        limit = self._limit_by_service.get(state.registration.service)
+        logs.event(
+            'load_ordered',
+            model=chosen.model,
+            server=chosen.server_id,
+            from_store=chosen.from_store,
+            waited_s=round(now_s - decided_s, 2),
+            store_loads=None if limit is None else limit.recent_loads(now_s),
+        )
+
     async def _wait_until_idle(self, state: server_state.ServerState) -> None:
         """Wait until a server has completed its active order."""
         ends_s = boot_clock.now() + UNLOAD_WAIT_S
--- a/oatcrank/orders/server_state_table.py
+++ b/oatcrank/orders/server_state_table.py
@@ -43,7 +43,9 @@
                     registered.registration
                 )
             elif known.registration is not registered.registration:
+                active = known.active_order
                 known.apply_registration(registered.registration)
+                _log_finished_load(known, active)
 
     def of_service(
         self, service: ids.ServiceName
@@ -100,7 +102,9 @@
                 state.record_unreachable(now_s)
                 return
             state.record_reached()
+            active = state.active_order
             state.apply_report(report, now_s)
+            _log_finished_load(state, active)
             logs.event(
                 'server_report_received',
                 server=state.registration.server_id,
@@ -110,6 +114,23 @@
             )
 
 
+def _log_finished_load(
+    state: server_state.ServerState,
+    former: server_state.ActiveOrder | None,
+) -> None:
+    """Log the end of a model's load that was active before an update."""
+    if former is None or state.active_order is not None:
+        return
+    if former.order.action is order.Action.load and not former.order.adapter:
+        logs.event(
+            'load_finished',
+            model=former.order.model,
+            server=state.registration.server_id,
+            took_s=round(boot_clock.now() - former.started_s, 2),
+            expected_s=round(former.expected_end_s - former.started_s, 2),
+        )
+
+
 def _wait_s(
     state: server_state.ServerState,
     wanted: need.Need,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,22 @@
 """Register the marker of proofs and mark known failures as xfail."""
 
+import eliot
 import pytest
 
 from emulator import known_red
 
 
+@pytest.fixture
+def messages():
+    """Collect the messages that are logged during a test."""
+    collected: list[dict] = []
+    eliot.add_destinations(collected.append)
+    # The first destination gets what was logged before it was added.
+    collected.clear()
+    yield collected
+    eliot.remove_destination(collected.append)
+
+
 def pytest_configure(config: pytest.Config) -> None:
     config.addinivalue_line(
         'markers',
--- a/tests/test_order_desk.py
+++ b/tests/test_order_desk.py
@@ -186,3 +186,22 @@
         assert len(fleet.store_loads) == 1
 
     run_coordinator(work, workers=1)
+
+
+def test_the_log_tells_a_loads_decision_from_its_order_and_its_end(messages):
+    async def work(fleet, coordinator):
+        await coordinator.request_placement(need.Need(SERVICE, 'm0'), ())
+        await asyncio.sleep(1.5)
+        await coordinator.request_placement(need.Need(SERVICE, 'm0'), ())
+
+    run_coordinator(work)
+    named = {
+        message['message_type']: message
+        for message in messages
+        if message['message_type'] in {'load_ordered', 'load_finished'}
+    }
+    ordered, finished = named['load_ordered'], named['load_finished']
+    assert (ordered['from_store'], ordered['waited_s']) == (True, 0)
+    assert ordered['store_loads'] == 1
+    assert finished['expected_s'] == pytest.approx(1)
+    assert finished['took_s'] >= 1
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -1,6 +1,5 @@
 """Test how the end of a server's stream is judged and logged."""
 
-import eliot
 import forwarding_site
 import pytest
 
@@ -12,17 +11,6 @@
 STREAM_ONCE = {'repeatable': False, 'streaming': True, 'max_servers': 1}
 
 
-@pytest.fixture
-def messages():
-    """Collect the messages that are logged during a test."""
-    collected: list[dict] = []
-    eliot.add_destinations(collected.append)
-    # The first destination gets what was logged before it was added.
-    collected.clear()
-    yield collected
-    eliot.remove_destination(collected.append)
-
-
 def logged(messages, event: str) -> list[dict]:
     return [message for message in messages if message['message_type'] == event]
 
