--- a/tests/worker_fleet.py
+++ b/tests/worker_fleet.py
@@ -44,6 +44,8 @@
         self.in_use: set[tuple[str, str]] = set()
         self.report_history: list[tuple[float, order.Report]] = []
         self.reachable = True
+        # Time until an unload's runs have ended, in seconds.
+        self.unload_s = UNLOAD_S
         self.record_report()
 
     def registration(self) -> server_registration.Registration:
@@ -158,7 +160,7 @@
 
     async def _unloaded(self, name: str) -> None:
         start = self.started_ms
-        await asyncio.sleep(UNLOAD_S)
+        await asyncio.sleep(self.unload_s)
         if start == self.started_ms:
             self.contents.pop(name, None)
             self._finish()
