Count a load from its decision until a window after its order

What callers saw: more loads began at the weight store than its ceiling allows, so that each of them took longer.

Cause: a load was counted when its placement was decided. Its order leaves after the unloads of the models that it evicts, up to 6 s each, so loads that were decided in one window began in the next, beside those decided there.

Change: a decided load counts until it has begun, and for one window after that; one whose order is never sent stops counting at once. An order that one of its sends left without an answer counts as begun: an unload or a load that answers 409 after that may have been taken.

Why it works: the count is checked at each decision and grows only there. At any moment it includes every load that began in the last window, so no window holds more than the limit.

--- a/oatcrank/orders/model_orders.py
+++ b/oatcrank/orders/model_orders.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 
+import msgspec
+
 from oatcrank import ids, logs
 from oatcrank.orders import (
     boot_clock,
@@ -23,6 +25,27 @@
 POLL_S = 0.05
 
 
+class _PlannedLoad(msgspec.Struct, kw_only=True):
+    """A load that has been decided, at the server that is reserved for it."""
+
+    choice: model_placement.Choice
+    model: route.Model
+    state: server_state.ServerState
+    decided_s: float
+    # None if the load does not use the weight store.
+    store_load: store_load_limit.StoreLoad | None
+
+    def record_begin(self) -> None:
+        """Record that the server has begun the load by now."""
+        if self.store_load is not None:
+            self.store_load.record_begin(boot_clock.now())
+
+    def record_failure(self) -> None:
+        """Record that the load will not begin, unless it may have begun."""
+        if self.store_load is not None and not self.store_load.may_have_begun:
+            self.store_load.record_not_ordered()
+
+
 class ModelOrders:
     """Order loads of models, and unloads of the models they evict."""
 
@@ -59,7 +82,7 @@
         """Return how many recent loads used the weight store, if known."""
         now_s = boot_clock.now()
         counts = [
-            limit.recent_loads(now_s)
+            limit.counted_loads(now_s)
             for limit in self._limit_by_service.values()
         ]
         if counts:
@@ -101,8 +124,7 @@
                 'no server can load the model', NO_CAPACITY_RETRY_S
             )
         _log_placement(wanted, placement, chosen)
-        state = self._reserve_server(wanted, engine, chosen)
-        return await self._place(state, engine, chosen)
+        return await self._place(self._reserve(wanted, engine, chosen))
 
     def add_replica(self, service: ids.ServiceName) -> None:
         """Start to load the replica with the largest gain, if any."""
@@ -116,8 +138,9 @@
             return
         wanted = need.Need(service, chosen.model)
         _log_placement(wanted, placement, chosen)
-        state = self._reserve_server(wanted, engine, chosen)
-        task = asyncio.ensure_future(self._place(state, engine, chosen))
+        task = asyncio.ensure_future(
+            self._place(self._reserve(wanted, engine, chosen))
+        )
         self._replica_tasks.add(task)
         task.add_done_callback(
             lambda finished_task: self._finish_replica(wanted, finished_task),
@@ -131,23 +154,28 @@
         self._replica_tasks.discard(finished_task)
         log_failure(wanted, finished_task)
 
-    def _reserve_server(
+    def _reserve(
         self,
         wanted: need.Need,
         engine: route.Engine,
         chosen: model_placement.Choice,
-    ) -> server_state.ServerState:
+    ) -> _PlannedLoad:
         """Reserve the chosen server, so that no other load is placed there."""
         self._denied_by_need.pop(wanted, None)
         now_s = boot_clock.now()
         self._ready_s_by_need[wanted] = now_s + chosen.load_s
-        if chosen.from_store:
-            self._limit(wanted.service, engine).record_load(now_s)
         state = self._server_states.by_id[chosen.server_id]
         state.reservation = server_state.Reservation(
             load=chosen.model, unload=chosen.unload
         )
-        return state
+        limit = self._limit(wanted.service, engine)
+        return _PlannedLoad(
+            choice=chosen,
+            model=engine.model_by_name[chosen.model],
+            state=state,
+            decided_s=now_s,
+            store_load=limit.reserve() if chosen.from_store else None,
+        )
 
     def _is_reserved(self, wanted: need.Need) -> bool:
         """Return whether a server is reserved for a load of a model."""
@@ -158,54 +186,52 @@
         )
 
     async def _place(
-        self,
-        state: server_state.ServerState,
-        engine: route.Engine,
-        chosen: model_placement.Choice,
+        self, planned: _PlannedLoad
     ) -> placement_status.PlacementStatus:
         """Load a model at the server that is reserved for it."""
-        model = engine.model_by_name[chosen.model]
+        state = planned.state
         try:
-            await self._carry_out(state, chosen, model)
+            await self._carry_out(planned)
+        except placement_status.PlacementError:
+            planned.record_failure()
+            raise
         finally:
             state.reservation = None
-        return placement_status.PlacementStatus(wait_s=state.load_s(model))
+        return placement_status.PlacementStatus(
+            wait_s=state.load_s(planned.model)
+        )
 
-    async def _carry_out(
-        self,
-        state: server_state.ServerState,
-        chosen: model_placement.Choice,
-        new_model: route.Model,
-    ) -> None:
-        decided_s = boot_clock.now()
-        for model in chosen.unload:
+    async def _carry_out(self, planned: _PlannedLoad) -> None:
+        state = planned.state
+        for model in planned.choice.unload:
             await self._order(state, order.Action.unload, model, None, 0)
             await self._wait_until_idle(state)
-        self._log_load(state, chosen, decided_s)
-        await self._order(
-            state,
-            order.Action.load,
-            new_model.name,
-            None,
-            state.load_s(new_model),
-        )
+        self._log_load(planned)
+        try:
+            await self._order(
+                state,
+                order.Action.load,
+                planned.model.name,
+                None,
+                state.load_s(planned.model),
+            )
+        except placement_status.OrderUnanswered:
+            planned.record_begin()
+            raise
+        planned.record_begin()
 
-    def _log_load(
-        self,
-        state: server_state.ServerState,
-        chosen: model_placement.Choice,
-        decided_s: float,
-    ) -> None:
+    def _log_load(self, planned: _PlannedLoad) -> None:
         """Log a load that is about to be ordered, and how many are counted."""
         now_s = boot_clock.now()
+        state = planned.state
         limit = self._limit_by_service.get(state.registration.service)
         logs.event(
             'load_ordered',
-            model=chosen.model,
-            server=chosen.server_id,
-            from_store=chosen.from_store,
-            waited_s=round(now_s - decided_s, 2),
-            store_loads=None if limit is None else limit.recent_loads(now_s),
+            model=planned.model.name,
+            server=state.registration.server_id,
+            from_store=planned.choice.from_store,
+            waited_s=round(now_s - planned.decided_s, 2),
+            store_loads=None if limit is None else limit.counted_loads(now_s),
         )
 
     async def _wait_until_idle(self, state: server_state.ServerState) -> None:
--- a/oatcrank/orders/order_dispatcher.py
+++ b/oatcrank/orders/order_dispatcher.py
@@ -26,6 +26,8 @@
         order.Outcome.rejected,
     ),
 )
+# Outcomes that mean that the order takes effect.
+TAKEN = frozenset((order.Outcome.accepted, order.Outcome.done))
 
 OnUnload = Callable[[ids.ServerId, need.Need], None]
 
@@ -86,25 +88,35 @@
             holder=self._instance_id,
             fence=ids.Fence(term.fence),
         )
-        outcome = await self._send_until_known(state, sent_order)
-        self._apply_outcome(state, sent_order, outcome, duration_s)
+        outcomes = await self._send_until_known(state, sent_order)
+        self._apply_outcome(state, sent_order, outcomes[-1], duration_s)
+        if outcomes[-1] in TAKEN:
+            return
+        error_type = (
+            placement_status.OrderUnanswered
+            if order.Outcome.unknown in outcomes
+            else placement_status.PlacementError
+        )
+        raise error_type(f'order: {outcomes[-1].value}', RETRY_S)
 
     async def _send_until_known(
         self,
         state: server_state.ServerState,
         sent_order: order.Order,
-    ) -> order.Outcome:
-        """Send an order until its outcome is known, at most MAX_SENDS times.
+    ) -> list[order.Outcome]:
+        """Return the outcomes of at most MAX_SENDS sends, the last one known.
 
         Retries are safe: because of the order count, a server accepts only one
         of the copies and rejects those that arrive later.
         """
-        outcome = order.Outcome.unknown
-        for _ in range(MAX_SENDS):
-            outcome = await self._send_once(state, sent_order)
-            if outcome is not order.Outcome.unknown or not self.may_send():
-                break
-        return outcome
+        outcomes = [await self._send_once(state, sent_order)]
+        while (
+            outcomes[-1] is order.Outcome.unknown
+            and len(outcomes) < MAX_SENDS
+            and self.may_send()
+        ):
+            outcomes.append(await self._send_once(state, sent_order))
+        return outcomes
 
     async def _send_once(
         self,
@@ -157,9 +169,6 @@
             state.record_unreachable(now_s)
         else:
             state.invalidate()
-        raise placement_status.PlacementError(
-            f'order: {outcome.value}', RETRY_S
-        )
 
     def _record_send_time(self, state: server_state.ServerState) -> None:
         state.last_order_s = boot_clock.now()
--- a/oatcrank/orders/placement_status.py
+++ b/oatcrank/orders/placement_status.py
@@ -21,6 +21,10 @@
     """No server has memory for a model, and no model may be evicted."""
 
 
+class OrderUnanswered(PlacementError):
+    """An order has no answer, so its server may have carried it out."""
+
+
 class PlacementStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Where a model or adapter is loaded, or after how long to ask again."""
 
--- a/oatcrank/orders/store_load_limit.py
+++ b/oatcrank/orders/store_load_limit.py
@@ -1,10 +1,14 @@
 """Rate limit for loads from the weight store.
 
+A load counts from its decision until one window after it has begun.  So no
+more loads begin in any window than may be counted at once, however long a load
+waits for the unloads before it.
+
 Loads of the former lease holder count as well: as many as it has reported, or
 as many as it was allowed to start if it can't be asked.
 """
 
-import collections
+import math
 
 import msgspec
 
@@ -13,40 +17,60 @@
 EXTRA_LOADS = 3
 
 
-class _Load(msgspec.Struct, frozen=True):
-    started_s: float
-    inherited: bool
+class StoreLoad(msgspec.Struct, eq=False):
+    """One load from the weight store, and by when it has begun."""
+
+    inherited: bool = False
+    begun_by_s: float = math.inf
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Return whether a server may have begun the load."""
+        return math.isfinite(self.begun_by_s)
+
+    def record_begin(self, now_s: float) -> None:
+        """Record that the load has begun by now."""
+        self.begun_by_s = now_s
+
+    def record_not_ordered(self) -> None:
+        """Record that the load will not begin."""
+        self.begun_by_s = -math.inf
 
 
 class StoreLoadLimit:
-    """Limit the loads that start within a sliding window."""
+    """Limit the loads that begin within a sliding window."""
 
     def __init__(self, loads_per_s: float) -> None:
         """Allow loads_per_s in a window, plus EXTRA_LOADS over all holders."""
         self._own_limit = max(1, int(loads_per_s * WINDOW_S))
         self._total_limit = self._own_limit + EXTRA_LOADS
-        self._loads: collections.deque[_Load] = collections.deque()
+        self._loads: list[StoreLoad] = []
 
     def allows_load(self, now_s: float) -> bool:
-        """Return whether another load may start."""
+        """Return whether another load may be decided."""
         self._trim(now_s)
         own = sum(not load.inherited for load in self._loads)
         return own < self._own_limit and len(self._loads) < self._total_limit
 
-    def recent_loads(self, now_s: float) -> int:
-        """Return how many loads are in the current window."""
+    def counted_loads(self, now_s: float) -> int:
+        """Return how many loads are to begin or began in the last window."""
         self._trim(now_s)
         return len(self._loads)
 
-    def record_load(self, now_s: float) -> None:
-        """Count a load that starts now."""
-        self._loads.append(_Load(now_s, inherited=False))
+    def reserve(self) -> StoreLoad:
+        """Count a load that has been decided; the caller records its begin."""
+        load = StoreLoad()
+        self._loads.append(load)
+        return load
 
     def add_inherited(self, loads: int | None, now_s: float) -> None:
         """Count a former holder's loads; None counts its whole limit."""
         count = self._own_limit if loads is None else loads
-        self._loads.extend(_Load(now_s, inherited=True) for _ in range(count))
+        self._loads.extend(
+            StoreLoad(inherited=True, begun_by_s=now_s) for _ in range(count)
+        )
 
     def _trim(self, now_s: float) -> None:
-        while self._loads and self._loads[0].started_s < now_s - WINDOW_S:
-            self._loads.popleft()
+        self._loads = [
+            load for load in self._loads if load.begun_by_s >= now_s - WINDOW_S
+        ]
--- a/tests/test_load_ceiling.py
+++ b/tests/test_load_ceiling.py
@@ -21,14 +21,14 @@
     limit.add_inherited(inherited, 0.0)
     started = 0
     while limit.allows_load(1.0):
-        limit.record_load(1.0)
+        limit.reserve().record_begin(1.0)
         started += 1
     assert started == own
 
 
 def test_loads_count_for_a_window():
     limit = store_load_limit.StoreLoadLimit(0.2)
-    limit.record_load(0.0)
+    limit.reserve().record_begin(0.0)
     assert not limit.allows_load(4.9)
     assert limit.allows_load(5.1)
-    assert limit.recent_loads(5.1) == 0
+    assert limit.counted_loads(5.1) == 0
