Count loads of unanswered orders until they can't begin any more

What callers saw: more loads began at the weight store than its ceiling allows while servers left orders unanswered and carried them out seconds later.

Cause: such a load counted as if it had begun when its order was sent; it left the window before the server began it.

A conflict after an unanswered send shows that the order count has advanced; no copy can be taken later, so it counts as begun.

--- a/oatcrank/orders/model_orders.py
+++ b/oatcrank/orders/model_orders.py
@@ -35,10 +35,15 @@
     # None if the load does not use the weight store.
     store_load: store_load_limit.StoreLoad | None
 
-    def record_begin(self) -> None:
-        """Record that the server has begun the load by now."""
-        if self.store_load is not None:
-            self.store_load.record_begin(boot_clock.now())
+    def record_begin(self, *, still_open: bool = False) -> None:
+        """Record that the server has begun the load, or may still do so."""
+        if self.store_load is None:
+            return
+        now_s = boot_clock.now()
+        if still_open:
+            self.store_load.record_unanswered(now_s)
+        else:
+            self.store_load.record_begin(now_s)
 
     def record_failure(self) -> None:
         """Record that the load will not begin, unless it may have begun."""
@@ -215,8 +220,8 @@
                 None,
                 state.load_s(planned.model),
             )
-        except placement_status.OrderUnanswered:
-            planned.record_begin()
+        except placement_status.OrderUnanswered as error:
+            planned.record_begin(still_open=error.open)
             raise
         planned.record_begin()
 
--- a/oatcrank/orders/order_dispatcher.py
+++ b/oatcrank/orders/order_dispatcher.py
@@ -90,14 +90,8 @@
         )
         outcomes = await self._send_until_known(state, sent_order)
         self._apply_outcome(state, sent_order, outcomes[-1], duration_s)
-        if outcomes[-1] in TAKEN:
-            return
-        error_type = (
-            placement_status.OrderUnanswered
-            if order.Outcome.unknown in outcomes
-            else placement_status.PlacementError
-        )
-        raise error_type(f'order: {outcomes[-1].value}', RETRY_S)
+        if outcomes[-1] not in TAKEN:
+            raise _order_error(outcomes)
 
     async def _send_until_known(
         self,
@@ -175,5 +169,21 @@
         self.last_order_s = state.last_order_s
 
 
+def _order_error(
+    outcomes: list[order.Outcome],
+) -> placement_status.PlacementError:
+    """Return the error for an order that no send is known to have placed."""
+    reason = f'order: {outcomes[-1].value}'
+    if order.Outcome.unknown not in outcomes:
+        return placement_status.PlacementError(reason, RETRY_S)
+    return placement_status.OrderUnanswered(
+        reason,
+        RETRY_S,
+        # A conflict shows that the server's order count has advanced, so that
+        # it rejects all copies that arrive later.
+        open_=outcomes[-1] is not order.Outcome.conflict,
+    )
+
+
 def _ignore_unload(server_id: ids.ServerId, unloaded: need.Need) -> None:
     """Ignore an unload, as long as no listener is set."""
--- a/oatcrank/orders/placement_status.py
+++ b/oatcrank/orders/placement_status.py
@@ -22,7 +22,12 @@
 
 
 class OrderUnanswered(PlacementError):
-    """An order has no answer, so its server may have carried it out."""
+    """A send of an order has no answer, so the server may have taken it."""
+
+    def __init__(self, reason: str, retry_after_s: float, *, open_: bool):
+        """Set open_ if the server may still take the order."""
+        super().__init__(reason, retry_after_s)
+        self.open = open_
 
 
 class PlacementStatus(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/orders/store_load_limit.py
+++ b/oatcrank/orders/store_load_limit.py
@@ -1,8 +1,9 @@
 """Rate limit for loads from the weight store.
 
-A load counts from its decision until one window after it has begun.  So no
-more loads begin in any window than may be counted at once, however long a load
-waits for the unloads before it.
+A load counts from its decision until one window after the last moment at which
+it may have begun.  So no more loads begin in any window than may be counted at
+once, however long a load waits for the unloads before it, and whether or not
+its server answers the order.
 
 Loads of the former lease holder count as well: as many as it has reported, or
 as many as it was allowed to start if it can't be asked.
@@ -15,10 +16,12 @@
 WINDOW_S = 5.0
 # Loads that the store can serve in a window beyond its rate.
 EXTRA_LOADS = 3
+# A server may carry out an order that it left unanswered this much later.
+LATE_ORDER_S = 12.0
 
 
 class StoreLoad(msgspec.Struct, eq=False):
-    """One load from the weight store, and by when it has begun."""
+    """One load from the weight store, and by when it has begun if at all."""
 
     inherited: bool = False
     begun_by_s: float = math.inf
@@ -32,6 +35,10 @@
         """Record that the load has begun by now."""
         self.begun_by_s = now_s
 
+    def record_unanswered(self, now_s: float) -> None:
+        """Record that the server may begin the load some time after now."""
+        self.begun_by_s = now_s + LATE_ORDER_S
+
     def record_not_ordered(self) -> None:
         """Record that the load will not begin."""
         self.begun_by_s = -math.inf
@@ -53,7 +60,7 @@
         return own < self._own_limit and len(self._loads) < self._total_limit
 
     def counted_loads(self, now_s: float) -> int:
-        """Return how many loads are to begin or began in the last window."""
+        """Return how many loads may begin or have begun in the last window."""
         self._trim(now_s)
         return len(self._loads)
 
--- a/tests/test_load_windows.py
+++ b/tests/test_load_windows.py
@@ -104,3 +104,23 @@
         assert not coordination.fleet.violations
 
     virtual.run(run())
+
+
+@pytest.mark.parametrize('late_s', [1.0, 3.0, 4.5, 6.0, 9.0, 11.9])
+def test_loads_that_unanswered_orders_begin_late_keep_the_ceiling(late_s):
+    """A server may carry out an order seconds after it left it unanswered."""
+
+    async def run():
+        coordination = Coordination()
+        await coordination.begin()
+        coordination.set_unload_s(0.1)
+        coordination.fleet.late_s = late_s
+        coordination.fleet.delivery_of_loads = 'late'
+        coordination.request(FIRST_WAVE)
+        await asyncio.sleep(4.5)
+        coordination.fleet.delivery_of_loads = 'answered'
+        coordination.request(SECOND_WAVE)
+        await asyncio.sleep(30)
+        assert not coordination.fleet.violations
+
+    virtual.run(run())
--- a/tests/worker_fleet.py
+++ b/tests/worker_fleet.py
@@ -22,6 +22,8 @@
 LIMIT_WINDOW_S = 5.0
 MAX_LOADS = ENGINE.store_loads_per_s * LIMIT_WINDOW_S * 1.1 + 3
 UNLOAD_S = 0.6
+# Latest time after which an unanswered order is carried out, in seconds.
+MAX_LATE_S = 12.0
 start_numbers = itertools.count(1)
 
 
@@ -201,6 +203,10 @@
         self.delivery = 'answered'
         # Deliveries of the next orders; self.delivery applies to all others.
         self.deliveries: list[str] = []
+        # Delivery of orders to load models, if it differs.
+        self.delivery_of_loads: str | None = None
+        # Delay of late orders in seconds; drawn if it is not set.
+        self.late_s: float | None = None
         self.violations: list[str] = []
         self.store_loads: list[float] = []
         self._tasks: set[asyncio.Task] = set()
@@ -235,13 +241,12 @@
         worker = self.workers[registration.port - 20000]
         if not worker.reachable:
             return order.Outcome.unsent
-        delivery = self.deliveries.pop(0) if self.deliveries else self.delivery
+        delivery = self._delivery_of(incoming)
         if delivery == 'lost':
             return order.Outcome.unknown
         if delivery == 'late':
-            self.spawn(
-                self._deliver_late(worker, incoming, self.rng.uniform(0.5, 6.0))
-            )
+            pause_s = self.late_s or self.rng.uniform(0.5, MAX_LATE_S)
+            self.spawn(self._deliver_late(worker, incoming, pause_s))
             return order.Outcome.unknown
         outcome = self._deliver(worker, incoming)
         if delivery == 'unanswered':
@@ -252,6 +257,12 @@
             )
         return outcome
 
+    def _delivery_of(self, incoming) -> str:
+        is_load = incoming.action is order.Action.load and not incoming.adapter
+        if is_load and self.delivery_of_loads is not None:
+            return self.delivery_of_loads
+        return self.deliveries.pop(0) if self.deliveries else self.delivery
+
     async def report(self, registration):
         await asyncio.sleep(0.002)
         worker = self.workers[registration.port - 20000]
