Count a former holder's loads from its stop, and pass them on

What callers saw: more loads began at the weight store than its ceiling allows after the order lease had changed hands.

Causes, both in what a successor counts of its predecessor's loads: they were dated to the acquisition, though the predecessor may send orders until it stops, up to 1.4 s later; and a holder that had ordered nothing itself answered 0 after it was stopped, whatever it had inherited.

Change: they are dated to the time at which the predecessor has stopped. The newest term is kept when it ends, so that what it inherited is passed on. The reply to a stop query says how many of the loads servers may still begin; an instance of an older version leaves the field out, which counts none. The limits of all services have a module of their own.

--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -166,9 +166,11 @@
         if term is not None and term.fence < fence:
             self._coordinator.stop()
             logs.event('order_lease_superseded', fence=fence)
+        counted = self._coordinator.store_loads()
         return peer_messages.StopReply(
             wait_s=max(0, remaining_wait_s),
-            store_loads=self._coordinator.store_loads(),
+            store_loads=None if counted is None else counted.total,
+            open_loads=0 if counted is None else counted.open,
         )
 
     async def _step(self) -> None:
@@ -334,12 +336,14 @@
         if reply is None:
             return
         term.set_former_stopped(
-            boot_clock.now() + reply.wait_s, reply.store_loads
+            boot_clock.now() + reply.wait_s, reply.counted_loads
         )
         logs.event(
             'former_holder_stopped',
             former=record.instance_id,
             wait_s=round(term.earliest_start_s - asked_s, 3),
+            store_loads=reply.store_loads,
+            open_loads=reply.open_loads,
         )
 
     def _is_own(self, record: lease_holder.LeaseHolder) -> bool:
--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -4,7 +4,7 @@
 
 from oatcrank import ids
 from oatcrank.cluster import lease_holder
-from oatcrank.orders import demand, runs
+from oatcrank.orders import demand, runs, store_load_limit
 from oatcrank.routing import need
 
 
@@ -69,14 +69,23 @@
 
 
 class StopReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Confirm that no order follows, with the number of recent loads.
+    """Confirm that no order follows, with the loads that still count.
 
     store_loads is None if the process was restarted since and can't know it.
+    open_loads is how many of them servers may still begin.
     wait_s is the remaining wait in seconds of a lease term that had not begun.
     """
 
     wait_s: float = msgspec.field(name='waits_s')
     store_loads: int | None
+    open_loads: int = 0
+
+    @property
+    def counted_loads(self) -> store_load_limit.CountedLoads | None:
+        """Return the loads that the successor has to count, if known."""
+        if self.store_loads is None:
+            return None
+        return store_load_limit.CountedLoads(self.store_loads, self.open_loads)
 
 
 class ConfirmQuery(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/orders/lease_term.py
+++ b/oatcrank/orders/lease_term.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from oatcrank.orders import store_load_limit
+
 # A holder stops this long after sending its last successful renewal.
 VALIDITY_S = 1.2
 # A successor waits this much longer than a lease can be valid.
@@ -16,8 +18,8 @@
 
     Before own_orders_end_s the instance sends no orders, because its last ones
     from an earlier term are too recent; this keeps two instances from
-    alternating.  former_store_loads is how many recent loads the former holder
-    has started, or None if it can't be asked.
+    alternating.  former_store_loads are those that the former holder counts, or
+    None if it can't be asked.
     """
 
     fence: int
@@ -25,7 +27,9 @@
     renewed_s: float
     earliest_start_s: float
     own_orders_end_s: float
-    former_store_loads: int | None = 0
+    former_store_loads: store_load_limit.CountedLoads | None = (
+        store_load_limit.NO_LOADS
+    )
 
     def may_order(self, now_s: float) -> bool:
         """Return whether an order may be sent now."""
@@ -39,7 +43,16 @@
         """Extend the term by a successful renewal that was sent at sent_s."""
         self.renewed_s = max(self.renewed_s, sent_s)
 
-    def set_former_stopped(self, stopped_s: float, loads: int | None) -> None:
+    @property
+    def former_stopped_s(self) -> float:
+        """Return when the former holder has stopped sending, at the latest."""
+        return self.earliest_start_s
+
+    def set_former_stopped(
+        self,
+        stopped_s: float,
+        loads: store_load_limit.CountedLoads | None,
+    ) -> None:
         """Record that the former holder has stopped sending orders."""
         self.earliest_start_s = min(self.earliest_start_s, stopped_s)
         self.former_store_loads = loads
@@ -64,5 +77,5 @@
         renewed_s=sent_s,
         earliest_start_s=now_s + wait_s,
         own_orders_end_s=own_orders_end_s,
-        former_store_loads=0 if first else None,
+        former_store_loads=store_load_limit.NO_LOADS if first else None,
     )
--- a/oatcrank/orders/model_orders.py
+++ b/oatcrank/orders/model_orders.py
@@ -8,6 +8,7 @@
 from oatcrank import ids, logs
 from oatcrank.orders import (
     boot_clock,
+    lease_term,
     model_placement,
     order,
     order_dispatcher,
@@ -16,6 +17,7 @@
     server_state,
     server_state_table,
     store_load_limit,
+    store_load_limits,
 )
 from oatcrank.routing import need, route, server_table
 
@@ -66,10 +68,7 @@
         self._server_states = server_states
         self._placements = placements
         self._servers = servers
-        self._limit_by_service: dict[
-            ids.ServiceName,
-            store_load_limit.StoreLoadLimit,
-        ] = {}
+        self._limits = store_load_limits.StoreLoadLimits()
         self._ready_s_by_need: dict[need.Need, float] = {}
         # How often no server could load a model since its last placement.
         self._denied_by_need: collections.Counter[need.Need] = (
@@ -79,21 +78,13 @@
             asyncio.Task[placement_status.PlacementStatus]
         ] = set()
 
-    def begin_term(self) -> None:
+    def begin_term(self, term: lease_term.LeaseTerm) -> None:
         """Discard the load counts of an earlier term."""
-        self._limit_by_service.clear()
+        self._limits.begin_term(term)
 
-    def store_loads(self) -> int | None:
-        """Return how many recent loads used the weight store, if known."""
-        now_s = boot_clock.now()
-        counts = [
-            limit.counted_loads(now_s)
-            for limit in self._limit_by_service.values()
-        ]
-        if counts:
-            return sum(counts)
-        term = self._dispatcher.term
-        return 0 if term is None else term.former_store_loads
+    def store_loads(self) -> store_load_limit.CountedLoads | None:
+        """Return the loads that a successor has to count, if known."""
+        return self._limits.counted_loads(boot_clock.now())
 
     def remaining_s(self, wanted: need.Need) -> float:
         """Return the estimated remaining time of a load in progress."""
@@ -116,7 +107,7 @@
                 'no model named', 0, unplaceable=True
             )
         engine = self._placements.engine(wanted.service)
-        limit = self._limit(wanted.service, engine)
+        limit = self._limits.of_service(wanted.service, engine)
         placement = self._placements.models(wanted.service, unusable)
         chosen = placement.choose_first_replica(
             wanted.model,
@@ -134,7 +125,7 @@
     def add_replica(self, service: ids.ServiceName) -> None:
         """Start to load the replica with the largest gain, if any."""
         engine = self._placements.engine(service)
-        limit = self._limit(service, engine)
+        limit = self._limits.of_service(service, engine)
         placement = self._placements.models(service)
         chosen = placement.choose_extra_replica(
             allow_store_load=limit.allows_load(boot_clock.now()),
@@ -173,7 +164,7 @@
         state.reservation = server_state.Reservation(
             load=chosen.model, unload=chosen.unload
         )
-        limit = self._limit(wanted.service, engine)
+        limit = self._limits.of_service(wanted.service, engine)
         return _PlannedLoad(
             choice=chosen,
             model=engine.model_by_name[chosen.model],
@@ -229,14 +220,14 @@
         """Log a load that is about to be ordered, and how many are counted."""
         now_s = boot_clock.now()
         state = planned.state
-        limit = self._limit_by_service.get(state.registration.service)
+        counted = self._limits.counted_loads(now_s)
         logs.event(
             'load_ordered',
             model=planned.model.name,
             server=state.registration.server_id,
             from_store=planned.choice.from_store,
             waited_s=round(now_s - planned.decided_s, 2),
-            store_loads=None if limit is None else limit.counted_loads(now_s),
+            store_loads=None if counted is None else counted.total,
         )
 
     async def _wait_until_idle(self, state: server_state.ServerState) -> None:
@@ -264,20 +255,6 @@
                 state, action, model, adapter, duration_s
             )
 
-    def _limit(
-        self,
-        service: ids.ServiceName,
-        engine: route.Engine,
-    ) -> store_load_limit.StoreLoadLimit:
-        limit = self._limit_by_service.get(service)
-        if limit is None:
-            limit = store_load_limit.StoreLoadLimit(engine.store_loads_per_s)
-            term = self._dispatcher.term
-            if term is not None:
-                limit.add_inherited(term.former_store_loads, term.acquired_s)
-            self._limit_by_service[service] = limit
-        return limit
-
 
 def _log_placement(
     wanted: need.Need,
--- a/oatcrank/orders/order_coordinator.py
+++ b/oatcrank/orders/order_coordinator.py
@@ -15,6 +15,7 @@
     placement_status,
     runs,
     server_state_table,
+    store_load_limit,
     usage,
 )
 from oatcrank.routing import need, route_table, server_table
@@ -82,14 +83,14 @@
         """Begin a lease term and discard all state of earlier terms."""
         self._dispatcher.term = term
         self._server_states.clear()
-        self._models.begin_term()
+        self._models.begin_term(term)
 
     def stop(self) -> None:
         """End the lease term; no more orders are sent."""
         self._dispatcher.term = None
 
-    def store_loads(self) -> int | None:
-        """Return how many recent loads used the weight store, if known."""
+    def store_loads(self) -> store_load_limit.CountedLoads | None:
+        """Return the loads that a successor has to count, if known."""
         return self._models.store_loads()
 
     async def request_placement(
--- a/oatcrank/orders/store_load_limit.py
+++ b/oatcrank/orders/store_load_limit.py
@@ -44,6 +44,16 @@
         self.begun_by_s = -math.inf
 
 
+class CountedLoads(msgspec.Struct, frozen=True):
+    """How many loads a holder counts; servers may still begin the open ones."""
+
+    total: int
+    open: int = 0
+
+
+NO_LOADS = CountedLoads(0)
+
+
 class StoreLoadLimit:
     """Limit the loads that begin within a sliding window."""
 
@@ -59,10 +69,13 @@
         own = sum(not load.inherited for load in self._loads)
         return own < self._own_limit and len(self._loads) < self._total_limit
 
-    def counted_loads(self, now_s: float) -> int:
+    def counted_loads(self, now_s: float) -> CountedLoads:
         """Return how many loads may begin or have begun in the last window."""
         self._trim(now_s)
-        return len(self._loads)
+        return CountedLoads(
+            total=len(self._loads),
+            open=sum(load.begun_by_s > now_s for load in self._loads),
+        )
 
     def reserve(self) -> StoreLoad:
         """Count a load that has been decided; the caller records its begin."""
@@ -70,12 +83,18 @@
         self._loads.append(load)
         return load
 
-    def add_inherited(self, loads: int | None, now_s: float) -> None:
-        """Count a former holder's loads; None counts its whole limit."""
-        count = self._own_limit if loads is None else loads
-        self._loads.extend(
-            StoreLoad(inherited=True, begun_by_s=now_s) for _ in range(count)
-        )
+    def add_inherited(
+        self, former: CountedLoads | None, stopped_s: float
+    ) -> None:
+        """Count the loads of a holder that has stopped; None is its limit."""
+        counted = CountedLoads(self._own_limit) if former is None else former
+        for number in range(counted.total):
+            load = StoreLoad(inherited=True)
+            if number < counted.open:
+                load.record_unanswered(stopped_s)
+            else:
+                load.record_begin(stopped_s)
+            self._loads.append(load)
 
     def _trim(self, now_s: float) -> None:
         self._loads = [
--- a/tests/test_load_ceiling.py
+++ b/tests/test_load_ceiling.py
@@ -18,7 +18,10 @@
 )
 def test_loads_of_a_former_holder_count(inherited, own):
     limit = store_load_limit.StoreLoadLimit(1.0)
-    limit.add_inherited(inherited, 0.0)
+    former = (
+        None if inherited is None else store_load_limit.CountedLoads(inherited)
+    )
+    limit.add_inherited(former, 0.0)
     started = 0
     while limit.allows_load(1.0):
         limit.reserve().record_begin(1.0)
@@ -31,4 +34,20 @@
     limit.reserve().record_begin(0.0)
     assert not limit.allows_load(4.9)
     assert limit.allows_load(5.1)
-    assert limit.counted_loads(5.1) == 0
+    assert limit.counted_loads(5.1).total == 0
+
+
+@pytest.mark.parametrize('open_loads', [0, 2, 5])
+def test_open_loads_count_longer(open_loads):
+    """Their servers may begin them until the latest time of a late order."""
+    limit = store_load_limit.StoreLoadLimit(1.0)
+    limit.add_inherited(store_load_limit.CountedLoads(5, open_loads), 0.0)
+    late_s = store_load_limit.LATE_ORDER_S
+    window_s = store_load_limit.WINDOW_S
+    assert limit.counted_loads(window_s + 0.1) == (
+        store_load_limit.CountedLoads(open_loads, open_loads)
+    )
+    assert limit.counted_loads(late_s + 0.1) == (
+        store_load_limit.CountedLoads(open_loads, 0)
+    )
+    assert limit.counted_loads(late_s + window_s + 0.1).total == 0
--- a/tests/test_order_machine.py
+++ b/tests/test_order_machine.py
@@ -19,6 +19,7 @@
     lease_term,
     order_coordinator,
     placement_status,
+    store_load_limit,
 )
 from oatcrank.routing import need, route_table
 
@@ -54,7 +55,7 @@
         self.demand = demand.DemandWindow()
         self.demand.extend_coverage(10, 0)
         self.coordinator = None
-        self.take_up(0)
+        self.take_up(store_load_limit.NO_LOADS)
 
     def teardown(self) -> None:
         self.patch.stop()
