Take the window and overage of the store's ceiling from the settings

Found while looking for other places where a load is held against another ceiling than the one in force: the window (5 s) was a constant, whatever bounds.ceiling_window_s said. A changed value applies to the next decision. Without the settings 5 s and 1.1 hold; an overage below 1 lowers the limit, one above 1 stays a reserve.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -30,7 +30,7 @@
     request_dependencies,
     wire_protocol,
 )
-from oatcrank.orders import order, order_coordinator
+from oatcrank.orders import order, order_coordinator, store_load_limit
 from oatcrank.routing import (
     crash_record,
     retry_budgets,
@@ -60,6 +60,7 @@
     retry_allowance: float
     retry_window_s: float
     order_lease_duration_s: float
+    load_ceiling: store_load_limit.Ceiling
     stop_timeout_s: float
 
 
@@ -108,6 +109,7 @@
             routes=self.routes,
             sender=dependencies.sender,
         )
+        self._coordinator.apply_load_ceiling(bounds.load_ceiling)
         self._order_lease = order_lease.OrderLease(
             store_client=dependencies.store,
             mirror=self._mirror,
@@ -195,6 +197,7 @@
         """Apply changed bounds to the running instance."""
         self._bounds = bounds
         self._order_lease.lease_duration_s = bounds.order_lease_duration_s
+        self._coordinator.apply_load_ceiling(bounds.load_ceiling)
         self._retries.set_limits(
             ratio=bounds.retry_ratio,
             allowance=bounds.retry_allowance,
--- a/oatcrank/orders/model_orders.py
+++ b/oatcrank/orders/model_orders.py
@@ -78,6 +78,10 @@
             asyncio.Task[placement_status.PlacementStatus]
         ] = set()
 
+    def apply_ceiling(self, ceiling: store_load_limit.Ceiling) -> None:
+        """Apply another ceiling to the loads that are decided from now on."""
+        self._limits.apply_ceiling(ceiling)
+
     def begin_term(self, term: lease_term.LeaseTerm) -> None:
         """Discard the load counts of an earlier term."""
         self._limits.begin_term(term)
--- a/oatcrank/orders/order_coordinator.py
+++ b/oatcrank/orders/order_coordinator.py
@@ -79,6 +79,10 @@
         """Call on_unload for each accepted unload of a model."""
         self._dispatcher.on_unload = on_unload
 
+    def apply_load_ceiling(self, ceiling: store_load_limit.Ceiling) -> None:
+        """Apply another ceiling to the loads that are decided from now on."""
+        self._models.apply_ceiling(ceiling)
+
     def begin_term(self, term: lease_term.LeaseTerm) -> None:
         """Begin a lease term and discard all state of earlier terms."""
         self._dispatcher.term = term
--- a/oatcrank/orders/store_load_limit.py
+++ b/oatcrank/orders/store_load_limit.py
@@ -13,13 +13,19 @@
 
 import msgspec
 
-WINDOW_S = 5.0
 # Loads that the store can serve in a window beyond its rate.
 EXTRA_LOADS = 3
 # A server may carry out an order that it left unanswered this much later.
 LATE_ORDER_S = 12.0
 
 
+class Ceiling(msgspec.Struct, frozen=True, kw_only=True):
+    """Loads that may begin in a window: rate x window_s x overage and a few."""
+
+    window_s: float = 5.0
+    overage: float = 1.1
+
+
 class StoreLoad(msgspec.Struct, eq=False):
     """One load from the weight store, and by when it has begun if at all."""
 
@@ -57,11 +63,20 @@
 class StoreLoadLimit:
     """Limit the loads that begin within a sliding window."""
 
-    def __init__(self, loads_per_s: float) -> None:
+    def __init__(self, loads_per_s: float, ceiling: Ceiling) -> None:
         """Allow loads_per_s in a window, plus EXTRA_LOADS over all holders."""
-        self._own_limit = max(1, int(loads_per_s * WINDOW_S))
-        self._total_limit = self._own_limit + EXTRA_LOADS
+        self._loads_per_s = loads_per_s
         self._loads: list[StoreLoad] = []
+        self.apply_ceiling(ceiling)
+
+    def apply_ceiling(self, ceiling: Ceiling) -> None:
+        """Apply another ceiling to the loads that are decided from now on."""
+        # An overage above 1 is a reserve for former holders that can't be
+        # asked: they may have left orders that servers carry out late.
+        rate = self._loads_per_s * min(1, ceiling.overage)
+        self._window_s = ceiling.window_s
+        self._own_limit = max(1, int(rate * ceiling.window_s))
+        self._total_limit = self._own_limit + EXTRA_LOADS
 
     def allows_load(self, now_s: float) -> bool:
         """Return whether another load may be decided."""
@@ -98,5 +113,7 @@
 
     def _trim(self, now_s: float) -> None:
         self._loads = [
-            load for load in self._loads if load.begun_by_s >= now_s - WINDOW_S
+            load
+            for load in self._loads
+            if load.begun_by_s >= now_s - self._window_s
         ]
--- a/oatcrank/orders/store_load_limits.py
+++ b/oatcrank/orders/store_load_limits.py
@@ -10,6 +10,7 @@
 
     def __init__(self) -> None:
         """Start without a term."""
+        self._ceiling = store_load_limit.Ceiling()
         # Kept when the term ends: a successor asks for the loads afterwards.
         self._newest_term: lease_term.LeaseTerm | None = None
         self._limit_by_service: dict[
@@ -17,6 +18,12 @@
             store_load_limit.StoreLoadLimit,
         ] = {}
 
+    def apply_ceiling(self, ceiling: store_load_limit.Ceiling) -> None:
+        """Apply another ceiling to the loads that are decided from now on."""
+        self._ceiling = ceiling
+        for limit in self._limit_by_service.values():
+            limit.apply_ceiling(ceiling)
+
     def begin_term(self, term: lease_term.LeaseTerm) -> None:
         """Discard the counts of an earlier term."""
         self._newest_term = term
@@ -30,7 +37,9 @@
         """Return the limit of a service."""
         limit = self._limit_by_service.get(service)
         if limit is None:
-            limit = store_load_limit.StoreLoadLimit(engine.store_loads_per_s)
+            limit = store_load_limit.StoreLoadLimit(
+                engine.store_loads_per_s, self._ceiling
+            )
             term = self._newest_term
             if term is not None:
                 limit.add_inherited(
--- a/oatcrank/platform/settings.py
+++ b/oatcrank/platform/settings.py
@@ -4,6 +4,7 @@
 
 from oatcrank import errors, ids
 from oatcrank.cluster import instance, member
+from oatcrank.orders import store_load_limit
 
 SETTINGS_VARIABLE = 'OATCRANK_CONFIG'
 
@@ -25,6 +26,9 @@
     budget_window_s: float
     retry_budget_slack: float
     lease_ttl_ms: float
+    # Loads from the weight store: loads_per_s x window x overage, and 3 more.
+    ceiling_window_s: float = store_load_limit.Ceiling().window_s
+    ceiling_overage: float = store_load_limit.Ceiling().overage
     ttl_max_s: float
 
 
@@ -67,6 +71,10 @@
             retry_allowance=self.bounds.retry_budget_slack,
             retry_window_s=self.bounds.budget_window_s,
             order_lease_duration_s=self.bounds.lease_ttl_ms / 1000,
+            load_ceiling=store_load_limit.Ceiling(
+                window_s=self.bounds.ceiling_window_s,
+                overage=self.bounds.ceiling_overage,
+            ),
             stop_timeout_s=self.bounds.grace_s,
         )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -41,6 +41,8 @@
 budget_window_s = 10
 retry_budget_slack = 58
 lease_ttl_ms = 3000
+ceiling_window_s = 4
+ceiling_overage = 1.2
 ttl_max_s = 5
 [platform]
 address = "10.200.1.7:8142"
@@ -57,7 +59,10 @@
         '10.1.0.38:8149',
     )
     assert own.failure_domain == 'north'
-    assert read.shared_bounds().order_lease_duration_s == 3.0
+    bounds = read.shared_bounds()
+    assert bounds.order_lease_duration_s == 3.0
+    assert bounds.load_ceiling.window_s == 4
+    assert bounds.load_ceiling.overage == 1.2
 
 
 @pytest.mark.parametrize(
