Log the parts of a prompt whose attempt failed

Logs named neither the parts of a prompt nor what the suspects of several crashes share, so whole requests couldn't be told from parts of them as the cause. The shared parts are decoded and logged with each failed attempt; with events=0 and a framing they show which prompt's answer had just begun. No decision changes.

--- a/oatcrank/forwarding/request_log.py
+++ b/oatcrank/forwarding/request_log.py
@@ -27,10 +27,18 @@
         progress=result.progress.name,
         reason=result.reason,
         step=step.name,
+        **part_fields(request),
         **end_fields(result.end),
     )
 
 
+def part_fields(request: caller_request.CallerRequest) -> Fields:
+    """Return the log fields of a prompt's parts; none without shared ones."""
+    if not request.shared_parts:
+        return {}
+    return {'parts': '/'.join(request.shared_parts)}
+
+
 def end_fields(end: answer_end.AnswerEnd | None) -> Fields:
     """Return the log fields of a stream's end; none without a stream."""
     if end is None:
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -1,5 +1,7 @@
 """Encode and decode the HTTP headers of the users' platform."""
 
+import re
+
 from oatcrank import ids
 from oatcrank.forwarding import caller_request, wire_protocol
 from oatcrank.transport import message
@@ -20,6 +22,7 @@
 MISDIRECTED = 421
 LOWEST_PRIORITY = 9
 MAX_NUMBER = 10**9
+PART_ID = re.compile('[0-9a-f]{1,64}')
 
 # Headers that only this system may send to a server; those that a caller sends
 # are removed.
@@ -54,6 +57,7 @@
             )
         model, _, adapter = _text(raw, MODEL).partition('/')
         deadline_ms = _number(_text(raw, DEADLINE_MS))
+        prefix = _shared_part(_text(raw, PREFIX))
         headers = [
             pair
             for pair in message.end_to_end(raw.headers)
@@ -72,7 +76,8 @@
             caller=raw.peer,
             model=ids.ModelName(model) if model else None,
             adapter=ids.AdapterName(adapter) if adapter else None,
-            prefix=_shared_part(_text(raw, PREFIX)),
+            prefix=prefix,
+            shared_parts=_part_ids(prefix),
             prompt_tokens=_own_tokens(
                 _text(raw, PREFIX),
                 _text(raw, TOKENS),
@@ -141,6 +146,21 @@
     return prefix.rpartition(',')[0]
 
 
+def _part_ids(prefix: str) -> tuple[ids.PromptPart, ...]:
+    """Return the ids of `ID:TOKENS,...` in lower case.
+
+    Ids that are not hexadecimal, or too long, are left out.
+    """
+    part_ids = (
+        part.partition(':')[0].strip().lower() for part in prefix.split(',')
+    )
+    return tuple(
+        ids.PromptPart(part_id)
+        for part_id in part_ids
+        if PART_ID.fullmatch(part_id)
+    )
+
+
 def _own_tokens(prefix: str, usage: str) -> int:
     """Return the token count of the last part of `ID:TOKENS,...`.
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -133,6 +133,7 @@
     )
     assert (decoded.model, decoded.adapter) == ('words-large', 'a3')
     assert decoded.prefix == '5c1e:800,91bd:410'
+    assert decoded.shared_parts == ('5c1e', '91bd')
     assert decoded.timeout_s == 12.0
     assert decoded.last_event_id == 12
     assert decoded.resumed_id == '5d20'
@@ -147,6 +148,13 @@
         ({'x-deadline-ms': '-5'}, 'timeout_s', None),
         ({'last-event-id': 'x'}, 'last_event_id', None),
         ({'x-model': 'words-large'}, 'adapter', None),
+        ({'x-prompt-prefix': '5c1e:800'}, 'shared_parts', ()),
+        (
+            {'x-prompt-prefix': '5C1E:8, 91:4,e:2'},
+            'shared_parts',
+            ('5c1e', '91'),
+        ),
+        ({'x-prompt-prefix': ':8,x:4,,e:2'}, 'shared_parts', ()),
         ({'host': 'words.example:8080'}, 'host', 'words.example'),
     ],
 )
