--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -85,6 +85,7 @@
     executed_request_ids: ids of the requests that were executed.
     interrupted_connections: number of connections that broke within a request.
     event_count: number of events in a stream.
+    crashed: set once the worker has crashed of a part of a prompt.
     """
 
     def __init__(self, worker_id: str = 'worker-1') -> None:
@@ -97,6 +98,10 @@
         self.connection_count = 0
         self.interrupted_connections = 0
         self.event_count = 4
+        self.event_delay_s = float(0)
+        # A part of prompts that crashes the worker as it begins to answer.
+        self.crashing_part = ''
+        self.crashed = asyncio.Event()
         self.answer_delay_s = float(0)
         self.order_status = int(HTTPStatus.ACCEPTED)
         self.order_delay_s = float(0)
@@ -220,6 +225,11 @@
         head = [OK, framing]
         head.extend(f'{key}: {text}'.encode() for key, text in headers.items())
         writer.write(b'\r\n'.join((*head, b'', b'')))
+        if self.crashing_part and self.crashing_part in _shared_parts(request):
+            await writer.drain()
+            self.crashed.set()
+            await self.stop()
+            return False
         if mode is AnswerMode.empty_stream_without_length:
             return False
         start = int(request.header_by_name.get('last-event-id', '0'))
@@ -231,6 +241,7 @@
                     writer.write(LAST_CHUNK)
                 await writer.drain()
                 return False
+            await asyncio.sleep(self.event_delay_s)
             write(writer, event)
             await writer.drain()
         if chunked:
@@ -246,6 +257,12 @@
         }
 
 
+def _shared_parts(request: ReceivedRequest) -> list[str]:
+    """Return the ids of the parts of a prompt, without the last one."""
+    parts = request.header_by_name.get('x-prompt-prefix', '').split(',')
+    return [part.partition(':')[0] for part in parts[:-1]]
+
+
 async def _read_request(reader: asyncio.StreamReader) -> ReceivedRequest | None:
     line = await reader.readline()
     if not line:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -134,6 +134,7 @@
         self.processes: list[Process] = []
         self.status_by_id: dict[str, int] = {}
         self.sent_s_by_id: dict[str, float] = {}
+        self.crash_times_s: list[float] = []
 
     async def start(self, processes: int) -> None:
         """Start everything and wait until all instances know the workers."""
@@ -178,7 +179,7 @@
         )
 
     async def ask(
-        self, process: Process, prefix: str, request_id: str
+        self, process: Process, prefix: str, request_id: str, **changes
     ) -> forwarding_site.Answer:
         """Send one request on a new connection."""
         self.sent_s_by_id[request_id] = time.monotonic()
@@ -192,6 +193,7 @@
                     target=f'/{prefix}/x',
                     x_request_id=request_id,
                     x_deadline_ms='1500',
+                    **changes,
                 ),
             )
         finally:
@@ -200,6 +202,29 @@
             self.status_by_id[request_id] = answer.status
         return answer
 
+    async def replace_crashed(self, pause_s: float) -> None:
+        """Replace each worker that crashes by a new one after a pause."""
+        await asyncio.gather(
+            *(self._replace(worker, pause_s) for worker in self.workers)
+        )
+
+    async def _replace(
+        self, worker: platform_worker.Worker, pause_s: float
+    ) -> None:
+        while True:
+            await worker.crashed.wait()
+            self.crash_times_s.append(time.monotonic())
+            await asyncio.sleep(pause_s)
+            self.store.store.remove(f'servers/{worker.worker_id}')
+            former = worker
+            worker = platform_worker.Worker(f'i-{len(self.workers)}')
+            worker.answer_mode = former.answer_mode
+            worker.crashing_part = former.crashing_part
+            worker.event_delay_s = former.event_delay_s
+            self.workers.append(worker)
+            await worker.start()
+            self.register(worker)
+
     async def ask_for(self, seconds: float, prefix: str, per_s: float) -> None:
         """Send requests to random instances at a rate."""
         rng = random.Random(len(self.sent_s_by_id))
