Find the part of prompts that crashes servers, and refuse it everywhere

Cause: crashes were attributed to whole requests, by path, caller and body. No two of these requests were alike; what they share, a part of their prompts, added up nowhere.

Change: an instance reports each crash with the prompts that the server had not answered with any event. Three crashes that share a part refuse it on every instance, unless a prompt with it was answered since: the part further back first, which fewer prompts share, and a crash that a refused part explains counts for no other. Refused parts are records in the store, which an instance that starts later reads before it serves; an answer, or the removal of the record, clears them.

Messages of older instances have no prompts and add none.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -9,6 +9,7 @@
 from oatcrank import background, logs, metrics
 from oatcrank.cluster import (
     codec,
+    crashing_part_records,
     datagram_endpoint,
     distributed_prompt_scheduler,
     member,
@@ -25,7 +26,7 @@
     version_records,
 )
 from oatcrank.forwarding import (
-    crash_detector,
+    crash_guard,
     forwarder,
     request_dependencies,
     wire_protocol,
@@ -33,6 +34,7 @@
 from oatcrank.orders import order, order_coordinator, store_load_limit
 from oatcrank.routing import (
     crash_record,
+    crashing_parts,
     retry_budgets,
     route_table,
     server_selection,
@@ -89,11 +91,13 @@
         self.members = members.Members(own)
         self.routes = route_table.RouteTable()
         self.servers = server_table.ServerTable()
+        parts = crashing_parts.CrashingParts()
         self._table_updater = table_updater.TableUpdater(
             dependencies.codec,
             self.routes,
             self.servers,
             self.members,
+            parts,
         )
         self._mirror = store_mirror.StoreMirror(
             dependencies.store, self._table_updater, rng
@@ -141,6 +145,9 @@
             self.members,
             self.servers,
         )
+        self._part_records = crashing_part_records.CrashingPartRecords(
+            dependencies.store, self._mirror, self.members, parts
+        )
         origins = shared_stream_origins.SharedStreamOrigins(
             self.members,
             self._version_records,
@@ -152,6 +159,7 @@
             self._coordinator,
             self._order_lease,
             crashes,
+            parts,
             self.members,
             self.servers,
             origins,
@@ -176,11 +184,7 @@
                 placement_requester=self._placement_requester,
                 prompt_scheduler=self._prompt_scheduler,
                 stream_origins=origins,
-                crash_record=crashes,
-                crash_detector=crash_detector.CrashDetector(
-                    crashes,
-                    self.peer.broadcast_crashes,
-                ),
+                crash_guard=crash_guard.CrashGuard(crashes, parts, self.peer),
                 rng=rng,
             ),
         )
@@ -220,6 +224,7 @@
             ('replica_placement', self._order_lease.add_replicas),
             ('demand', self._placement_requester.run),
             ('version_records', self._version_records.run),
+            ('crashing_part_records', self._part_records.run),
             ('readiness', self._become_ready),
             ('connection_pruning', self._prune),
         ):
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -8,6 +8,7 @@
 
 from oatcrank import logs
 from oatcrank.cluster import (
+    crash_messages,
     lease_holder,
     peer_messages,
     peers,
@@ -57,7 +58,8 @@
     messages = (
         ('arrange', peer_messages.PlacementQuery, peer.request_placement),
         ('demand', peer_messages.DemandReport, peer.report_demand),
-        ('crashes', peer_messages.CrashReport, peer.report_crashes),
+        ('crashes', crash_messages.CrashReport, peer.report_crashes),
+        ('answered-parts', crash_messages.AnsweredParts, peer.clear_parts),
         ('unloads', peer_messages.UnloadNotice, peer.announce_unload),
         ('vouch', peer_messages.ConfirmQuery, peer.confirm_holder),
         ('holder', lease_holder.LeaseHolder, peer.announce_holder),
--- a/oatcrank/cluster/peer_messages.py
+++ b/oatcrank/cluster/peer_messages.py
@@ -45,12 +45,6 @@
     running: tuple[runs.Running, ...] = ()
 
 
-class CrashReport(msgspec.Struct, frozen=True, kw_only=True):
-    """Report the requests that were running on a server that crashed."""
-
-    fingerprints: tuple[int, ...]
-
-
 class UnloadNotice(msgspec.Struct, frozen=True, kw_only=True):
     """Announce that a server is about to unload a model."""
 
--- a/oatcrank/cluster/peer_service.py
+++ b/oatcrank/cluster/peer_service.py
@@ -1,11 +1,13 @@
 """Handle messages from other instances and broadcast updates to them."""
 
 import asyncio
+from collections.abc import Collection
 
 import msgspec
 
 from oatcrank import ids, logs
 from oatcrank.cluster import (
+    crash_messages,
     lease_holder,
     members,
     order_lease,
@@ -15,13 +17,20 @@
     shared_stream_origins,
     stream_origin_messages,
 )
+from oatcrank.forwarding import crash_guard
 from oatcrank.orders import order_coordinator
-from oatcrank.routing import crash_record, need, server_table
+from oatcrank.routing import (
+    crash,
+    crash_record,
+    crashing_parts,
+    need,
+    server_table,
+)
 
 BROADCAST_TIMEOUT_S = 1.0
 
 
-class PeerService(peers.Peer):
+class PeerService(peers.Peer, crash_guard.CrashPublisher):
     """Serve the order coordinator, order lease and crash record to peers."""
 
     def __init__(
@@ -29,6 +38,7 @@
         coordinator: order_coordinator.OrderCoordinator,
         lease: order_lease.OrderLease,
         crash_record: crash_record.CrashRecord,
+        crashing_parts: crashing_parts.CrashingParts,
         members: members.Members,
         servers: server_table.ServerTable,
         origins: shared_stream_origins.SharedStreamOrigins,
@@ -37,6 +47,7 @@
         self._coordinator = coordinator
         self._lease = lease
         self._crash_record = crash_record
+        self._crashing_parts = crashing_parts
         self._members = members
         self._servers = servers
         self._origins = origins
@@ -62,13 +73,37 @@
 
     async def report_crashes(
         self,
-        report: peer_messages.CrashReport,
+        report: crash_messages.CrashReport,
     ) -> peer_messages.Acknowledgement:
         """Record requests that a peer suspects of crashing servers."""
         now_s = asyncio.get_running_loop().time()
         for fingerprint in report.fingerprints:
             self._crash_record.record_interruption(fingerprint, now_s)
-        logs.event('suspects_reported', suspects=len(report.fingerprints))
+        if report.server_id:
+            self._crashing_parts.record_crash(
+                crash.Crash(
+                    crash_id=crash.CrashId(report.server_id, report.started_ms),
+                    fingerprints=report.fingerprints,
+                    prompts=report.prompts,
+                ),
+                now_s,
+            )
+        logs.event(
+            'suspects_reported',
+            server=report.server_id,
+            suspects=len(report.fingerprints),
+            prompts=len(report.prompts),
+        )
+        return peer_messages.Acknowledgement()
+
+    async def clear_parts(
+        self,
+        answered: crash_messages.AnsweredParts,
+    ) -> peer_messages.Acknowledgement:
+        """Clear suspected parts of a prompt that a server has answered."""
+        self._crashing_parts.clear(
+            answered.parts, asyncio.get_running_loop().time()
+        )
         return peer_messages.Acknowledgement()
 
     async def announce_unload(
@@ -110,11 +145,22 @@
         """Return what this instance knows of a stream."""
         return self._origins.answer(query)
 
-    def broadcast_crashes(self, fingerprints: list[int]) -> None:
+    def publish_crash(self, report: crash.Crash) -> None:
         """Send requests suspected of crashing servers to all peers."""
         self._broadcast(
             'crashes',
-            peer_messages.CrashReport(fingerprints=tuple(fingerprints)),
+            crash_messages.CrashReport(
+                fingerprints=report.fingerprints,
+                server_id=report.crash_id.server_id,
+                started_ms=report.crash_id.started_ms,
+                prompts=report.prompts,
+            ),
+        )
+
+    def publish_answered(self, parts: Collection[ids.PromptPart]) -> None:
+        """Send suspected parts that a server has answered to all peers."""
+        self._broadcast(
+            'answered-parts', crash_messages.AnsweredParts(parts=tuple(parts))
         )
 
     def broadcast_unload(
--- a/oatcrank/cluster/peers.py
+++ b/oatcrank/cluster/peers.py
@@ -7,6 +7,7 @@
 
 from oatcrank import errors
 from oatcrank.cluster import (
+    crash_messages,
     lease_holder,
     peer_messages,
     stream_origin_messages,
@@ -48,10 +49,17 @@
     @abc.abstractmethod
     async def report_crashes(
         self,
-        report: peer_messages.CrashReport,
+        report: crash_messages.CrashReport,
     ) -> peer_messages.Acknowledgement:
         """Record requests that a peer suspects of crashing servers."""
 
+    @abc.abstractmethod
+    async def clear_parts(
+        self,
+        answered: crash_messages.AnsweredParts,
+    ) -> peer_messages.Acknowledgement:
+        """Clear suspected parts of a prompt that a server has answered."""
+
     @abc.abstractmethod
     async def confirm_holder(
         self,
--- a/oatcrank/cluster/table_updater.py
+++ b/oatcrank/cluster/table_updater.py
@@ -7,6 +7,7 @@
 from oatcrank import ids, logs
 from oatcrank.cluster import (
     codec,
+    crashing_part_records,
     member,
     members,
     session,
@@ -14,6 +15,7 @@
     store_mirror,
 )
 from oatcrank.routing import (
+    crashing_parts,
     route,
     route_table,
     server_registration,
@@ -37,8 +39,10 @@
         routes: route_table.RouteTable,
         servers: server_table.ServerTable,
         members: members.Members,
+        parts: crashing_parts.CrashingParts,
     ) -> None:
         """Decode items with a codec and update the given tables."""
+        self._parts = parts
         self._codec = item_codec
         self._routes = routes
         self._servers = servers
@@ -51,6 +55,10 @@
         if item.key.startswith(session.MEMBERS_PREFIX):
             self._update_member(item)
             return
+        if item.key.startswith(crashing_part_records.KEY_PREFIX):
+            now_s = asyncio.get_running_loop().time()
+            crashing_part_records.apply_record(item, self._parts, now_s)
+            return
         decoded = self._codec.decode(item)
         if isinstance(decoded, route.Configuration):
             if self._routes.replace(decoded):
--- a/oatcrank/forwarding/crash_detector.py
+++ b/oatcrank/forwarding/crash_detector.py
@@ -1,10 +1,12 @@
 """Detect server crashes after interrupted answers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
-from oatcrank import ids, logs
-from oatcrank.routing import crash_record, server
+import msgspec
+
+from oatcrank import logs
+from oatcrank.routing import crash, server
 from oatcrank.transport import backend_connection, errors
 
 # A server is checked this long after an interrupted request; requests that
@@ -12,55 +14,59 @@
 CHECK_DELAY_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
 
-Publish = Callable[[list[int]], None]
+OnCrash = Callable[[crash.Crash, float], None]
 
 
-class CrashDetector:
-    """Record the requests that ran on a server when it crashed."""
+class Interruption(msgspec.Struct, frozen=True):
+    """An interrupted request; prompt is None if it can't be the cause."""
 
-    def __init__(
-        self,
-        crash_record: crash_record.CrashRecord,
-        publish: Publish,
-    ) -> None:
-        """Record fingerprints of suspected requests.
+    fingerprint: int
+    prompt: crash.Prompt | None = None
+
+
+class CrashDetector:
+    """Report the requests that ran on a server when it crashed."""
 
-        publish sends them to the other instances.
-        """
-        self._crash_record = crash_record
-        self._publish = publish
-        self._suspects_by_server_id: dict[ids.ServerId, set[int]] = {}
+    def __init__(self, on_crash: OnCrash) -> None:
+        """Call on_crash with each crash and its time."""
+        self._on_crash = on_crash
+        self._interruptions_by_id: dict[crash.CrashId, set[Interruption]] = {}
         self._checks: set[asyncio.Task[None]] = set()
 
     def record_interruption(
-        self, target: server.Server, fingerprint: int
+        self, target: server.Server, interrupted: Interruption
     ) -> None:
         """Record an interrupted request and check the server soon after."""
-        suspects = self._suspects_by_server_id.get(target.server_id)
-        if suspects is not None:
-            suspects.add(fingerprint)
+        crash_id = crash.CrashId(
+            target.server_id, target.registration.started_ms
+        )
+        interruptions = self._interruptions_by_id.get(crash_id)
+        if interruptions is not None:
+            interruptions.add(interrupted)
             return
-        self._suspects_by_server_id[target.server_id] = {fingerprint}
-        check = asyncio.ensure_future(self._check(target))
+        self._interruptions_by_id[crash_id] = {interrupted}
+        check = asyncio.ensure_future(self._check(target, crash_id))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
-    async def _check(self, target: server.Server) -> None:
+    async def _check(
+        self, target: server.Server, crash_id: crash.CrashId
+    ) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
         crashed = not await self._accepts_connections(target)
-        suspects = self._suspects_by_server_id.pop(target.server_id)
+        interruptions = self._interruptions_by_id.pop(crash_id)
         if not crashed:
             return
         now_s = asyncio.get_running_loop().time()
         target.suspend(now_s)
-        for fingerprint in suspects:
-            self._crash_record.record_interruption(fingerprint, now_s)
+        report = _report(crash_id, interruptions)
         logs.event(
             'server_crashed',
-            server=target.server_id,
-            suspects=len(suspects),
+            server=crash_id.server_id,
+            suspects=len(report.fingerprints),
+            parts=_log_text(report.prompts),
         )
-        self._publish(sorted(suspects))
+        self._on_crash(report, now_s)
 
     async def _accepts_connections(self, target: server.Server) -> bool:
         try:
@@ -73,3 +79,26 @@
             return False
         connection.close()
         return True
+
+
+def _report(
+    crash_id: crash.CrashId,
+    interruptions: Collection[Interruption],
+) -> crash.Crash:
+    fingerprints = {interrupted.fingerprint for interrupted in interruptions}
+    return crash.Crash(
+        crash_id=crash_id,
+        fingerprints=tuple(sorted(fingerprints)),
+        prompts=tuple(
+            interrupted.prompt
+            for interrupted in interruptions
+            if interrupted.prompt is not None
+        ),
+    )
+
+
+def _log_text(prompts: Collection[crash.Prompt]) -> str:
+    """Return the parts of each prompt whose answer had begun."""
+    return ' '.join(
+        '/'.join(prompt.parts) for prompt in prompts if prompt.begun
+    )
--- a/oatcrank/forwarding/request_dependencies.py
+++ b/oatcrank/forwarding/request_dependencies.py
@@ -7,14 +7,13 @@
 import msgspec
 
 from oatcrank.forwarding import (
-    crash_detector,
+    crash_guard,
     placement_requester,
     prompt_scheduler,
     stream_origins,
     wire_protocol,
 )
 from oatcrank.routing import (
-    crash_record,
     retry_budgets,
     route_table,
     server_selection,
@@ -33,8 +32,7 @@
     placement_requester: placement_requester.PlacementRequester
     prompt_scheduler: prompt_scheduler.PromptScheduler
     stream_origins: stream_origins.StreamOrigins
-    crash_record: crash_record.CrashRecord
-    crash_detector: crash_detector.CrashDetector
+    crash_guard: crash_guard.CrashGuard
     rng: random.Random
     # Monotonic time by which this instance stops, if it is shutting down.
     stop_deadline_s: float = math.inf
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -11,6 +11,7 @@
     attempt,
     attempt_state,
     caller_request,
+    crash_guard,
     prompt_slot_waiter,
     refusal,
     request_dependencies,
@@ -19,7 +20,7 @@
     resumable_stream,
     server_search,
 )
-from oatcrank.routing import crash_record, need, route, server
+from oatcrank.routing import need, route, server
 from oatcrank.transport import message, reply
 
 # Leaves time to forward an answer that a server sends at the deadline.
@@ -70,11 +71,7 @@
             request.model,
             request.adapter,
         )
-        self._fingerprint = crash_record.fingerprint(
-            request.target,
-            request.caller,
-            request.body,
-        )
+        self._identity = crash_guard.identity_of(request)
         self._outcome = 'cancelled'
 
     async def run(self) -> None:
@@ -100,11 +97,7 @@
             self._give_up(refused.reason, refused.retry_after_s)
 
     async def _execute(self) -> None:
-        now_s = self._dependencies.now()
-        if self._dependencies.crash_record.is_refused(self._fingerprint, now_s):
-            raise refusal.RequestRefused(
-                'the request may crash servers', CRASH_RETRY_S
-            )
+        self._check_crashes()
         await self._stream.find_origin(self._wanted.service)
         if self._stream.origin is not None:
             self._wanted = msgspec.structs.replace(
@@ -132,6 +125,14 @@
             if await self._settle(result, chosen, search):
                 return
 
+    def _check_crashes(self) -> None:
+        """Refuse a request that is known to crash servers."""
+        reason = self._dependencies.crash_guard.refusal_reason(
+            self._identity, self._dependencies.now()
+        )
+        if reason is not None:
+            raise refusal.RequestRefused(reason, CRASH_RETRY_S)
+
     async def _wait_for_slot(
         self,
         chosen: server.Server,
@@ -221,8 +222,11 @@
             return self._deliver(result, chosen, search)
         request_log.log_failed_attempt(self._request, chosen, result, step)
         if result.progress is attempt_state.Progress.written:
-            self._dependencies.crash_detector.record_interruption(
-                chosen, self._fingerprint
+            self._dependencies.crash_guard.record_interruption(
+                chosen,
+                self._identity,
+                answered=self._stream.splitter.last_id is not None,
+                begun=result.end is not None,
             )
         if step is attempt_state.Step.send_again:
             await self._prepare_retry(result, chosen, search)
@@ -262,7 +266,9 @@
         answer = result.answer
         if answer is None:
             self._outcome = 'streamed'
-            self._dependencies.crash_record.clear(self._fingerprint)
+            self._dependencies.crash_guard.record_answer(
+                self._identity, self._dependencies.now()
+            )
             return True
         if self._out.started:
             self._give_up('the resumed stream failed', FAILURE_RETRY_S)
--- /dev/null
+++ b/oatcrank/routing/crash.py
@@ -0,0 +1,31 @@
+"""Describe the crash of a server and the requests that it interrupted."""
+
+import msgspec
+
+from oatcrank import ids
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """A prompt that a crashed server had not answered with any event.
+
+    parts are those that other prompts may share, from the first one on.  begun
+    means that the server had sent the head of the answer.
+    """
+
+    parts: tuple[ids.PromptPart, ...]
+    begun: bool
+
+
+class CrashId(msgspec.Struct, frozen=True):
+    """Identify a crash by the server process that ended."""
+
+    server_id: ids.ServerId
+    started_ms: int
+
+
+class Crash(msgspec.Struct, frozen=True, kw_only=True):
+    """What one instance knows of a crash."""
+
+    crash_id: CrashId
+    fingerprints: tuple[int, ...]
+    prompts: tuple[Prompt, ...] = ()
--- /dev/null
+++ b/oatcrank/routing/crashing_parts.py
@@ -0,0 +1,207 @@
+"""Find the parts of prompts that crash each server that answers them.
+
+Load pattern: requests that share one part, no two of them alike, crash one
+server after the other, while sound requests share their other parts and wait
+at the same servers.
+
+A crash is attributed to a part that the unanswered prompts on the server had
+in common in several crashes, and whose prompts no server has answered since.
+"""
+
+import collections
+import math
+from collections.abc import Collection, Iterable
+
+import msgspec
+
+from oatcrank import ids
+from oatcrank.routing import crash
+
+CRASHES_TO_REFUSE = 3
+# Crashes count together for this long.
+CRASH_WINDOW_S = 600.0
+# Instances report the prompts of a crash within this time.
+REPORTS_DUE_S = 0.25
+# A part that was refused in error isn't taken over from a record for this long.
+CLEARED_HOLD_S = 60.0
+MAX_CRASHES = 64
+MAX_PROMPTS_PER_CRASH = 256
+
+
+class _ReportedCrash(msgspec.Struct):
+    """Prompts of one crash, as reported by all instances."""
+
+    first_report_s: float
+    prompts: set[crash.Prompt]
+
+    def depth_by_part(self) -> dict[ids.PromptPart, int]:
+        """Return the parts that may have caused the crash, and their places.
+
+        A server crashes as it begins an answer, so prompts whose answer had
+        begun go before those that still waited.
+        """
+        suspects = [prompt for prompt in self.prompts if prompt.begun]
+        depth_by_part: dict[ids.PromptPart, int] = {}
+        for prompt in suspects or self.prompts:
+            for depth, part in enumerate(prompt.parts):
+                known_depth = depth_by_part.get(part, 0)
+                depth_by_part[part] = max(depth, known_depth)
+        return depth_by_part
+
+
+class CrashingParts:
+    """Refuse prompts with parts that have crashed several servers."""
+
+    def __init__(self) -> None:
+        """Start without crashes."""
+        self._crash_by_id: collections.OrderedDict[
+            crash.CrashId, _ReportedCrash
+        ] = collections.OrderedDict()
+        self._refused: set[ids.PromptPart] = set()
+        # All parts of the prompts of all crashes.
+        self._suspects: set[ids.PromptPart] = set()
+        # When a prompt with the part was last answered to its end.
+        self._answered_s_by_part: dict[ids.PromptPart, float] = {}
+        self._evaluate_at_s = math.inf
+
+    def record_crash(self, report: crash.Crash, now_s: float) -> None:
+        """Add the unanswered prompts of a crash, from any instance."""
+        known = self._crash_by_id.get(report.crash_id)
+        if known is None:
+            known = _ReportedCrash(first_report_s=now_s, prompts=set())
+            self._crash_by_id[report.crash_id] = known
+        for prompt in report.prompts:
+            if prompt.parts and len(known.prompts) < MAX_PROMPTS_PER_CRASH:
+                known.prompts.add(prompt)
+                self._suspects.update(prompt.parts)
+        while len(self._crash_by_id) > MAX_CRASHES:
+            self._crash_by_id.popitem(last=False)
+        self._evaluate_at_s = min(
+            self._evaluate_at_s, known.first_report_s + REPORTS_DUE_S
+        )
+
+    def record_answer(
+        self,
+        parts: Collection[ids.PromptPart],
+        now_s: float,
+    ) -> tuple[ids.PromptPart, ...]:
+        """Clear the parts of a prompt that a server has answered to its end.
+
+        Return those that were suspected of several crashes or refused; other
+        instances should clear them as well.
+        """
+        suspects = {
+            part
+            for part in parts
+            if part in self._suspects or part in self._refused
+        }
+        if not suspects:
+            return ()
+        suspicious = tuple(filter(self._is_suspicious, suspects))
+        self.clear(suspects, now_s)
+        return suspicious
+
+    def clear(self, parts: Iterable[ids.PromptPart], now_s: float) -> None:
+        """Stop refusing parts, and discard the crashes counted until now."""
+        for part in parts:
+            self._answered_s_by_part[part] = now_s
+            self._refused.discard(part)
+
+    def adopt(self, part: ids.PromptPart, now_s: float) -> bool:
+        """Refuse a part that another instance refuses; return if it is new."""
+        answered_s = self._answered_s_by_part.get(part, -math.inf)
+        if part in self._refused or now_s - answered_s < CLEARED_HOLD_S:
+            return False
+        self._refused.add(part)
+        return True
+
+    def refused_part(
+        self,
+        parts: Iterable[ids.PromptPart],
+    ) -> ids.PromptPart | None:
+        """Return a part for which a prompt is refused, if any."""
+        return next((part for part in parts if part in self._refused), None)
+
+    def refused(self) -> frozenset[ids.PromptPart]:
+        """Return all parts that are refused."""
+        return frozenset(self._refused)
+
+    def update(self, now_s: float) -> tuple[ids.PromptPart, ...]:
+        """Refuse the parts that explain the crashes; return the new ones."""
+        if now_s < self._evaluate_at_s:
+            return ()
+        self._evaluate_at_s = math.inf
+        self._drop_expired(now_s)
+        new_parts: list[ids.PromptPart] = []
+        part = self._most_suspected(now_s)
+        while part is not None:
+            self._refused.add(part)
+            new_parts.append(part)
+            part = self._most_suspected(now_s)
+        return tuple(new_parts)
+
+    def _most_suspected(self, now_s: float) -> ids.PromptPart | None:
+        """Return the part that explains enough unexplained crashes.
+
+        Where two parts explain them, it is the one further back in the
+        prompts: fewer prompts share it.
+        """
+        crashes: collections.Counter[ids.PromptPart] = collections.Counter()
+        depths: dict[ids.PromptPart, int] = {}
+        for unexplained in self._unexplained(now_s):
+            for part, depth in unexplained.depth_by_part().items():
+                if self._is_unanswered_since(part, unexplained):
+                    crashes[part] += 1
+                    depths[part] = max(depth, depths.get(part, 0))
+        return max(
+            (
+                suspect
+                for suspect, count in crashes.items()
+                if count >= CRASHES_TO_REFUSE
+            ),
+            key=lambda suspect: (depths[suspect], crashes[suspect]),
+            default=None,
+        )
+
+    def _unexplained(self, now_s: float) -> list[_ReportedCrash]:
+        """Return the crashes that no refused part explains.
+
+        A crash of which reports may still arrive counts later.
+        """
+        unexplained = []
+        for reported in self._crash_by_id.values():
+            due_s = reported.first_report_s + REPORTS_DUE_S
+            if now_s < due_s:
+                self._evaluate_at_s = min(self._evaluate_at_s, due_s)
+            elif self._refused.isdisjoint(reported.depth_by_part()):
+                unexplained.append(reported)
+        return unexplained
+
+    def _is_suspicious(self, part: ids.PromptPart) -> bool:
+        if part in self._refused:
+            return True
+        crashes = sum(
+            part in reported.depth_by_part()
+            and self._is_unanswered_since(part, reported)
+            for reported in self._crash_by_id.values()
+        )
+        return crashes >= CRASHES_TO_REFUSE - 1
+
+    def _is_unanswered_since(
+        self, part: ids.PromptPart, reported: _ReportedCrash
+    ) -> bool:
+        answered_s = self._answered_s_by_part.get(part, -math.inf)
+        return answered_s < reported.first_report_s
+
+    def _drop_expired(self, now_s: float) -> None:
+        oldest_s = now_s - CRASH_WINDOW_S
+        for crash_id, reported in tuple(self._crash_by_id.items()):
+            if reported.first_report_s < oldest_s:
+                del self._crash_by_id[crash_id]
+        for part, answered_s in tuple(self._answered_s_by_part.items()):
+            if answered_s < oldest_s:
+                del self._answered_s_by_part[part]
+        self._suspects.clear()
+        for remaining in self._crash_by_id.values():
+            for prompt in remaining.prompts:
+                self._suspects.update(prompt.parts)
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -9,7 +9,7 @@
 
 from emulator import platform_worker
 from oatcrank.forwarding import (
-    crash_detector,
+    crash_guard,
     forwarder,
     placement_requester,
     prompt_scheduler,
@@ -19,6 +19,7 @@
 from oatcrank.platform import platform_protocol
 from oatcrank.routing import (
     crash_record,
+    crashing_parts,
     need,
     prompt_schedule,
     retry_budgets,
@@ -88,6 +89,20 @@
         return self.wait_s_by_id.get(server_id, 0)
 
 
+class StubPublisher(crash_guard.CrashPublisher):
+    """Remember what an instance would tell the others."""
+
+    def __init__(self) -> None:
+        self.fingerprints: list[int] = []
+        self.answered: list[str] = []
+
+    def publish_crash(self, report) -> None:
+        self.fingerprints.extend(report.fingerprints)
+
+    def publish_answered(self, parts) -> None:
+        self.answered.extend(parts)
+
+
 class LocalStreamOrigins(stream_origins.StreamOrigins):
     """Remember the streams of one instance."""
 
@@ -119,7 +134,8 @@
         self.placement_requester = StubPlacementRequester()
         self.prompt_scheduler = StubPromptScheduler()
         self.crashes = crash_record.CrashRecord()
-        self.published_crashes: list[int] = []
+        self.parts = crashing_parts.CrashingParts()
+        self.publisher = StubPublisher()
         self.limits = limits.Limits()
         self.open_connections: set[caller_connection.CallerConnection] = set()
         self.dependencies = request_dependencies.RequestDependencies(
@@ -138,10 +154,8 @@
             placement_requester=self.placement_requester,
             prompt_scheduler=self.prompt_scheduler,
             stream_origins=LocalStreamOrigins(),
-            crash_record=self.crashes,
-            crash_detector=crash_detector.CrashDetector(
-                self.crashes,
-                self.published_crashes.extend,
+            crash_guard=crash_guard.CrashGuard(
+                self.crashes, self.parts, self.publisher
             ),
             rng=random.Random(5),
         )
--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,117 @@
+"""Test that requests with crashing parts are refused, and what clears them."""
+
+import asyncio
+
+import forwarding_site
+import pytest
+
+from emulator import platform_worker
+from oatcrank.routing import crash, crashing_parts
+
+MODE = platform_worker.AnswerMode
+STREAM = {'repeatable': True, 'streaming': True}
+PART = 'badc0de'
+PROMPT = f'f1a57:100,{PART}:60,7:200'
+SOUND_PROMPT = 'f1a57:100,50a1d:60,8:200'
+
+
+def refuse_part(site) -> None:
+    site.parts.adopt(PART, 0.0)
+
+
+@pytest.mark.parametrize(
+    ('prompt', 'status'),
+    [
+        (PROMPT, 503),
+        (f'{PART.upper()}:100,1:1', 503),
+        (SOUND_PROMPT, 200),
+        # The last part is the request's own.
+        (f'f1a57:100,{PART}:60', 200),
+        ('', 200),
+        (',,:,x', 200),
+    ],
+)
+def test_a_request_with_a_refused_part_is_not_sent(prompt, status):
+    async def work(site):
+        refuse_part(site)
+        answer = await site.ask(x_prompt_prefix=prompt)
+        assert answer.status == status
+        assert site.runs() == (status == 200)
+        if status == 503:
+            assert float(answer.header_by_name['retry-after']) > 0
+
+    forwarding_site.run(work, **STREAM)
+
+
+@pytest.mark.parametrize(
+    ('prompt', 'status', 'more_runs'),
+    [(PROMPT, 503, 0), (SOUND_PROMPT, 200, 1)],
+)
+def test_crashes_of_servers_refuse_the_part_that_they_share(
+    prompt, status, more_runs
+):
+    async def work(site):
+        for worker in site.workers:
+            worker.crashing_part = PART
+        for number in range(crashing_parts.CRASHES_TO_REFUSE):
+            answer = await site.ask(body=b'%d' % number, x_prompt_prefix=PROMPT)
+            assert answer.status in {502, 503}
+        await asyncio.sleep(crashing_parts.REPORTS_DUE_S + 0.1)
+        site.parts.update(asyncio.get_running_loop().time())
+        assert site.parts.refused_part((PART,)) == PART
+        runs = site.runs()
+        answer = await site.ask(x_prompt_prefix=prompt)
+        assert answer.status == status
+        assert site.runs() == runs + more_runs
+
+    forwarding_site.run(work, workers=8, **STREAM)
+
+
+def test_an_answer_tells_the_other_instances_of_a_sound_part():
+    async def work(site):
+        for number in range(crashing_parts.CRASHES_TO_REFUSE - 1):
+            site.parts.record_crash(
+                crash.Crash(
+                    crash_id=crash.CrashId(f'crashed-{number}', 1),
+                    fingerprints=(),
+                    prompts=(crash.Prompt((PART,), begun=True),),
+                ),
+                0.0,
+            )
+        answer = await site.ask(x_prompt_prefix=PROMPT)
+        assert answer.status == 200
+        assert site.publisher.answered == [PART]
+
+    forwarding_site.run(work, **STREAM)
+
+
+@pytest.mark.parametrize(
+    ('mode', 'suspected'),
+    [(MODE.no_answer, True), (MODE.truncated_stream, False)],
+)
+def test_a_prompt_that_was_answered_with_an_event_is_no_suspect(
+    mode, suspected
+):
+    async def work(site):
+        (worker,) = site.workers
+        worker.answer_mode = mode
+        worker.event_delay_s = 0.05
+        asking = asyncio.ensure_future(site.ask(x_prompt_prefix=PROMPT))
+        await asyncio.sleep(0.08)
+        await worker.stop()
+        await asking
+        await asyncio.sleep(0.2)
+        for number in range(crashing_parts.CRASHES_TO_REFUSE - 1):
+            site.parts.record_crash(
+                crash.Crash(
+                    crash_id=crash.CrashId(f'crashed-{number}', 1),
+                    fingerprints=(),
+                    prompts=(crash.Prompt((PART,), begun=False),),
+                ),
+                asyncio.get_running_loop().time(),
+            )
+        await asyncio.sleep(crashing_parts.REPORTS_DUE_S)
+        site.parts.update(asyncio.get_running_loop().time())
+        assert (site.parts.refused_part((PART,)) == PART) is suspected
+
+    forwarding_site.run(work, workers=1, **STREAM)
--- /dev/null
+++ b/tests/test_crashing_part_records.py
@@ -0,0 +1,180 @@
+"""Test that refused parts outlast the instances that found them."""
+
+import asyncio
+import random
+
+import pytest
+import virtual
+from cluster_parts import NoCodec
+
+from emulator import memory_store
+from oatcrank.cluster import (
+    crashing_part_records,
+    member,
+    members,
+    store_mirror,
+    table_updater,
+)
+from oatcrank.routing import crash, crashing_parts, route_table, server_table
+
+FAULT = memory_store.StoreFault
+PART = 'badc0de'
+KEY = crashing_part_records.KEY_PREFIX + PART
+# Time in which a change has reached all instances, in seconds.
+SYNC_S = 3.0
+
+
+class Instance:
+    """The components of one instance that keep refused parts."""
+
+    def __init__(self, shared, number: int) -> None:
+        self.client = memory_store.MemoryClient(shared)
+        own = member.Member(
+            instance_id=f'instance-{number}',
+            started_ms=number,
+            failure_domain='north',
+            region='here',
+            caller_address=f'{number}:1',
+            peer_address=f'{number}:2',
+            ready=True,
+            datagram_address=f'{number}:3',
+        )
+        known = members.Members(own)
+        self.parts = crashing_parts.CrashingParts()
+        updater = table_updater.TableUpdater(
+            NoCodec(),
+            route_table.RouteTable(),
+            server_table.ServerTable(),
+            known,
+            self.parts,
+        )
+        mirror = store_mirror.StoreMirror(
+            self.client, updater, random.Random(number)
+        )
+        self.records = crashing_part_records.CrashingPartRecords(
+            self.client, mirror, known, self.parts
+        )
+        self.tasks = [
+            asyncio.ensure_future(mirror.run()),
+            asyncio.ensure_future(self.records.run()),
+        ]
+
+    def crash_servers(self, count: int = 3) -> None:
+        now_s = asyncio.get_running_loop().time()
+        for number in range(count):
+            self.parts.record_crash(
+                crash.Crash(
+                    crash_id=crash.CrashId(f'server-{number}', 1),
+                    fingerprints=(),
+                    prompts=(crash.Prompt((PART,), begun=True),),
+                ),
+                now_s,
+            )
+
+    def kill(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    @property
+    def refuses(self) -> bool:
+        return self.parts.refused_part((PART,)) == PART
+
+
+def run(scenario):
+    async def work():
+        shared = memory_store.MemoryStore()
+        instances = [Instance(shared, number) for number in range(3)]
+        await asyncio.sleep(SYNC_S)
+        await scenario(shared, instances)
+
+    virtual.run(work())
+
+
+def test_a_part_that_one_instance_refuses_is_refused_by_all():
+    async def scenario(shared, instances):
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        assert all(instance.refuses for instance in instances)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('killed', [1, 3])
+def test_a_new_instance_refuses_what_was_refused_before_its_start(killed):
+    async def scenario(shared, instances):
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        for instance in instances[:killed]:
+            instance.kill()
+        started = Instance(shared, 7)
+        await asyncio.sleep(0.2)
+        assert started.refuses
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    'fault', [FAULT.down, FAULT.answer_lost], ids=lambda fault: fault.name
+)
+def test_a_record_is_written_when_the_store_is_back(fault):
+    async def scenario(shared, instances):
+        for instance in instances:
+            instance.client.fault = fault
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        for instance in instances:
+            instance.client.fault = FAULT.none
+        await asyncio.sleep(store_mirror.WATCH_WAIT_S + SYNC_S)
+        assert all(instance.refuses for instance in instances)
+
+    run(scenario)
+
+
+def test_an_answer_at_one_instance_clears_the_part_for_all():
+    async def scenario(shared, instances):
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        now_s = asyncio.get_running_loop().time()
+        instances[1].parts.record_answer((PART,), now_s)
+        await asyncio.sleep(SYNC_S)
+        assert not any(instance.refuses for instance in instances)
+
+    run(scenario)
+
+
+def test_an_operator_clears_a_part_by_removing_its_record():
+    async def scenario(shared, instances):
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        shared.remove(KEY)
+        await asyncio.sleep(SYNC_S)
+        assert not any(instance.refuses for instance in instances)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('content', [b'0', b'not a number', b''])
+def test_a_record_that_is_too_old_or_malformed_is_removed(content):
+    async def scenario(shared, instances):
+        shared.put(KEY, content)
+        await asyncio.sleep(SYNC_S)
+        assert not any(instance.refuses for instance in instances)
+        started = Instance(shared, 7)
+        await asyncio.sleep(SYNC_S)
+        assert not started.refuses
+
+    run(scenario)
+
+
+def test_records_are_bounded(monkeypatch):
+    monkeypatch.setattr(crashing_part_records, 'MAX_RECORDS', 2)
+
+    async def scenario(shared, instances):
+        now_s = asyncio.get_running_loop().time()
+        for number in range(5):
+            instances[0].parts.adopt(f'{number:x}', now_s)
+        await asyncio.sleep(SYNC_S)
+        shared_parts = instances[1].parts.refused()
+        assert len(shared_parts) == 2
+
+    run(scenario)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -278,7 +278,7 @@
         answer = await site.ask()
         assert answer.status == 503
         assert site.runs() == runs
-        assert site.published_crashes
+        assert site.publisher.fingerprints
 
     forwarding_site.run(work, **ONCE)
 
