Check before each send whether a request crashes servers

What callers saw: a request was sent to a server although its part, or the request itself, had become known to crash servers while it waited for a model or a prompt slot, or after it had been interrupted.

Cause: the check was made once, at the start of the request.

Both new tests failed before (the request ran at a second server, and after a wait).

--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -116,6 +116,7 @@
             chosen = await search.find(self._tried_ids)
             if not await self._wait_for_slot(chosen, search):
                 continue
+            self._check_crashes()
             self._check_send_limits()
             self._sent_to_ids.append(chosen.server_id)
             self._sent_to_versions.append(chosen.registration.software_version)
@@ -126,7 +127,10 @@
                 return
 
     def _check_crashes(self) -> None:
-        """Refuse a request that is known to crash servers."""
+        """Refuse a request that is known to crash servers.
+
+        That may have become known while it waited or was interrupted.
+        """
         reason = self._dependencies.crash_guard.refusal_reason(
             self._identity, self._dependencies.now()
         )
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -115,3 +115,37 @@
         assert (site.parts.refused_part((PART,)) == PART) is suspected
 
     forwarding_site.run(work, workers=1, **STREAM)
+
+
+def test_a_request_is_not_sent_again_once_its_part_is_refused():
+    async def work(site):
+        for worker in site.workers:
+            worker.next_answer_modes = [MODE.no_answer]
+        asking = asyncio.ensure_future(site.ask(x_prompt_prefix=PROMPT))
+        await asyncio.sleep(0.1)
+        refuse_part(site)
+        for worker in site.workers:
+            if worker.executed_request_ids:
+                await worker.stop()
+        answer = await asking
+        assert answer.status == 502
+        assert site.runs() == 1
+
+    forwarding_site.run(work, **STREAM)
+
+
+def test_a_request_that_waited_is_not_sent_once_its_part_is_refused():
+    async def work(site):
+        def refuse_meanwhile(_):
+            refuse_part(site)
+
+        site.prompt_scheduler.on_call = refuse_meanwhile
+        answer = await site.ask(x_prompt_prefix=PROMPT, x_model='words-large')
+        assert answer.status == 503
+        assert site.runs() == 0
+
+    forwarding_site.run(
+        work,
+        registration={'adapters_by_model': {'words-large': ()}},
+        **STREAM,
+    )
