Clear a request of crashes also when its answer is buffered first

Found while looking for other places where a sound request counts as one that crashes servers: only answers that are forwarded as they arrive cleared it. A request that was running at three crashes was refused for a minute, although servers had answered it in between.

--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -268,11 +268,12 @@
         search: server_search.ServerSearch,
     ) -> bool:
         answer = result.answer
-        if answer is None:
-            self._outcome = 'streamed'
+        if answer is None or answer.status < SERVER_ERROR:
             self._dependencies.crash_guard.record_answer(
                 self._identity, self._dependencies.now()
             )
+        if answer is None:
+            self._outcome = 'streamed'
             return True
         if self._out.started:
             self._give_up('the resumed stream failed', FAILURE_RETRY_S)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -6,7 +6,7 @@
 import pytest
 
 from emulator import platform_worker
-from oatcrank.routing import crash, crashing_parts
+from oatcrank.routing import crash, crash_record, crashing_parts
 
 MODE = platform_worker.AnswerMode
 STREAM = {'repeatable': True, 'streaming': True}
@@ -85,6 +85,33 @@
     forwarding_site.run(work, **STREAM)
 
 
+@pytest.mark.parametrize(
+    ('mode', 'status'),
+    [(MODE.whole, 200), (MODE.stream, 200), (MODE.failure, 500)],
+)
+def test_an_answer_clears_the_request_however_it_is_forwarded(mode, status):
+    """Answers that are buffered first did not count."""
+
+    async def work(site):
+        text = forwarding_site.request()
+        fingerprint = crash_record.fingerprint(
+            b'/words/x', '127.0.0.1', b'hello'
+        )
+        now_s = asyncio.get_running_loop().time()
+        for _ in range(crash_record.CRASHES_TO_REFUSE - 1):
+            site.crashes.record_interruption(fingerprint, now_s)
+        site.workers[0].answer_mode = mode
+        answer = await site.ask(text)
+        assert answer.status == status
+        site.crashes.record_interruption(fingerprint, now_s)
+        refused = site.crashes.is_refused(fingerprint, now_s)
+        assert refused is (status == 500)
+
+    forwarding_site.run(
+        work, workers=1, streaming=mode is MODE.stream, repeatable=True
+    )
+
+
 @pytest.mark.parametrize(
     ('mode', 'suspected'),
     [(MODE.no_answer, True), (MODE.truncated_stream, False)],
