Give up answers of servers that have no end

Cause: what a server sends and is not forwarded had no bound: a header, headers, interim answers and trailers, an event of a stream, and the body of an answer that says that the request was not run.

Change: 64 KiB of bytes that bring neither the awaited head nor a part of a body end the answer as broken, as does an event of over 1 MiB; a declined request goes on after 64 KiB or 0.1 s of such a body. The connection is closed. What is forwarded as it arrives was bounded already, by the caller's reading.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from emulator import endless_answer
+
 OK = b'HTTP/1.1 200 OK'
 CLOSE = b'Connection: close'
 LONG_BODY = b'a long body that is not sent to its end'
@@ -64,6 +66,7 @@
 STREAM_MODES = (
     WITHOUT_LENGTH_MODES | TRUNCATED_STREAM_MODES | {AnswerMode.stream}
 )
+NOT_RUN_MODES = frozenset((AnswerMode.full, AnswerMode.wrong_address))
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -86,6 +89,8 @@
     interrupted_connections: number of connections that broke within a request.
     event_count: number of events in a stream.
     crashed: set once the worker has crashed of a part of a prompt.
+    endless_answer: what is sent until the caller closes, if it is set; the
+        bytes are counted in endless_bytes.
     """
 
     def __init__(self, worker_id: str = 'worker-1') -> None:
@@ -102,6 +107,8 @@
         # A part of prompts that crashes the worker as it begins to answer.
         self.crashing_part = ''
         self.crashed = asyncio.Event()
+        self.endless_answer: endless_answer.EndlessAnswer | None = None
+        self.endless_bytes = 0
         self.answer_delay_s = float(0)
         self.order_status = int(HTTPStatus.ACCEPTED)
         self.order_delay_s = float(0)
@@ -165,12 +172,14 @@
                 )
             )
             return True
+        if self.endless_answer is not None:
+            await self._send_without_end(self.endless_answer, request, writer)
         mode = (
             self.next_answer_modes.pop(0)
             if self.next_answer_modes
             else self.answer_mode
         )
-        if mode not in {AnswerMode.full, AnswerMode.wrong_address}:
+        if mode not in NOT_RUN_MODES:
             self.executed_request_ids.append(
                 request.header_by_name['x-request-id']
             )
@@ -178,6 +187,19 @@
             await asyncio.sleep(self.answer_delay_s)
         return await self._send_answer(mode, request, writer)
 
+    async def _send_without_end(
+        self,
+        answer: endless_answer.EndlessAnswer,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send bytes until the caller closes the connection."""
+        writer.write(answer.first(self._answer_headers(request)))
+        while True:
+            writer.write(answer.repeated)
+            await writer.drain()
+            self.endless_bytes += len(answer.repeated)
+
     async def _send_answer(
         self,
         mode: AnswerMode,
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -1,5 +1,6 @@
 """Send a request to one backend server and read its answer."""
 
+import asyncio
 import http
 
 import msgspec
@@ -8,6 +9,7 @@
     answer_end,
     attempt_state,
     caller_request,
+    event_splitter,
     request_dependencies,
     request_metrics,
     resumable_stream,
@@ -40,6 +42,11 @@
 )
 
 
+# The head says all that is needed; the rest is read for the connection's sake.
+MAX_SKIP_S = 0.1
+MAX_SKIPPED_BYTES = 65536
+
+
 class BufferedAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Complete answer, buffered before it is forwarded."""
 
@@ -182,14 +189,13 @@
         answer: wire_protocol.AnswerHead,
     ) -> AttemptResult:
         self.progress = attempt_state.Progress.declined
-        event = await connection.next_event()
-        while isinstance(event, backend_connection.BodyChunk):
-            event = await connection.next_event()
-        without_id = '' if answer.request_id else ' without an id'
-        return self._failure(
-            f'declined with {head.status}{without_id}',
-            misdirected=answer.misdirected,
-        )
+        reason = f'declined with {head.status}'
+        if not answer.request_id:
+            reason = f'{reason} without an id'
+        if not await _skip_body(connection):
+            # The connection can't be used again and is closed.
+            reason = f'{reason}, with a body that does not end'
+        return self._failure(reason, misdirected=answer.misdirected)
 
     async def _forward_stream(
         self,
@@ -200,7 +206,7 @@
         events_before = self._splitter.event_count
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
-            complete_events = self._splitter.feed(event.body)
+            complete_events = self._feed(event.body)
             if complete_events:
                 self._record_first_event()
                 self._stream.record_begin(self._server.registration)
@@ -221,6 +227,12 @@
         self._out.write(self._splitter.take_remainder())
         return self._finish()
 
+    def _feed(self, chunk: bytes) -> bytes:
+        try:
+            return self._splitter.feed(chunk)
+        except event_splitter.EventTooLong as error:
+            raise _InvalidAnswer(str(error)) from error
+
     async def _buffer_answer(
         self,
         connection: backend_connection.BackendConnection,
@@ -335,3 +347,19 @@
         connection: backend_connection.BackendConnection,
     ) -> None:
         pool.release(connection, idle_timeout_s=self._idle_timeout_s)
+
+
+async def _skip_body(connection: backend_connection.BackendConnection) -> bool:
+    """Read the rest of an answer; return whether it ended within limits."""
+    skipped = 0
+    try:
+        async with asyncio.timeout(MAX_SKIP_S):
+            event = await connection.next_event()
+            while isinstance(event, backend_connection.BodyChunk):
+                skipped += len(event.body)
+                if skipped > MAX_SKIPPED_BYTES:
+                    return False
+                event = await connection.next_event()
+    except TimeoutError:
+        return False
+    return True
--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -2,12 +2,20 @@
 
 import re
 
+from oatcrank import errors
+
 # End of an event's last line, and the empty line after it.
 EVENT_END = re.compile(rb'\n\r?\n')
 LINE_ENDS = b'\r\n'
+# Limit of one event.
+MAX_EVENT_BYTES = 1_048_576
 EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
 
 
+class EventTooLong(errors.OatcrankError):
+    """Raised for an event that has no end within MAX_EVENT_BYTES."""
+
+
 class EventSplitter:
     """Return complete events, without duplicates across several runs."""
 
@@ -27,7 +35,10 @@
         self._partial = b''
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the events that this chunk completes."""
+        """Return the events that this chunk completes.
+
+        Raises EventTooLong if one has no end within MAX_EVENT_BYTES.
+        """
         buffered = self._partial + chunk
         events = []
         start = 0
@@ -35,6 +46,8 @@
             events.append(buffered[start : match.end()])
             start = match.end()
         self._partial = buffered[start:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise EventTooLong(f'over {MAX_EVENT_BYTES} bytes without an end')
         return b''.join(event for event in events if self._is_new(event))
 
     def take_remainder(self) -> bytes:
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -14,6 +14,9 @@
 from oatcrank.transport import errors, message
 
 MAX_BUFFERED_BYTES = 262144
+# Limit of heads, interim (1xx) responses and trailers: of all that brings
+# neither the awaited head nor a part of a body.
+MAX_HEAD_BYTES = 65536
 # Limit for unacknowledged data.
 TCP_USER_TIMEOUT_MS = 1000
 KEEPALIVE_INTERVAL_S = 1
@@ -81,12 +84,15 @@
         if not self._in_use:
             self.close()
             return
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._abort_response()
         except httptools.HttpParserError:
             self._abort_response()
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._abort_response()
         if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
             self.transport.pause_reading()
@@ -141,6 +147,7 @@
             self._unusable = True
             self._head_done = False
             return
+        self._head_bytes = 0
         self._until_close = head.framing is message.Framing.connection_end
         if not head.keep_alive:
             self._unusable = True
@@ -148,6 +155,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Report a chunk of the body."""
+        self._head_bytes = 0
         if self._in_use and self._head_done:
             self._buffered += len(body)
             self._put(BodyChunk(body))
@@ -206,6 +214,7 @@
         self._headers = []
         self._reason = b''
         self._head_done = False
+        self._head_bytes = 0
         self._until_close = False
         self._events.clear()
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,6 +4,7 @@
 import collections
 import json
 import os
+import pathlib
 import random
 import signal
 import socket
@@ -115,6 +116,16 @@
         if self._process is not None:
             await self._process.wait()
 
+    def peak_mb(self) -> float:
+        """Return the most memory that the process has used, in MB."""
+        if self._process is None:
+            return 0
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        (line,) = (
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(line.split()[1]) / 1000
+
     def log_text(self) -> str:
         """Return what the process has logged."""
         return self._log.read_text()
