Give up calls and answers of the own interface that have no end

The same cause elsewhere: the answer to a call (store, orders, reports, peers) and, at the own interface, an event of a stream and an answer that is kept to be forwarded as a whole grew in memory until the time of the call was over, or up to 1 GiB.

Change: calls and whole answers end at 32 MiB, events at 1 MiB, as interrupted. Heads are bounded by the connection, at the own interface by tornado (64 KiB); a test shows it.

--- a/oatcrank/entry/event_splitter.py
+++ b/oatcrank/entry/event_splitter.py
@@ -1,9 +1,12 @@
 """Split a stream of server-sent events at event boundaries."""
 
+from oatcrank import errors
+
 EVENT_END = b'\n\n'
 # Occurs once in the event of each token.
 TOKEN_MARKER = b'"index"'
 DONE_EVENT = b'data: [DONE]'
+MAX_EVENT_BYTES = 1_048_576
 
 
 class EventSplitter:
@@ -16,10 +19,15 @@
         self._buffer = b''
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the events that this chunk completes."""
+        """Return the events that this chunk completes.
+
+        Raises errors.Interrupted if one has no end within MAX_EVENT_BYTES.
+        """
         buffered = self._buffer + chunk if self._buffer else chunk
         end = buffered.rfind(EVENT_END)
         if end < 0:
+            if len(buffered) > MAX_EVENT_BYTES:
+                raise errors.Interrupted('an event of the stream has no end')
             self._buffer = buffered
             return b''
         cut = end + len(EVENT_END)
--- a/oatcrank/entry/model_dispatcher.py
+++ b/oatcrank/entry/model_dispatcher.py
@@ -24,6 +24,8 @@
 EVENT_STREAM = 'text/event-stream'
 # X-Load holds the running requests, the queued requests and the slots.
 LOAD_FIELD_COUNT = 3
+# Limit of an answer that is not a stream; it is forwarded as a whole.
+MAX_BODY_BYTES = 33_554_432
 ERROR_BY_STATUS = {
     HTTPStatus.CONFLICT: errors.NotLoaded,
     HTTPStatus.TOO_MANY_REQUESTS: errors.Busy,
@@ -200,6 +202,8 @@
     def _on_chunk(self, chunk: bytes) -> Any:
         if not self._is_stream():
             self._body += chunk
+            if len(self._body) > MAX_BODY_BYTES:
+                raise errors.Interrupted('the answer has no end')
             return None
         before = self._splitter.tokens
         events = self._splitter.feed(chunk)
--- a/oatcrank/transport/calls.py
+++ b/oatcrank/transport/calls.py
@@ -9,6 +9,8 @@
 from oatcrank.transport import errors as transport_errors
 
 CONNECT_TIMEOUT_S = 1.0
+# Limit of a response; the longest are all keys of the store.
+MAX_BODY_BYTES = 33_554_432
 
 
 class CallResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,6 +65,10 @@
     event = await connection.next_event()
     while isinstance(event, backend_connection.BodyChunk):
         body += event.body
+        if len(body) > MAX_BODY_BYTES:
+            raise transport_errors.ConnectionBroken(
+                f'{address}: the answer is over {MAX_BODY_BYTES} bytes long'
+            )
         event = await connection.next_event()
     if event is not backend_connection.Ending.complete:
         raise transport_errors.ConnectionBroken(f'{address}: incomplete answer')
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oatcrank import errors
 from oatcrank.entry import event_splitter
 
 STREAM = b'data: {"index": 0}\n\ndata: {"index": 1}\n\ndata: [DONE]\n\n'
@@ -25,3 +26,13 @@
     assert splitter.feed(STREAM[:25]) == STREAM[:20]
     assert splitter.tokens == 1
     assert not splitter.done
+
+
+@pytest.mark.parametrize('before', [b'', STREAM])
+def test_an_event_without_end_is_given_up(before: bytes) -> None:
+    splitter = event_splitter.EventSplitter()
+    splitter.feed(before)
+    chunk = b'x' * event_splitter.MAX_EVENT_BYTES
+    assert not splitter.feed(chunk)
+    with pytest.raises(errors.Interrupted):
+        splitter.feed(chunk)
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -94,3 +94,50 @@
 def test_a_broken_answer_without_length_is_not_complete(finish, is_alive):
     with pytest.raises(errors.Interrupted):
         asyncio.run(ask(finish, is_alive=is_alive))
+
+
+@pytest.mark.parametrize(
+    'head',
+    [b'HTTP/1.1 200 OK\r\nX-Noise: ', b'HTTP/1.1 200 OK\r\n', HEAD],
+    ids=['header', 'headers', 'body'],
+)
+def test_bytes_without_end_are_given_up(head):
+    """A head ends at the limit of tornado, a body at that of the callback."""
+    sent_bytes = 0
+
+    async def serve(reader, writer):
+        nonlocal sent_bytes
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head)
+        noise = b'X-Noise: %s\r\n' % (b'x' * 1000)
+        while not writer.transport.is_closing():
+            writer.write(noise)
+            await writer.drain()
+            sent_bytes += len(noise)
+
+    received = bytearray()
+
+    def collect(chunk):
+        received.extend(chunk)
+        if len(received) > 100_000:
+            raise errors.Interrupted('too long')
+
+    async def run():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        connection = upstream_connection.UpstreamConnection(
+            lambda status, headers: None, collect
+        )
+        async with asyncio.timeout(2):
+            port = server.sockets[0].getsockname()[1]
+            await connection.run(
+                f'127.0.0.1:{port}',
+                httputil.RequestStartLine('GET', '/x', ''),
+                httputil.HTTPHeaders(),
+                b'',
+                permit=permit.UnrestrictedPermit(),
+                probe=lambda: asyncio.sleep(0, True),
+            )
+
+    with pytest.raises(errors.Interrupted):
+        asyncio.run(run())
+    assert sent_bytes < 20_000_000
