Don't attribute the crashes of one request to a part of its prompt

What callers would have seen: one request that crashes servers, sent again by its caller, had a part of its prompt refused after three crashes, and with it all sound requests that share the part, for an hour: none of them was sent, so no answer could clear it.

Change: prompts of a crash carry the fingerprint of their request. The crashes of a part count only if at least two of them happened without any one request.

The new cases of test_crashing_parts show it; they were not run against the former rule, whose reports have no fingerprint.

--- a/oatcrank/forwarding/crash_guard.py
+++ b/oatcrank/forwarding/crash_guard.py
@@ -69,7 +69,7 @@
         """
         prompt = None
         if identity.parts and not answered:
-            prompt = crash.Prompt(identity.parts, begun)
+            prompt = crash.Prompt(identity.parts, begun, identity.fingerprint)
         self._detector.record_interruption(
             target, crash_detector.Interruption(identity.fingerprint, prompt)
         )
--- a/oatcrank/routing/crash.py
+++ b/oatcrank/routing/crash.py
@@ -9,11 +9,13 @@
     """A prompt that a crashed server had not answered with any event.
 
     parts are those that other prompts may share, from the first one on.  begun
-    means that the server had sent the head of the answer.
+    means that the server had sent the head of the answer.  fingerprint is that
+    of the request, the same when its caller sends it again.
     """
 
     parts: tuple[ids.PromptPart, ...]
     begun: bool
+    fingerprint: int
 
 
 class CrashId(msgspec.Struct, frozen=True):
--- a/oatcrank/routing/crashing_parts.py
+++ b/oatcrank/routing/crashing_parts.py
@@ -5,7 +5,9 @@
 at the same servers.
 
 A crash is attributed to a part that the unanswered prompts on the server had
-in common in several crashes, and whose prompts no server has answered since.
+in common in several crashes, if no server has answered a prompt with it since
+and no single request was running at nearly all of these crashes: that request
+would be refused by itself.
 """
 
 import collections
@@ -18,6 +20,8 @@
 from oatcrank.routing import crash
 
 CRASHES_TO_REFUSE = 3
+# Crashes among these at which any one request was not running.
+CRASHES_WITHOUT_A_REQUEST = 2
 # Crashes count together for this long.
 CRASH_WINDOW_S = 600.0
 # Instances report the prompts of a crash within this time.
@@ -34,19 +38,51 @@
     first_report_s: float
     prompts: set[crash.Prompt]
 
-    def depth_by_part(self) -> dict[ids.PromptPart, int]:
-        """Return the parts that may have caused the crash, and their places.
+    def suspects(self) -> Collection[crash.Prompt]:
+        """Return the prompts that may have caused the crash.
 
         A server crashes as it begins an answer, so prompts whose answer had
         begun go before those that still waited.
         """
-        suspects = [prompt for prompt in self.prompts if prompt.begun]
-        depth_by_part: dict[ids.PromptPart, int] = {}
-        for prompt in suspects or self.prompts:
-            for depth, part in enumerate(prompt.parts):
-                known_depth = depth_by_part.get(part, 0)
-                depth_by_part[part] = max(depth, known_depth)
-        return depth_by_part
+        begun = [prompt for prompt in self.prompts if prompt.begun]
+        return begun or self.prompts
+
+    def suspected_parts(self) -> set[ids.PromptPart]:
+        """Return the parts of the prompts that may have caused the crash."""
+        return set().union(*(prompt.parts for prompt in self.suspects()))
+
+
+class _Evidence(msgspec.Struct):
+    """Crashes at which prompts with one part were suspects."""
+
+    crashes: int = 0
+    # The last place of the part in a prompt.
+    depth: int = 0
+    crashes_by_fingerprint: collections.Counter[int] = msgspec.field(
+        default_factory=collections.Counter
+    )
+
+    def add(self, part: ids.PromptPart, reported: _ReportedCrash) -> None:
+        """Add a crash."""
+        suspects = [
+            prompt for prompt in reported.suspects() if part in prompt.parts
+        ]
+        self.crashes += 1
+        self.crashes_by_fingerprint.update(
+            {prompt.fingerprint for prompt in suspects}
+        )
+        self.depth = max(
+            self.depth, *(prompt.parts.index(part) for prompt in suspects)
+        )
+
+    @property
+    def suffices(self) -> bool:
+        """Return whether the crashes are attributed to the part."""
+        most_of_one = max(self.crashes_by_fingerprint.values())
+        return (
+            self.crashes >= CRASHES_TO_REFUSE
+            and self.crashes - most_of_one >= CRASHES_WITHOUT_A_REQUEST
+        )
 
 
 class CrashingParts:
@@ -146,23 +182,31 @@
         Where two parts explain them, it is the one further back in the
         prompts: fewer prompts share it.
         """
-        crashes: collections.Counter[ids.PromptPart] = collections.Counter()
-        depths: dict[ids.PromptPart, int] = {}
-        for unexplained in self._unexplained(now_s):
-            for part, depth in unexplained.depth_by_part().items():
-                if self._is_unanswered_since(part, unexplained):
-                    crashes[part] += 1
-                    depths[part] = max(depth, depths.get(part, 0))
+        sufficient = {
+            suspect: evidence
+            for suspect, evidence in self._evidence_by_part(now_s).items()
+            if evidence.suffices
+        }
         return max(
-            (
-                suspect
-                for suspect, count in crashes.items()
-                if count >= CRASHES_TO_REFUSE
+            sufficient,
+            key=lambda suspect: (
+                sufficient[suspect].depth,
+                sufficient[suspect].crashes,
             ),
-            key=lambda suspect: (depths[suspect], crashes[suspect]),
             default=None,
         )
 
+    def _evidence_by_part(
+        self, now_s: float
+    ) -> dict[ids.PromptPart, _Evidence]:
+        evidence_by_part: dict[ids.PromptPart, _Evidence] = {}
+        for unexplained in self._unexplained(now_s):
+            for part in unexplained.suspected_parts():
+                if self._is_unanswered_since(part, unexplained):
+                    evidence = evidence_by_part.setdefault(part, _Evidence())
+                    evidence.add(part, unexplained)
+        return evidence_by_part
+
     def _unexplained(self, now_s: float) -> list[_ReportedCrash]:
         """Return the crashes that no refused part explains.
 
@@ -173,7 +217,7 @@
             due_s = reported.first_report_s + REPORTS_DUE_S
             if now_s < due_s:
                 self._evaluate_at_s = min(self._evaluate_at_s, due_s)
-            elif self._refused.isdisjoint(reported.depth_by_part()):
+            elif self._refused.isdisjoint(reported.suspected_parts()):
                 unexplained.append(reported)
         return unexplained
 
@@ -181,7 +225,7 @@
         if part in self._refused:
             return True
         crashes = sum(
-            part in reported.depth_by_part()
+            part in reported.suspected_parts()
             and self._is_unanswered_since(part, reported)
             for reported in self._crash_by_id.values()
         )
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -74,7 +74,7 @@
                 crash.Crash(
                     crash_id=crash.CrashId(f'crashed-{number}', 1),
                     fingerprints=(),
-                    prompts=(crash.Prompt((PART,), begun=True),),
+                    prompts=(crash.Prompt((PART,), True, number),),
                 ),
                 0.0,
             )
@@ -133,7 +133,7 @@
                 crash.Crash(
                     crash_id=crash.CrashId(f'crashed-{number}', 1),
                     fingerprints=(),
-                    prompts=(crash.Prompt((PART,), begun=False),),
+                    prompts=(crash.Prompt((PART,), False, number),),
                 ),
                 asyncio.get_running_loop().time(),
             )
--- a/tests/test_crashing_part_records.py
+++ b/tests/test_crashing_part_records.py
@@ -66,7 +66,7 @@
                 crash.Crash(
                     crash_id=crash.CrashId(f'server-{number}', 1),
                     fingerprints=(),
-                    prompts=(crash.Prompt((PART,), begun=True),),
+                    prompts=(crash.Prompt((PART,), True, number),),
                 ),
                 now_s,
             )
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -11,14 +11,17 @@
 BAD = 'bad'
 FIRST = 'first'
 crash_numbers = itertools.count(1)
+fingerprints = itertools.count(1000)
 
 
-def prompt(*parts, begun=True):
-    return crash.Prompt(parts, begun)
+def prompt(*parts, begun=True, request=None):
+    """Return a prompt of a request that is unlike all others, or the same."""
+    fingerprint = next(fingerprints) if request is None else request
+    return crash.Prompt(parts, begun, fingerprint)
 
 
-def waiting(*parts):
-    return prompt(*parts, begun=False)
+def waiting(*parts, request=None):
+    return prompt(*parts, begun=False, request=request)
 
 
 def a_crash(*prompts, server_id='', started_ms=7):
@@ -99,6 +102,43 @@
             id='what all crashes share',
         ),
         pytest.param([a_crash() for _ in range(5)], set(), id='no prompts'),
+        pytest.param(
+            [a_crash(prompt(FIRST, 'sound', request=1)) for _ in range(5)],
+            set(),
+            id='one request that its caller sends again',
+        ),
+        pytest.param(
+            [
+                *(a_crash(prompt(FIRST, 'sound', request=1)) for _ in range(4)),
+                a_crash(waiting(FIRST, 'sound')),
+            ],
+            set(),
+            id='one request, and a crash of another cause',
+        ),
+        pytest.param(
+            [
+                a_crash(prompt(FIRST, 'sound', request=1), prompt('sound'))
+                for _ in range(4)
+            ],
+            set(),
+            id='one request beside others with its part',
+        ),
+        pytest.param(
+            [
+                a_crash(prompt(FIRST, BAD, request=request))
+                for request in (1, 1, 2, 2)
+            ],
+            {BAD},
+            id='requests that are sent to two servers each',
+        ),
+        pytest.param(
+            [
+                a_crash(prompt(FIRST, BAD, request=request))
+                for request in (1, 1, 2)
+            ],
+            set(),
+            id='too few crashes without one of the requests',
+        ),
     ],
 )
 def test_parts_that_crashes_have_in_common(crashes, refused):
