Refuse all parts of prompts that the crashes don't tell apart

What callers would have seen: where two parts explained the same crashes equally, one was refused and the other not, and which one differed between instances. If it was the sound one, the crashing part went on until a crash without the other.

Cause: the choice among equals followed the order of a set, which is random in each process. Found by running the tests against rules changed on purpose: one change failed other cases in each run.

Change: all parts with the same place and number of crashes are refused, in a fixed order, so that all instances decide alike and the crashing one is among them. Two comments and two doc comments that needed a second reading are reworded.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -42,7 +42,8 @@
 )
 
 
-# The head says all that is needed; the rest is read for the connection's sake.
+# The body of a declined request's answer is only read so that the connection
+# can be used again.
 MAX_SKIP_S = 0.1
 MAX_SKIPPED_BYTES = 65536
 
--- a/oatcrank/forwarding/crash_guard.py
+++ b/oatcrank/forwarding/crash_guard.py
@@ -1,4 +1,4 @@
-"""Refuse requests that crash servers, and record what shows which those are."""
+"""Refuse requests that crash servers, and collect the evidence for it."""
 
 import abc
 from collections.abc import Collection
@@ -23,7 +23,7 @@
 
 
 class RequestIdentity(msgspec.Struct, frozen=True):
-    """What a request has in common with others that crash servers."""
+    """What identifies a request, and the parts it shares with others."""
 
     fingerprint: int
     parts: tuple[ids.PromptPart, ...]
--- a/oatcrank/routing/crashing_parts.py
+++ b/oatcrank/routing/crashing_parts.py
@@ -20,7 +20,8 @@
 from oatcrank.routing import crash
 
 CRASHES_TO_REFUSE = 3
-# Crashes among these at which any one request was not running.
+# So many of these crashes must have happened without any given request, which
+# would otherwise be the cause itself.
 CRASHES_WITHOUT_A_REQUEST = 2
 # Crashes count together for this long.
 CRASH_WINDOW_S = 600.0
@@ -169,31 +170,28 @@
         self._evaluate_at_s = math.inf
         self._drop_expired(now_s)
         new_parts: list[ids.PromptPart] = []
-        part = self._most_suspected(now_s)
-        while part is not None:
-            self._refused.add(part)
-            new_parts.append(part)
-            part = self._most_suspected(now_s)
+        suspects = self._most_suspected(now_s)
+        while suspects:
+            self._refused.update(suspects)
+            new_parts.extend(suspects)
+            suspects = self._most_suspected(now_s)
         return tuple(new_parts)
 
-    def _most_suspected(self, now_s: float) -> ids.PromptPart | None:
-        """Return the part that explains enough unexplained crashes.
+    def _most_suspected(self, now_s: float) -> list[ids.PromptPart]:
+        """Return the parts that best explain enough unexplained crashes.
 
-        Where two parts explain them, it is the one further back in the
-        prompts: fewer prompts share it.
+        Where several parts explain them, it is the one further back in the
+        prompts: fewer prompts share it.  If the crashes don't tell parts apart,
+        all of them are returned, so that all instances decide alike.
         """
-        sufficient = {
-            suspect: evidence
-            for suspect, evidence in self._evidence_by_part(now_s).items()
+        rank_by_part = {
+            part: (evidence.depth, evidence.crashes)
+            for part, evidence in self._evidence_by_part(now_s).items()
             if evidence.suffices
         }
-        return max(
-            sufficient,
-            key=lambda suspect: (
-                sufficient[suspect].depth,
-                sufficient[suspect].crashes,
-            ),
-            default=None,
+        highest_rank = max(rank_by_part.values(), default=None)
+        return sorted(
+            part for part, rank in rank_by_part.items() if rank == highest_rank
         )
 
     def _evidence_by_part(
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -102,6 +102,14 @@
             id='what all crashes share',
         ),
         pytest.param([a_crash() for _ in range(5)], set(), id='no prompts'),
+        pytest.param(
+            [
+                a_crash(*(prompt(FIRST, part) for part in 'abcdef'))
+                for _ in range(3)
+            ],
+            set('abcdef'),
+            id='parts that the crashes do not tell apart',
+        ),
         pytest.param(
             [a_crash(prompt(FIRST, 'sound', request=1)) for _ in range(5)],
             set(),
