--- a/tests/test_load_windows.py
+++ b/tests/test_load_windows.py
@@ -130,7 +130,7 @@
 
 
 @pytest.mark.parametrize('late_s', [1.0, 3.0, 4.5, 6.0, 9.0, 11.9])
-def test_loads_that_unanswered_orders_begin_late_keep_the_ceiling(late_s):
+def test_loads_of_unanswered_orders_begin_beyond_the_ceiling(late_s):
     """A server may carry out an order seconds after it left it unanswered."""
 
     async def run():
@@ -151,7 +151,7 @@
 
 @pytest.mark.parametrize('asked', [True, False])
 @pytest.mark.parametrize('overlap_s', [0.0, 0.7, 1.3])
-def test_loads_of_a_former_holder_keep_the_ceiling(overlap_s, asked):
+def test_loads_of_a_former_holder_are_forgotten_too_early(overlap_s, asked):
     """A former holder sends orders until it stops, after the acquisition."""
 
     async def run():
@@ -174,7 +174,7 @@
     virtual.run(run())
 
 
-def test_a_holder_that_ordered_nothing_passes_on_what_it_inherited():
+def test_a_holder_that_ordered_nothing_forgets_what_it_inherited():
     """Its successor may decide loads right after those of its predecessor."""
 
     async def run():
