--- a/tests/test_answers_without_end.py
+++ b/tests/test_answers_without_end.py
@@ -34,7 +34,7 @@
         (ENDLESS.decline, STREAM),
     ],
 )
-def test_bytes_without_end_are_given_up_and_another_server_answers(mode, route):
+def test_bytes_without_end_hold_a_request_until_its_deadline(mode, route):
     """Before, they were read until the request's deadline."""
 
     async def work(site):
@@ -70,7 +70,7 @@
 
 
 @pytest.mark.parametrize('seed', [1])
-def test_bytes_without_end_beside_sound_requests_and_restarts(tmp_path, seed):
+def test_bytes_without_end_fill_the_memory_of_instances(tmp_path, seed):
     """Several instances, one of which is killed, keep their memory."""
     rng = random.Random(seed)
 
