Grant half of a limit once the own lease may have run out

Callers and servers: while the store turned some instances away, a server with a limit could get twice what it takes. The instances that were turned away keep the members that they knew, and the owner among them went on granting the whole limit, while the others had removed it and used the whole limit with a new owner.

Cause: whether an instance owns a limit was judged from its copy of the store alone, which does not change while the store turns it away.

Change: the session records until when the own lease is certainly valid, on the clock that runs through suspension; after that the instance grants half, also to itself. Ruled out: an instance that nobody told of a limit. What it sends before its first answer is not counted, and that answer tells it.

--- a/oatcrank/cluster/distributed_server_limiter.py
+++ b/oatcrank/cluster/distributed_server_limiter.py
@@ -20,6 +20,7 @@
     owner_queries,
 )
 from oatcrank.forwarding import request_metrics, server_limiter
+from oatcrank.orders import boot_clock
 from oatcrank.routing import (
     limit_schedule,
     server_limit,
@@ -128,7 +129,9 @@
     ) -> limit_schedule.Permit:
         owner = self._owner(process)
         if owner is None or owner is self._members.own:
-            return limit.issue(max_wait_s, _now_s(), as_owner=True)
+            return limit.issue(
+                max_wait_s, _now_s(), as_owner=self._is_owner(process)
+            )
         reply = await self._queries.ask(
             owner, self._query_builder(process, limit, max_wait_s)
         )
@@ -173,6 +176,17 @@
             ]
         return next(iter(candidates), None)
 
+    def _is_owner(self, process: server_process.ServerProcess) -> bool:
+        """Return whether this instance may use the whole limit.
+
+        Once its lease may have ended, the others may have chosen a new owner.
+        """
+        return self._owner(
+            process
+        ) is self._members.own and self._members.is_own_lease_valid(
+            boot_clock.now()
+        )
+
     # Knowledge
 
     def _limit(
@@ -240,7 +254,7 @@
     ) -> None:
         limit = self._limit(query.process)
         changed = self._take_over(query.process, limit, query.limit)
-        as_owner = self._owner(query.process) is self._members.own
+        as_owner = self._is_owner(query.process)
         if changed and as_owner:
             self._announce(query.process, limit)
         permit = limit.issue(query.max_wait_s, _now_s(), as_owner=as_owner)
--- a/oatcrank/cluster/members.py
+++ b/oatcrank/cluster/members.py
@@ -1,6 +1,7 @@
 """Track the registered instances and choose those that callers should use."""
 
 import heapq
+import math
 
 import xxhash
 
@@ -20,6 +21,7 @@
         self.own = own
         self.by_id: dict[ids.InstanceId, member.Member] = {}
         self._peak_count = 1
+        self._lease_ends_s = math.inf
 
     @property
     def peak_count(self) -> int:
@@ -40,6 +42,17 @@
         """Return whether the others know this instance, by the store."""
         return self.own.instance_id in self.by_id
 
+    def record_own_lease(self, ends_s: float) -> None:
+        """Record when the lease of the own registration ends (boot clock)."""
+        self._lease_ends_s = ends_s
+
+    def is_own_lease_valid(self, now_s: float) -> bool:
+        """Return whether the own registration can't have expired unnoticed.
+
+        An instance that the store turns away does not see its own removal.
+        """
+        return now_s < self._lease_ends_s
+
     def others(self) -> list[member.Member]:
         """Return all other instances."""
         return [
--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -6,6 +6,7 @@
 
 from oatcrank import errors, logs
 from oatcrank.cluster import members, store, store_mirror
+from oatcrank.orders import boot_clock
 
 MEMBERS_PREFIX = 'members/'
 LEASE_DURATION_S = 2.0
@@ -59,12 +60,14 @@
         """Renew the lease; if it has ended, run() acquires a new one."""
         if self.lease_id is None:
             return
+        sent_s = boot_clock.now()
         try:
             await self._store.renew_lease(self.lease_id, timeout_s)
         except store.LeaseEnded:
             logs.event('session_ended')
-            self.lease_id = None
+            self._forget_lease()
             raise
+        self._members.record_own_lease(sent_s + LEASE_DURATION_S)
 
     async def close(self) -> None:
         """Remove the registration by ending the lease."""
@@ -84,12 +87,21 @@
 
     async def _step(self) -> None:
         if self.lease_id is None:
-            self._registered = b''
-            self.lease_id = await self._store.grant_lease(LEASE_DURATION_S)
+            await self._begin_lease()
         else:
             await self.renew(RENEW_TIMEOUT_S)
         await self._register(self.lease_id)
 
+    async def _begin_lease(self) -> None:
+        self._registered = b''
+        sent_s = boot_clock.now()
+        self.lease_id = await self._store.grant_lease(LEASE_DURATION_S)
+        self._members.record_own_lease(sent_s + LEASE_DURATION_S)
+
+    def _forget_lease(self) -> None:
+        self.lease_id = None
+        self._members.record_own_lease(boot_clock.now())
+
     async def _register(self, lease_id: store.LeaseId | None) -> None:
         encoded = msgspec.json.encode(self._members.own)
         if lease_id is None or encoded == self._registered:
@@ -103,7 +115,7 @@
                 ),
             )
         except store.LeaseEnded:
-            self.lease_id = None
+            self._forget_lease()
             raise
         self._registered = encoded
 
--- a/tests/test_distributed_limits.py
+++ b/tests/test_distributed_limits.py
@@ -14,6 +14,7 @@
     members,
     owner_queries,
 )
+from oatcrank.orders import boot_clock
 from oatcrank.routing import server_table
 
 LIMIT_PER_S = 20.0
@@ -63,7 +64,9 @@
     asyncio.run(run())
 
 
-async def count_granted(instances, listed, seconds, max_wait_s=0.0) -> int:
+async def count_granted(
+    instances, listed, seconds, max_wait_s=0.0, pause_s=0.01
+) -> int:
     """Ask for permits at all instances at once, again and again."""
     granted = 0
     loop = asyncio.get_running_loop()
@@ -76,7 +79,7 @@
             )
         )
         granted += sum(permit.granted for permit in permits)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(pause_s)
     return granted
 
 
@@ -264,3 +267,31 @@
         assert granted <= most_granted(2.0)
 
     run_instances(scenario)
+
+
+@pytest.mark.parametrize(('count', 'pause_s'), [(9, 0.01), (195, 0.1)])
+def test_instances_that_the_store_turns_away_keep_to_half_of_a_limit(
+    count, pause_s
+):
+    """They do not see that their registrations have ended.
+
+    The others have removed them and use the whole limit with a new owner.
+    """
+
+    async def scenario(instances):
+        listed = routing_parts.registration(0)
+        for instance in instances:
+            instance.hear(listed, LIMIT_PER_S)
+        (owner,) = [one for one in instances if one.owns(listed)]
+        others = [one for one in instances if one is not owner]
+        turned_away = [owner, *others[: count // 2]]
+        for instance in turned_away:
+            instance.known.record_own_lease(boot_clock.now())
+            for other in instances:
+                if other not in turned_away:
+                    other.known.remove(instance.own.instance_id)
+        granted = await count_granted(instances, listed, 2.0, pause_s=pause_s)
+        assert granted <= 1.5 * LIMIT_PER_S * 2.0 + 5
+        assert granted >= LIMIT_PER_S * 2.0
+
+    run_instances(scenario, count=count)
