Follow orders by reports while the store does not show their end

Callers: while the store turned the order lease holder away, models that moved into demand were not loaded.

Cause: the end of an unload or load was known from the servers' registrations alone. All instances confirm the holder without the store, so that orders go on, but a holder that the store turns away sees no registration.

Ruled out: the lease (it was confirmed each 0.6 s), the limit of loads (5 of 14 counted).

Change: the holder reads the report of a server whose active order is half a second past its expected end. In reach of the store registrations arrive within 0.1 s, so no reports are read there, other than for unloads that wait for runs.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -237,6 +237,7 @@
             ('session', self._session.run),
             ('order_lease', self._order_lease.run),
             ('replica_placement', self._order_lease.add_replicas),
+            ('overdue_orders', self._order_lease.refresh_overdue),
             ('demand', self._placement_requester.run),
             ('version_records', self._version_records.run),
             ('crash_cause_records', self._crash_records.run),
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -27,6 +27,7 @@
 RENEW_TIMEOUT_S = 0.3
 RENEW_INTERVAL_S = 0.3
 REPLICATION_INTERVAL_S = 0.25
+OVERDUE_CHECK_INTERVAL_S = 0.1
 MAX_START_DELAY_S = 0.3
 
 
@@ -109,6 +110,12 @@
         self._mirror.batch_delay_s = store_mirror.HOLDER_BATCH_DELAY_S
         return RENEW_INTERVAL_S
 
+    async def refresh_overdue(self) -> None:
+        """Follow orders by reports while the store does not show their end."""
+        while True:
+            await asyncio.sleep(OVERDUE_CHECK_INTERVAL_S)
+            await self._coordinator.refresh_overdue()
+
     async def add_replicas(self) -> None:
         """Add replicas of models in high demand while the lease is held."""
         while True:
--- a/oatcrank/orders/order_coordinator.py
+++ b/oatcrank/orders/order_coordinator.py
@@ -127,6 +127,17 @@
             wait_s=self._models.remaining_s(_model_need(wanted))
         )
 
+    async def refresh_overdue(self) -> None:
+        """Request reports where registrations don't show the end of an order.
+
+        They don't while the store is out of reach.
+        """
+        if not self._dispatcher.may_send():
+            return
+        for service in self._placements.engine_services():
+            self._server_states.sync(service)
+            await self._server_states.refresh_overdue(service)
+
     def add_replicas(self) -> None:
         """Start to load the replica with the largest gain in each service."""
         if not self._dispatcher.may_send():
--- a/oatcrank/orders/server_state.py
+++ b/oatcrank/orders/server_state.py
@@ -16,6 +16,9 @@
 # Reports may be this old, so an earlier one may not reflect the last order.
 REPORT_LAG_S = 0.4
 REPORT_INTERVAL_S = 0.25
+# The registration that shows the end of an order arrives within this time, if
+# the store is in reach; otherwise a report tells.
+REGISTRATION_LAG_S = 0.5
 # Backoff after a server was unreachable; it doubles each time.
 INITIAL_UNREACHABLE_S = 1.0
 MAX_UNREACHABLE_S = 8.0
@@ -87,7 +90,11 @@
 
     def needs_report(self, now_s: float) -> bool:
         """Return whether to request a report that would add information."""
-        incomplete = not self.known or self._unloads_adapter()
+        incomplete = (
+            not self.known
+            or self._unloads_adapter()
+            or self.is_end_overdue(now_s)
+        )
         return (
             incomplete
             and self.reachable(now_s)
@@ -95,6 +102,13 @@
             and now_s - self._last_report_s > REPORT_INTERVAL_S
         )
 
+    def is_end_overdue(self, now_s: float) -> bool:
+        """Return whether the active order has probably ended unnoticed."""
+        return (
+            self.active_order is not None
+            and now_s - self.active_order.expected_end_s > REGISTRATION_LAG_S
+        )
+
     def record_report_request(self, now_s: float) -> None:
         """Record that a report is requested."""
         self._last_report_s = now_s
--- a/oatcrank/orders/server_state_table.py
+++ b/oatcrank/orders/server_state_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Iterable
 
 from oatcrank import ids, logs
 from oatcrank.orders import boot_clock, order, placement_status, server_state
@@ -82,11 +83,27 @@
 
     async def refresh(self, service: ids.ServiceName) -> None:
         """Request reports of the servers whose contents are not known."""
+        await self._read_reports(self.of_service(service))
+
+    async def refresh_overdue(self, service: ids.ServiceName) -> None:
+        """Request reports of the servers whose active order should be done."""
+        now_s = boot_clock.now()
+        await self._read_reports(
+            [
+                state
+                for state in self.of_service(service)
+                if state.is_end_overdue(now_s)
+            ]
+        )
+
+    async def _read_reports(
+        self, states: Iterable[server_state.ServerState]
+    ) -> None:
         now_s = boot_clock.now()
         await asyncio.gather(
             *(
                 self._read_report(state)
-                for state in self.of_service(service)
+                for state in states
                 if state.needs_report(now_s)
             ),
         )
