Count the requests that run now when replicas are placed

Callers: when demand moved to a model with one replica, its server filled up and the second replica came seconds later.

Cause: how many requests of a model run at once was estimated from the durations of runs that had ended.

Ruled out: the limit of loads (allowed), the residence of models, the handover of the order lease.

Change: the runs that all instances report twice a second are the lower bound of that estimate.

--- a/oatcrank/orders/demand.py
+++ b/oatcrank/orders/demand.py
@@ -58,6 +58,14 @@
             adapters=self.adapters * share,
         )
 
+    def with_running(self, running: int) -> 'ModelDemand':
+        """Return this demand with at least a number of running requests.
+
+        Run times are known when the runs end.  Until then the requests that run
+        now show how much of the servers a model in rising demand takes.
+        """
+        return msgspec.structs.replace(self, running=max(self.running, running))
+
 
 NO_DEMAND = ModelDemand(rate=0)
 
--- a/oatcrank/orders/model_placement.py
+++ b/oatcrank/orders/model_placement.py
@@ -166,11 +166,17 @@
             for model in state.planned_models():
                 holders_by_model.setdefault(model, []).append(server_id)
         return demand_distribution.distribute(
-            load_by_id,
-            holders_by_model,
-            self._demand.by_model(self._service, self._now_s),
+            load_by_id, holders_by_model, self._demand_by_model()
         )
 
+    def _demand_by_model(self) -> dict[ids.ModelName, demand.ModelDemand]:
+        running = self._runs.by_model(self._service, self._now_s)
+        measured = self._demand.by_model(self._service, self._now_s)
+        return {
+            model: model_demand.with_running(running[model])
+            for model, model_demand in measured.items()
+        }
+
     def _replica_benefit(self, name: ids.ModelName) -> float:
         """Return the requests per second that one more replica may help."""
         late = self._distribution.late_rate(name)
--- a/oatcrank/orders/runs.py
+++ b/oatcrank/orders/runs.py
@@ -64,3 +64,19 @@
             for report in self._report_by_id.values()
             if now_s - report.received_s <= STALE_S
         )
+
+    def by_model(
+        self, service: ids.ServiceName, now_s: float
+    ) -> collections.Counter[ids.ModelName]:
+        """Return how many requests of a service run for each model."""
+        running: collections.Counter[ids.ModelName] = collections.Counter()
+        for report in self._report_by_id.values():
+            if now_s - report.received_s > STALE_S:
+                continue
+            for (_, wanted), count in report.count_by_use.items():
+                if wanted.service != service or wanted.model is None:
+                    continue
+                # A request for an adapter is counted for its model, too.
+                if wanted.adapter is None:
+                    running[wanted.model] += count
+        return running
