Run suspects of different instances apart before they are refused

Cause: a suspect runs on a server without other suspects, but only those of its own instance count. When one engine crashes, innocent requests of the other instances are interrupted with it and retried on the same servers as the crashing one, twice more within some 100 ms. Then they have been running at three crashes, too.

Ruled out: crashes that are wrongly detected, and the exchange of counts (with these exact in a simulation, innocent requests were refused all the same). The LaunchError of the second failure came from the teardown: once the proof had failed, its restarting of engines went on while the site was taken down.

Change: a request that one more crash would refuse begins only with an exclusive run at its server, granted by one instance (rendezvous hashing over those alive). The proof stops its restarts first.

--- a/oatcrank/entry/_entry_serving.py
+++ b/oatcrank/entry/_entry_serving.py
@@ -12,11 +12,13 @@
     _entry_platform,
     crash_suspects,
     dispatch_queue,
+    exclusive_run_table,
     model_dispatcher,
     retry_budget,
     router,
     service_dispatcher,
     serving_dependencies,
+    shared_exclusive_runs,
 )
 from oatcrank.membership import document
 
@@ -43,8 +45,12 @@
         clock=platform.clock,
         queue_limit=settings.limits.queued_per_model,
     )
+    table = exclusive_run_table.ExclusiveRunTable(platform.clock)
     common = {
         'suspects': _suspects(platform),
+        'exclusive_runs': shared_exclusive_runs.SharedExclusiveRuns(
+            table, platform.membership, platform.rpc
+        ),
         'budget': retry_budget.RetryBudget(settings.limits.retry_share),
         'clock': platform.clock,
         'metrics': platform.metrics,
@@ -70,6 +76,7 @@
             router=server_router,
             **common,
         ),
+        exclusive_runs=table,
         claims=claims_service,
         at_most_once_runner=at_most_once_runner.AtMostOnceRunner(
             claims_service
--- a/oatcrank/entry/crash_suspects.py
+++ b/oatcrank/entry/crash_suspects.py
@@ -18,7 +18,8 @@
     """Count crashes by request fingerprint, here and on peers.
 
     A request that was running at a crash is a suspect.  Suspects run on a
-    server without other suspects, so that a second crash identifies the cause.
+    server without other suspects of this instance, and before the last crash
+    without those of other instances, too, so that it identifies the cause.
     If several servers of a failure domain crash together, the domain is taken
     as the cause, and only requests that ran on all of them stay suspects.
     """
@@ -51,6 +52,11 @@
         """Return whether the request has crashed too many servers."""
         return self.crashes(fingerprint) >= self._limit
 
+    def is_refused_after_next(self, fingerprint: int) -> bool:
+        """Return whether a suspect is refused after one more crash."""
+        crashes = self.crashes(fingerprint)
+        return crashes > 0 and crashes + 1 >= self._limit
+
     def clear(self, fingerprint: int) -> None:
         """Stop suspecting a request on this instance once it completed."""
         if not self._own_crashes(fingerprint):
--- a/oatcrank/entry/dispatcher.py
+++ b/oatcrank/entry/dispatcher.py
@@ -1,18 +1,22 @@
 """Base class for dispatching to model engines and plain services."""
 
 import abc
+import asyncio
 from http import HTTPStatus
 
-from oatcrank import clock, errors, logs, metrics, refusal
+from oatcrank import clock, errors, ids, logs, metrics, refusal
 from oatcrank.engines import backend_server
 from oatcrank.entry import (
     crash_suspects,
     dispatch_request,
+    exclusive_runs,
     response_writer,
     retry_budget,
 )
 
 RETRY_AFTER_S = 1.0
+# Pause before an exclusive run is requested again.
+EXCLUSIVE_RETRY_S = 0.05
 
 
 class Dispatcher(abc.ABC):
@@ -22,12 +26,14 @@
         self,
         *,
         suspects: crash_suspects.CrashSuspects,
+        exclusive_runs: exclusive_runs.ExclusiveRuns,
         budget: retry_budget.RetryBudget,
         clock: clock.Clock,
         metrics: metrics.Metrics,
     ) -> None:
         """Share suspects and the retry budget with other dispatchers."""
         self._suspects = suspects
+        self._exclusive_runs = exclusive_runs
         self._budget = budget
         self._clock = clock
         self._metrics = metrics
@@ -44,7 +50,7 @@
             crashes = self._suspects.crashes(request.fingerprint)
             server = await self._reserve(request, crashes=crashes)
             try:
-                await self._run_attempt(server, request, writer)
+                await self._run_apart(server, request, writer)
             finally:
                 server.suspect_count -= crashes > 0
                 self._release(server, request)
@@ -85,6 +91,30 @@
     async def _is_alive(self, server: backend_server.BackendServer) -> bool:
         """Return whether the server has stayed up since the request."""
 
+    async def _run_apart(
+        self,
+        server: backend_server.BackendServer,
+        request: dispatch_request.DispatchRequest,
+        writer: response_writer.ResponseWriter,
+    ) -> None:
+        """Run an attempt, exclusively if one more crash refuses the request."""
+        self._check_suspect(request)
+        if not self._suspects.is_refused_after_next(request.fingerprint):
+            await self._run_attempt(server, request, writer)
+            return
+        run = await self._exclusive_runs.begin(
+            ids.ServerId(server.listed.instance_id),
+            max(0, request.deadline - self._clock.now()),
+        )
+        if run is None:
+            self._check_deadline(request)
+            await asyncio.sleep(EXCLUSIVE_RETRY_S)
+            return
+        try:
+            await self._run_attempt(server, request, writer)
+        finally:
+            await self._exclusive_runs.end(run)
+
     async def _run_attempt(
         self,
         server: backend_server.BackendServer,
@@ -173,6 +203,25 @@
             ),
         ) from error
 
+    def _check_deadline(
+        self, request: dispatch_request.DispatchRequest
+    ) -> None:
+        """Refuse a suspect that got no exclusive run before its deadline."""
+        if self._clock.now() < request.deadline:
+            return
+        raise refusal.Refused(
+            refusal.Refusal(
+                code=refusal.Code.not_in_time,
+                message='other requests that may crash backend servers run '
+                'one at a time',
+                run_state=refusal.RunState.may_have_run
+                if request.may_have_run
+                else refusal.RunState.did_not_run,
+                request_id=request.request_id,
+                retry_after_s=RETRY_AFTER_S,
+            ),
+        )
+
     def _check_suspect(
         self,
         request: dispatch_request.DispatchRequest,
--- a/oatcrank/entry/entry_instance.py
+++ b/oatcrank/entry/entry_instance.py
@@ -16,6 +16,7 @@
     address_handler,
     body_limit,
     completion_handler,
+    exclusive_run_handlers,
     service_handler,
     unknown_handler,
 )
@@ -128,6 +129,7 @@
                 self.platform.change_log,
             ),
             *claim_handlers.routes(self.serving.claims),
+            *exclusive_run_handlers.routes(self.serving.exclusive_runs),
             *self.control.routes(),
         ]
 
--- a/oatcrank/entry/serving_dependencies.py
+++ b/oatcrank/entry/serving_dependencies.py
@@ -9,7 +9,12 @@
 from oatcrank.claims import at_most_once_runner, claims
 from oatcrank.configuration import profile
 from oatcrank.control import plan_view
-from oatcrank.entry import dispatch_queue, model_dispatcher, service_dispatcher
+from oatcrank.entry import (
+    dispatch_queue,
+    exclusive_run_table,
+    model_dispatcher,
+    service_dispatcher,
+)
 from oatcrank.membership import members
 from oatcrank.settings import settings
 
@@ -35,6 +40,7 @@
     queue: dispatch_queue.DispatchQueue
     model_dispatcher: model_dispatcher.ModelDispatcher
     service_dispatcher: service_dispatcher.ServiceDispatcher
+    exclusive_runs: exclusive_run_table.ExclusiveRunTable
     claims: claims.Claims
     at_most_once_runner: at_most_once_runner.AtMostOnceRunner
     running: int = 0
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import suspects_site
 
 from oatcrank import clock, errors, ids, metrics, refusal
 from oatcrank.configuration import profile, target
@@ -35,6 +36,7 @@
             suspects=crash_suspects.CrashSuspects(
                 limit=3, clock=clock, publish=lambda counts: None
             ),
+            exclusive_runs=suspects_site.LocalRuns(clock),
             budget=retry_budget.RetryBudget(0),
             clock=clock,
             metrics=metrics.NoMetrics(),
--- a/tests/test_proof_9_crashing_request.py
+++ b/tests/test_proof_9_crashing_request.py
@@ -89,15 +89,13 @@
             version = status.version_by_name.get(SUSPECTS, 0)
 
 
-async def crashing(site: proof_site.ProofSite) -> None:
-    restarter = EngineRestarter(site)
+async def crash_beside_harmless(
+    site: proof_site.ProofSite,
+    restarter: EngineRestarter,
+    ends: list[call_outcome.CallOutcome],
+) -> int:
+    """Return how many engines crashed before the prompt was refused."""
     stopped = asyncio.Event()
-    ends: list[call_outcome.CallOutcome] = []
-    numbers = range(len(site.engines))
-    keepers = [
-        asyncio.create_task(restarter.keep_running(number))
-        for number in numbers
-    ]
     async with asyncio.TaskGroup() as group:
         for number in range(HARMLESS_CALLERS):
             group.create_task(send_harmless(site, number, stopped, ends))
@@ -111,8 +109,23 @@
             ended = await send_crashing_prompt(sender, f'late{number}')
             assert is_refused_for_crashes(ended)
         stopped.set()
-    for keeper in keepers:
-        keeper.cancel()
+    return crashes
+
+
+async def crashing(site: proof_site.ProofSite) -> None:
+    restarter = EngineRestarter(site)
+    ends: list[call_outcome.CallOutcome] = []
+    numbers = range(len(site.engines))
+    keepers = [
+        asyncio.create_task(restarter.keep_running(number))
+        for number in numbers
+    ]
+    try:
+        crashes = await crash_beside_harmless(site, restarter, ends)
+    finally:
+        # Without this, engines that the teardown ends are started again.
+        for keeper in keepers:
+            keeper.cancel()
     assert restarter.crashes == crashes
     proof_site.print_outcomes(f'{crashes} engines crashed; the others', ends)
     assert {ended.outcome for ended in ends} <= {
