Learn of changes of the store from relays of the failure domain

Cause: each instance followed the store itself.

Change: two instances of each failure domain, chosen by rendezvous hashing, follow the store. The others ask them by turns for what changed after the revision that they know, waiting up to 0.4 s. A reply holds the newest item of each key, also of removed ones, so it may come late, twice or out of order. It says how old the relay's knowledge is; over 1.5 s, or without a reply in 0.65 s, the other relay is asked, then the store. Whoever is asked follows the store itself. The holder of the order lease always does.

Considered: longer batches, watches for each prefix, pushed datagrams; see docs/PLATFORM.md.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -8,6 +8,7 @@
 
 from oatcrank import background, logs, metrics
 from oatcrank.cluster import (
+    change_relay,
     codec,
     crash_cause_records,
     datagram_endpoint,
@@ -19,6 +20,7 @@
     order_lease,
     peer_service,
     peers,
+    relay_follower,
     remote_placement_requester,
     session,
     shared_stream_origins,
@@ -107,9 +109,11 @@
             self.members,
             causes_by_kind,
         )
+        follower = relay_follower.RelayFollower(self.members, peers.Client())
         self._mirror = store_mirror.StoreMirror(
-            dependencies.store, self._table_updater, rng
+            dependencies.store, self._table_updater, rng, follower
         )
+        self.relay = change_relay.ChangeRelay(self._mirror, follower)
         self._session = session.Session(
             dependencies.store,
             self.members,
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -103,11 +103,11 @@
             await asyncio.sleep(self._interval_s())
 
     def _interval_s(self) -> float:
-        """Return the time to the next step, and set the store batch delay."""
+        """Return the time to the next step, and set how to follow the store."""
         if self._coordinator.term is None:
-            self._mirror.batch_delay_s = store_mirror.BATCH_DELAY_S
+            self._mirror.follow_closely(closely=False)
             return ACQUIRE_INTERVAL_S
-        self._mirror.batch_delay_s = store_mirror.HOLDER_BATCH_DELAY_S
+        self._mirror.follow_closely(closely=True)
         return RENEW_INTERVAL_S
 
     async def refresh_overdue(self) -> None:
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -8,10 +8,13 @@
 
 from oatcrank import logs
 from oatcrank.cluster import (
+    change_relay,
     crash_messages,
     lease_holder,
     peer_messages,
     peers,
+    relay_follower,
+    relay_messages,
     stream_origin_messages,
 )
 
@@ -53,7 +56,7 @@
         self.write(msgspec.json.encode(reply))
 
 
-def handlers(peer: peers.Peer) -> list[Route]:
+def handlers(peer: peers.Peer, relay: change_relay.ChangeRelay) -> list[Route]:
     """Return one route for each message type that a peer handles."""
     messages = (
         ('arrange', peer_messages.PlacementQuery, peer.request_placement),
@@ -69,6 +72,11 @@
             stream_origin_messages.OriginQuery,
             peer.answer_origin,
         ),
+        (
+            relay_follower.MESSAGE_NAME,
+            relay_messages.ChangesQuery,
+            relay.answer,
+        ),
     )
     return [
         (
--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -68,6 +68,7 @@
             self._forget_lease()
             raise
         self._members.record_own_lease(sent_s + LEASE_DURATION_S)
+        self._mirror.confirm()
 
     async def close(self) -> None:
         """Remove the registration by ending the lease."""
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -2,10 +2,12 @@
 
 import abc
 import asyncio
+import math
 import random
 
 from oatcrank import errors, ids, logs
-from oatcrank.cluster import store
+from oatcrank.cluster import relay_follower, store, store_metrics
+from oatcrank.orders import boot_clock
 
 WATCH_WAIT_S = 10.0
 # Batches changes that arrive together into one call. The holder of the order
@@ -40,12 +42,22 @@
         store_client: store.Store,
         listener: Listener,
         rng: random.Random,
+        source: relay_follower.ChangeSource | None = None,
     ) -> None:
-        """Pass every change to a listener."""
+        """Pass every change to a listener.
+
+        The source, if any, is asked for changes before the store.
+        """
+        self._source = source
         self._store = store_client
         self._listener = listener
         self._rng = rng
         self._revision: ids.Revision | None = None
+        # Removed keys are known from this revision on.
+        self._first_revision: ids.Revision | None = None
+        self._confirmed_s = -math.inf
+        self._changed = asyncio.Event()
+        self.change_count = 0
         self._item_by_key: dict[str, store.Item] = {}
         self._is_unreachable = False
         self.is_loaded = False
@@ -58,6 +70,45 @@
         """Return whether the copy follows the store as far as is known."""
         return self.is_loaded and not self._is_unreachable
 
+    @property
+    def revision(self) -> ids.Revision:
+        """Return the revision up to which all changes are known."""
+        return self._revision or ids.Revision(0)
+
+    def age_s(self) -> float:
+        """Return the time since the store has confirmed the copy."""
+        return boot_clock.now() - self._confirmed_s
+
+    def confirm(self) -> None:
+        """Record that the store answers while the copy follows it."""
+        if self._watching is not None:
+            self._confirm(0)
+
+    def is_complete_after(self, revision: ids.Revision) -> bool:
+        """Return whether all changes after a revision are known."""
+        if self._revision is None or self._first_revision is None:
+            return False
+        return revision >= self._first_revision
+
+    def items_after(self, revision: int) -> tuple[store.Item, ...]:
+        """Return the newest items of the keys changed after a revision."""
+        return tuple(
+            known
+            for known in self._item_by_key.values()
+            if known.revision > revision
+        )
+
+    async def wait_for_changes(
+        self, after: ids.Revision, timeout_s: float
+    ) -> None:
+        """Return once changes after a revision are known, or after a time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.revision <= after:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
     def get(self, key: str) -> store.Item | None:
         """Return a key's newest known value, or None."""
         known = self._item_by_key.get(key)
@@ -84,6 +135,12 @@
             except errors.PlatformError as error:
                 await self._back_off(error)
 
+    def follow_closely(self, *, closely: bool) -> None:
+        """Follow the store itself with a short delay, or as usual."""
+        self.batch_delay_s = HOLDER_BATCH_DELAY_S if closely else BATCH_DELAY_S
+        if self._source is not None:
+            self._source.bypass(bypassed=closely)
+
     def restart_watch(self) -> None:
         """Cancel a watch that has probably lost its connection."""
         if self._watching is not None:
@@ -95,6 +152,7 @@
         if known is not None and known.revision >= item.revision:
             return
         self._item_by_key[item.key] = item
+        self.change_count += 1
         self._listener.on_change(item)
 
     async def _step(self) -> None:
@@ -103,14 +161,49 @@
             self._reset_backoff()
             self._apply_snapshot(snapshot)
             return
+        if self._source is not None:
+            relayed = await self._source.changes(self._revision)
+            if relayed is not None:
+                self._apply_relayed(relayed)
+                return
         changes = await self._watch(self._revision)
         self._reset_backoff()
         for item in changes.items:
             self.apply(item)
-        self._revision = changes.revision
+        self._move_to(changes.revision)
+        self._confirm(0)
         if changes.items:
             await asyncio.sleep(self.batch_delay_s)
 
+    def _apply_relayed(self, relayed: relay_follower.RelayedChanges) -> None:
+        """Apply changes that a relay has passed on.
+
+        If the copy was not confirmed for long, the store was away from all
+        relays, and registrations may have expired meanwhile.
+        """
+        if self.age_s() > relay_follower.MAX_AGE_S:
+            self._is_unreachable = True
+        self._reset_backoff()
+        store_metrics.RELAYED_CHANGES.inc()
+        for item in relayed.items:
+            self.apply(item)
+        self._move_to(max(self.revision, relayed.revision))
+        self._confirm(relayed.age_s)
+
+    def _move_to(self, revision: ids.Revision) -> None:
+        """Record up to which revision all changes are known."""
+        moved = revision != self._revision
+        self._revision = revision
+        if moved:
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    def _confirm(self, age_s: float) -> None:
+        """Record that the store has confirmed the copy age_s ago."""
+        confirmed_s = boot_clock.now() - age_s
+        self._confirmed_s = max(self._confirmed_s, confirmed_s)
+        store_metrics.COPY_AGE_SECONDS.set(self.age_s())
+
     async def _watch(self, after: ids.Revision) -> store.Changes:
         self._watching = asyncio.ensure_future(
             self._store.watch(after, WATCH_WAIT_S),
@@ -141,7 +234,10 @@
                         revision=ids.Revision(snapshot.revision),
                     ),
                 )
-        self._revision = snapshot.revision
+        if self._first_revision is None:
+            self._first_revision = snapshot.revision
+        self._move_to(snapshot.revision)
+        self._confirm(0)
         self.is_loaded = True
         self._listener.on_snapshot()
         logs.event(
--- a/oatcrank/platform/serve.py
+++ b/oatcrank/platform/serve.py
@@ -89,7 +89,10 @@
     platform_routes = directory.handlers(serving)
     _open(current_settings.listen.directory, platform_routes)
     _open(current_settings.listen.ready, platform_routes)
-    _open(current_settings.listen.control, peer_handlers.handlers(serving.peer))
+    _open(
+        current_settings.listen.control,
+        peer_handlers.handlers(serving.peer, serving.relay),
+    )
     _open(
         f'{current_settings.ip}:{metrics_port}',
         [('/metrics', MetricsHandler, {})],
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from oatcrank import errors, ids, logs
-from oatcrank.cluster import store
+from oatcrank.cluster import store, store_metrics
 from oatcrank.platform import store_messages
 from oatcrank.transport import calls
 
@@ -155,6 +155,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> calls.CallResponse:
         """Make a call without side effects: any failure is Unavailable."""
+        _count_call(path)
         target = f'{path}?{urlencode(query)}'
         try:
             response = await calls.call(
@@ -174,6 +175,7 @@
         body: bytes = b'',
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> calls.CallResponse:
+        _count_call(path)
         try:
             response = await calls.call(
                 self._address,
@@ -188,6 +190,11 @@
         return response
 
 
+def _count_call(path: str) -> None:
+    kind = path.split('/')[1].removeprefix('kv-')
+    store_metrics.STORE_CALLS.labels(kind).inc()
+
+
 def _check_executed(path: str, response: calls.CallResponse) -> None:
     if response.status in NOT_EXECUTED_STATUSES:
         raise errors.Unavailable(f'{path}: status {response.status}')
--- a/tests/suspects_site.py
+++ b/tests/suspects_site.py
@@ -6,6 +6,7 @@
 
 import virtual
 
+from emulator import virtual_time_loop
 from oatcrank import clock, errors, ids, metrics, refusal
 from oatcrank.configuration import profile, target
 from oatcrank.engines import backend_server
@@ -43,11 +44,6 @@
 )
 
 
-class LoopClock(clock.Clock):
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
-
-
 class Engine:
     """Engine that a crashing request ends, and that starts again."""
 
@@ -92,6 +88,10 @@
         self.is_up = True
 
 
+def _loop_clock() -> clock.Clock:
+    return virtual_time_loop.LoopClock(asyncio.get_running_loop())
+
+
 def _finish(end: asyncio.Future) -> None:
     if not end.done():
         end.set_result(None)
@@ -150,7 +150,7 @@
             for number, domain in enumerate(DOMAINS)
         ]
         self.suspects: list[crash_suspects.CrashSuspects] = []
-        self._exclusive_runs = LocalRuns(LoopClock())
+        self._exclusive_runs = LocalRuns(_loop_clock())
         self.dispatchers = [
             self._dispatcher(number) for number in range(instances)
         ]
@@ -199,7 +199,7 @@
             await asyncio.sleep(CALLER_PAUSE_S)
 
     def _dispatcher(self, number: int) -> EngineDispatcher:
-        loop_clock = LoopClock()
+        loop_clock = _loop_clock()
         servers = [
             backend_server.BackendServer(engine.listed, loop_clock)
             for engine in self.engines
