Ask for permits at a few instances at a time in the test of limits

The test with 195 instances failed beside other load: two of its endpoints got the same port, and one process can't answer 195 requests at once within the 15 ms after which an instance uses its share. Nine instances, drawn anew, ask at once now, as requests do that come at any instance; ports are unique; the window is the four seconds of the target, with its bound of one and a half times the limit and five.

--- a/tests/test_distributed_limits.py
+++ b/tests/test_distributed_limits.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+import socket
 
 import msgspec
+import ports
 import pytest
 import routing_parts
-from test_pace_keepers import a_member, free_port
+from test_pace_keepers import a_member
 
 from oatcrank.cluster import (
     datagram_endpoint,
@@ -19,13 +21,16 @@
 
 LIMIT_PER_S = 20.0
 SPREAD_S = 0.05
+# More requests at once would delay the replies of the owner in this process.
+MAX_ASKING = 9
+WINDOW_S = 4.0
 
 
 class Instance:
     """One instance's limiter, with its endpoint and the members it knows."""
 
     def __init__(self, number: int) -> None:
-        self.own = a_member(number, free_port())
+        self.own = a_member(number, ports.free_port(socket.SOCK_DGRAM))
         self.known = members.Members(self.own)
         self.endpoint = datagram_endpoint.DatagramEndpoint()
         self.limiter = distributed_server_limiter.DistributedServerLimiter(
@@ -64,10 +69,8 @@
     asyncio.run(run())
 
 
-async def count_granted(
-    instances, listed, seconds, max_wait_s=0.0, pause_s=0.01
-) -> int:
-    """Ask for permits at all instances at once, again and again."""
+async def count_granted(instances, listed, seconds, max_wait_s=0.0) -> int:
+    """Ask for permits at some or all instances at once, again and again."""
     granted = 0
     loop = asyncio.get_running_loop()
     ends_s = loop.time() + seconds
@@ -75,11 +78,13 @@
         permits = await asyncio.gather(
             *(
                 instance.limiter.reserve(listed, max_wait_s)
-                for instance in instances
+                for instance in random.sample(
+                    instances, min(len(instances), MAX_ASKING)
+                )
             )
         )
         granted += sum(permit.granted for permit in permits)
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(0.01)
     return granted
 
 
@@ -269,10 +274,8 @@
     run_instances(scenario)
 
 
-@pytest.mark.parametrize(('count', 'pause_s'), [(9, 0.01), (195, 0.1)])
-def test_instances_that_the_store_turns_away_keep_to_half_of_a_limit(
-    count, pause_s
-):
+@pytest.mark.parametrize('count', [9, 195])
+def test_instances_that_the_store_turns_away_keep_to_half_of_a_limit(count):
     """They do not see that their registrations have ended.
 
     The others have removed them and use the whole limit with a new owner.
@@ -290,8 +293,8 @@
             for other in instances:
                 if other not in turned_away:
                     other.known.remove(instance.own.instance_id)
-        granted = await count_granted(instances, listed, 2.0, pause_s=pause_s)
-        assert granted <= 1.5 * LIMIT_PER_S * 2.0 + 5
-        assert granted >= LIMIT_PER_S * 2.0
+        granted = await count_granted(instances, listed, WINDOW_S)
+        assert granted <= 1.5 * LIMIT_PER_S * WINDOW_S + 5
+        assert granted >= LIMIT_PER_S * WINDOW_S
 
     run_instances(scenario, count=count)
