Name the source of changes in a module of its own

Reading the change again: two attributes of the relays' follower had nearly the same name (the relay that was asked before, and when others asked this instance), and the interface stood in the module of its implementation. No behaviour changes.

--- a/oatcrank/cluster/distributed_server_limiter.py
+++ b/oatcrank/cluster/distributed_server_limiter.py
@@ -181,11 +181,9 @@
 
         Once its lease may have ended, the others may have chosen a new owner.
         """
-        return self._owner(
-            process
-        ) is self._members.own and self._members.is_own_lease_valid(
-            boot_clock.now()
-        )
+        if not self._members.is_own_lease_valid(boot_clock.now()):
+            return False
+        return self._owner(process) is self._members.own
 
     # Knowledge
 
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -13,7 +13,6 @@
     lease_holder,
     peer_messages,
     peers,
-    relay_follower,
     relay_messages,
     stream_origin_messages,
 )
@@ -73,7 +72,7 @@
             peer.answer_origin,
         ),
         (
-            relay_follower.MESSAGE_NAME,
+            relay_messages.MESSAGE_NAME,
             relay_messages.ChangesQuery,
             relay.answer,
         ),
--- a/oatcrank/cluster/relay_follower.py
+++ b/oatcrank/cluster/relay_follower.py
@@ -1,23 +1,19 @@
 """Learn of changes of the store from the relays of the failure domain."""
 
-import abc
 import math
 
-import msgspec
-
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
+    change_source,
     member,
     members,
     peers,
     relay_choice,
     relay_messages,
-    store,
     store_metrics,
 )
 from oatcrank.orders import boot_clock
 
-MESSAGE_NAME = 'changes'
 # A relay without changes replies after this time, so that one that has stopped
 # is noticed soon.
 POLL_WAIT_S = 0.4
@@ -26,32 +22,12 @@
 MAX_AGE_S = 1.5
 # An instance that others ask follows the store itself for this time: one that
 # leaves is asked until all know it, and two could wait for each other.
-ASKED_S = 1.0
+QUERIED_S = 1.0
 # A relay that has failed is not asked again for this time.
 RETRY_S = 3.0
 
 
-class RelayedChanges(msgspec.Struct, frozen=True, kw_only=True):
-    """Changes that a relay has passed on, confirmed by the store age_s ago."""
-
-    items: tuple[store.Item, ...]
-    revision: ids.Revision
-    age_s: float
-
-
-class ChangeSource(abc.ABC):
-    """Interface to learn of changes without a call to the store."""
-
-    @abc.abstractmethod
-    async def changes(self, after: ids.Revision) -> RelayedChanges | None:
-        """Return the changes after a revision, or None to ask the store."""
-
-    @abc.abstractmethod
-    def bypass(self, *, bypassed: bool) -> None:
-        """Set whether this instance needs each change without delay."""
-
-
-class RelayFollower(ChangeSource):
+class RelayFollower(change_source.ChangeSource):
     """Ask the relays by turns, so that none can hold changes back for long."""
 
     def __init__(self, members: members.Members, client: peers.Client) -> None:
@@ -59,12 +35,14 @@
         self._members = members
         self._client = client
         self._avoided_until_s_by_id: dict[ids.InstanceId, float] = {}
-        self._last_asked_id: ids.InstanceId | None = None
+        self._previous_relay_id: ids.InstanceId | None = None
         self._is_relay: bool | None = None
         self._is_bypassed = False
-        self._last_asked_s = -math.inf
+        self._queried_s = -math.inf
 
-    async def changes(self, after: ids.Revision) -> RelayedChanges | None:
+    async def changes(
+        self, after: ids.Revision
+    ) -> change_source.RelayedChanges | None:
         """Return the changes after a revision, or None to ask the store."""
         if self._follows_store():
             return None
@@ -80,13 +58,13 @@
 
     def record_query(self) -> None:
         """Record that another instance asks this one for changes."""
-        self._last_asked_s = boot_clock.now()
+        self._queried_s = boot_clock.now()
 
     def _follows_store(self) -> bool:
         own_id = self._members.own.instance_id
         is_chosen = any(relay.instance_id == own_id for relay in self._relays())
-        is_asked = boot_clock.now() - self._last_asked_s < ASKED_S
-        is_relay = is_chosen or is_asked
+        is_queried = boot_clock.now() - self._queried_s < QUERIED_S
+        is_relay = is_chosen or is_queried
         if is_relay is not self._is_relay:
             self._is_relay = is_relay
             store_metrics.IS_STORE_RELAY.set(is_relay)
@@ -107,19 +85,19 @@
             if self._avoided_until_s_by_id.get(relay.instance_id, 0) <= now_s
         ]
         available.sort(
-            key=lambda relay: relay.instance_id == self._last_asked_id
+            key=lambda relay: relay.instance_id == self._previous_relay_id
         )
         return available
 
     async def _ask(
         self, relay: member.Member, after: ids.Revision
-    ) -> RelayedChanges | None:
-        self._last_asked_id = relay.instance_id
+    ) -> change_source.RelayedChanges | None:
+        self._previous_relay_id = relay.instance_id
         query = relay_messages.ChangesQuery(after=after, wait_s=POLL_WAIT_S)
         try:
             reply = await self._client.send(
                 relay.peer_address,
-                MESSAGE_NAME,
+                relay_messages.MESSAGE_NAME,
                 query,
                 relay_messages.ChangesReply,
                 POLL_WAIT_S + REPLY_SLACK_S,
@@ -134,7 +112,7 @@
         if reply.age_s > MAX_AGE_S:
             self._avoid(relay, f'it knows no changes of {reply.age_s:.1f} s')
             return None
-        return RelayedChanges(
+        return change_source.RelayedChanges(
             items=items, revision=reply.revision, age_s=reply.age_s
         )
 
--- a/oatcrank/cluster/relay_messages.py
+++ b/oatcrank/cluster/relay_messages.py
@@ -7,6 +7,7 @@
 from oatcrank import errors, ids
 from oatcrank.cluster import store
 
+MESSAGE_NAME = 'changes'
 # Higher levels cost more time than they save.
 COMPRESSION_LEVEL = 1
 
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -6,7 +6,12 @@
 import random
 
 from oatcrank import errors, ids, logs
-from oatcrank.cluster import relay_follower, store, store_metrics
+from oatcrank.cluster import (
+    change_source,
+    relay_follower,
+    store,
+    store_metrics,
+)
 from oatcrank.orders import boot_clock
 
 WATCH_WAIT_S = 10.0
@@ -42,7 +47,7 @@
         store_client: store.Store,
         listener: Listener,
         rng: random.Random,
-        source: relay_follower.ChangeSource | None = None,
+        source: change_source.ChangeSource | None = None,
     ) -> None:
         """Pass every change to a listener.
 
@@ -175,7 +180,7 @@
         if changes.items:
             await asyncio.sleep(self.batch_delay_s)
 
-    def _apply_relayed(self, relayed: relay_follower.RelayedChanges) -> None:
+    def _apply_relayed(self, relayed: change_source.RelayedChanges) -> None:
         """Apply changes that a relay has passed on.
 
         If the copy was not confirmed for long, the store was away from all
--- a/tests/test_store_relays.py
+++ b/tests/test_store_relays.py
@@ -9,7 +9,7 @@
 from emulator import memory_store
 from oatcrank import errors, ids
 from oatcrank.cluster import (
-    relay_follower,
+    change_source,
     relay_messages,
     store,
     table_updater,
@@ -158,12 +158,12 @@
 
 
 def relayed(*items, revision):
-    return relay_follower.RelayedChanges(
+    return change_source.RelayedChanges(
         items=items, revision=ids.Revision(revision), age_s=0
     )
 
 
-class Scripted(relay_follower.ChangeSource):
+class Scripted(change_source.ChangeSource):
     """Return given changes one after the other, then wait."""
 
     def __init__(self, changes) -> None:
