Test that a limit is kept by instances that nobody told of it

The open question of the postmortem: an instance sends freely until its first answer names the limit. With 9 and with 195 instances whose notices are all lost, what is sent later than half a second after an instance's first such answer stays within one and a half times the limit and five requests in four seconds. No change of the product is needed.

--- a/tests/test_distributed_limits.py
+++ b/tests/test_distributed_limits.py
@@ -13,6 +13,7 @@
 from oatcrank.cluster import (
     datagram_endpoint,
     distributed_server_limiter,
+    limit_messages,
     members,
     owner_queries,
 )
@@ -24,6 +25,9 @@
 # More requests at once would delay the replies of the owner in this process.
 MAX_ASKING = 9
 WINDOW_S = 4.0
+ANSWER_S = 0.05
+# Requests count this long after the first answer of their instance.
+COUNTED_AFTER_S = 0.5
 
 
 class Instance:
@@ -88,6 +92,52 @@
     return granted
 
 
+class Untold:
+    """Instances that learn of a limit by the answers to their own requests."""
+
+    def __init__(self, instances, listed) -> None:
+        self._instances = instances
+        self._listed = listed
+        self._heard_s_by_id: dict[str, float] = {}
+        for instance in instances:
+            self._drop_notices(instance.endpoint)
+
+    async def count_sent(self, seconds) -> int:
+        """Send at some instances at once, and count what the limit covers."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + seconds
+        counted = 0
+        while loop.time() < ends_s:
+            asking = random.sample(self._instances, MAX_ASKING)
+            permits = await asyncio.gather(
+                *(one.limiter.reserve(self._listed, 0.0) for one in asking)
+            )
+            for instance, permit in zip(asking, permits, strict=True):
+                if permit.granted:
+                    counted += self._is_counted(instance, loop.time())
+                    loop.call_later(ANSWER_S, self._hear, instance)
+            await asyncio.sleep(0.01)
+        return counted
+
+    def _drop_notices(self, endpoint) -> None:
+        send = endpoint.send
+
+        def send_others(message, address) -> None:
+            if not isinstance(message, limit_messages.LimitNotice):
+                send(message, address)
+
+        endpoint.send = send_others
+
+    def _hear(self, instance) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self._heard_s_by_id.setdefault(instance.own.instance_id, now_s)
+        instance.hear(self._listed, LIMIT_PER_S)
+
+    def _is_counted(self, instance, now_s) -> bool:
+        heard_s = self._heard_s_by_id.get(instance.own.instance_id)
+        return heard_s is not None and now_s - heard_s >= COUNTED_AFTER_S
+
+
 def most_granted(seconds) -> float:
     return LIMIT_PER_S * (seconds + 0.5) + 2
 
@@ -298,3 +348,17 @@
         assert granted >= LIMIT_PER_S * WINDOW_S
 
     run_instances(scenario, count=count)
+
+
+@pytest.mark.parametrize('count', [9, 195])
+def test_instances_that_are_not_told_of_a_limit_keep_it_from_their_answers(
+    count,
+):
+    """They send freely until their first answer, which names the limit."""
+
+    async def scenario(instances):
+        untold = Untold(instances, routing_parts.registration(0))
+        counted = await untold.count_sent(WINDOW_S)
+        assert counted <= 1.5 * LIMIT_PER_S * WINDOW_S + 5
+
+    run_instances(scenario, count=count)
