--- a/tests/test_replica_of_rising_model.py
+++ b/tests/test_replica_of_rising_model.py
@@ -4,9 +4,9 @@
 a second, and each runs for seconds.  None has ended when the server is full.
 """
 
+import placement_parts
 import pytest
 import routing_parts
-from test_order_placement import SERVICE, fleet
 
 from oatcrank.orders import demand, model_placement, runs, usage
 from oatcrank.routing import need
@@ -16,7 +16,7 @@
 ENGINE = routing_parts.engine(
     *(routing_parts.model(f'm{number}') for number in range(4)),
 )
-WANTED = need.Need(SERVICE, 'm0')
+WANTED = need.Need(placement_parts.SERVICE, 'm0')
 
 
 class Replay:
@@ -46,7 +46,7 @@
 
     def second_replica_s(self) -> float | None:
         """Return when a second replica is chosen, or None."""
-        states = fleet(['m0'], ['m1'], slots=SLOTS)
+        states = placement_parts.fleet(['m0'], ['m1'], slots=SLOTS)
         for report in range(1, 20):
             now_s = report * REPORT_INTERVAL_S
             self.report(now_s)
@@ -54,7 +54,7 @@
                 states,
                 ENGINE,
                 usage.Usage(self.demand, self.runs),
-                SERVICE,
+                placement_parts.SERVICE,
                 now_s,
             )
             chosen = placement.choose_extra_replica(allow_store_load=True)
