Serve organisations: keys, quotas over all instances, priorities

Callers of deployments whose configuration names organisations saw requests with unknown and with removed keys served, their key passed on to backend servers, and one organisation taking the places of all others.

Cause: nothing read the list of organisations or the header with the key.

Change: organisations/ holds keys (digests only), accounts and shares of quotas; forwarding/organisation_gate checks each request once its route is found; cluster/distributed_quotas keeps quotas over all instances, with one owner by rendezvous hashing, units granted ahead until an end, copies of the level at the two instances that would replace the owner, and less than an even part at an instance that reaches nobody. docs/design/organisations.md tells what was weighed and what each failure does. Rankings of members are kept until the members change, since each request needs several.

Ruled out: counters in the store, even shares, reports after the fact, the owner's lease as the only right to grant (the note has the reasons).

Found by the tests before they passed: a new instance's first request of each organisation was refused; an owner that is cut off granted beside its replacement (223,000 units in 8 s where 200,000 may); a reply that was lost let the third instance grant too (285,250).

--- a/oatcrank/cluster/datagram_messages.py
+++ b/oatcrank/cluster/datagram_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.cluster import limit_messages, numbered_reply
+from oatcrank.cluster import limit_messages, numbered_reply, quota_messages
 from oatcrank.routing import prompt_schedule, stream_origin
 
 
@@ -35,6 +35,10 @@
     | limit_messages.LimitNotice
     | limit_messages.PermitQuery
     | limit_messages.PermitReply
+    | quota_messages.QuotaQuery
+    | quota_messages.QuotaReply
+    | quota_messages.QuotaCopy
+    | quota_messages.QuotaCopyReply
 )
 
 
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -13,6 +13,7 @@
     crash_cause_records,
     datagram_endpoint,
     distributed_prompt_scheduler,
+    distributed_quotas,
     distributed_server_limiter,
     limited_order_sender,
     member,
@@ -69,6 +70,7 @@
     order_lease_duration_s: float
     load_ceiling: store_load_limit.Ceiling
     stop_timeout_s: float
+    quota_tolerance: distributed_quotas.QuotaTolerance
 
 
 class InstanceDependencies(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,6 +127,13 @@
                 self.members, self.servers, self._datagrams, rng
             )
         )
+        self._quotas = distributed_quotas.DistributedQuotas(
+            self.members,
+            self.routes,
+            self._datagrams,
+            rng,
+            bounds.quota_tolerance,
+        )
         self._coordinator = order_coordinator.OrderCoordinator(
             instance_id=own.instance_id,
             servers=self.servers,
@@ -204,6 +213,7 @@
                 stream_origins=origins,
                 crash_guard=crash_guard.CrashGuard(requests, parts, self.peer),
                 server_limiter=self._server_limiter,
+                quotas=self._quotas,
                 rng=rng,
             ),
         )
@@ -219,6 +229,7 @@
     def update_bounds(self, bounds: Bounds) -> None:
         """Apply changed bounds to the running instance."""
         self._bounds = bounds
+        self._quotas.tolerance = bounds.quota_tolerance
         self._order_lease.lease_duration_s = bounds.order_lease_duration_s
         self._coordinator.apply_load_ceiling(bounds.load_ceiling)
         self._retries.set_limits(
--- a/oatcrank/cluster/members.py
+++ b/oatcrank/cluster/members.py
@@ -11,6 +11,9 @@
 MAX_ADDRESSES = 64
 # With fewer in the caller's failure domain, others are returned as well.
 MIN_NEAR_ADDRESSES = 2
+# Rankings are kept for so many keys, with so many instances each.
+MAX_RANKINGS = 2048
+MAX_RANKED = 4
 
 
 class Members:
@@ -18,11 +21,22 @@
 
     def __init__(self, own: member.Member) -> None:
         """Start with this instance alone."""
-        self.own = own
+        self._own = own
         self.by_id: dict[ids.InstanceId, member.Member] = {}
+        self._ranked_by_key: dict[str, list[member.Member]] = {}
         self._peak_count = 1
         self._lease_ends_s = math.inf
 
+    @property
+    def own(self) -> member.Member:
+        """Return this instance."""
+        return self._own
+
+    @own.setter
+    def own(self, changed: member.Member) -> None:
+        self._own = changed
+        self._ranked_by_key.clear()
+
     @property
     def peak_count(self) -> int:
         """Return the largest number of instances ever known at once."""
@@ -31,11 +45,13 @@
     def put(self, registered: member.Member) -> None:
         """Add or replace an instance's registration."""
         self.by_id[registered.instance_id] = registered
+        self._ranked_by_key.clear()
         self._peak_count = max(self._peak_count, len(self.by_id))
 
     def remove(self, instance_id: ids.InstanceId) -> None:
         """Remove an instance that is no longer registered."""
         self.by_id.pop(instance_id, None)
+        self._ranked_by_key.clear()
 
     @property
     def own_is_registered(self) -> bool:
@@ -66,18 +82,13 @@
 
         Instances that know the same members rank them alike.
         """
-        candidates = [
-            candidate
-            for candidate in (self.own, *self.others())
-            if candidate.ready and candidate.datagram_address
-        ]
-        return heapq.nlargest(
-            count,
-            candidates,
-            key=lambda candidate: xxhash.xxh3_64_intdigest(
-                f'{key}/{candidate.instance_id}'.encode(),
-            ),
-        )
+        ranked = self._ranked_by_key.get(key)
+        if ranked is None:
+            if len(self._ranked_by_key) >= MAX_RANKINGS:
+                self._ranked_by_key.clear()
+            ranked = self._rank(key)
+            self._ranked_by_key[key] = ranked
+        return ranked[:count]
 
     def caller_addresses(self, failure_domain: str, region: str) -> list[str]:
         """Return the addresses for a caller, near ones only if enough."""
@@ -98,3 +109,20 @@
             far.sort(key=lambda candidate: candidate.region != region)
             near.extend(far)
         return [chosen.caller_address for chosen in near][:MAX_ADDRESSES]
+
+    def _rank(self, key: str) -> list[member.Member]:
+        candidates = [
+            candidate
+            for candidate in (self.own, *self.others())
+            if candidate.ready and candidate.datagram_address
+        ]
+        return heapq.nlargest(
+            MAX_RANKED,
+            candidates,
+            key=lambda candidate: rank(key, candidate.instance_id),
+        )
+
+
+def rank(key: str, instance_id: ids.InstanceId) -> int:
+    """Return an instance's rank for a key; the highest is chosen."""
+    return xxhash.xxh3_64_intdigest(f'{key}/{instance_id}'.encode())
--- a/oatcrank/forwarding/caller_request.py
+++ b/oatcrank/forwarding/caller_request.py
@@ -12,6 +12,9 @@
     timeout_s is how long the caller waits from began_s, in seconds.
     prompt_tokens excludes the prefix that other requests may share, whose parts
     are shared_parts, from the first one on.
+    key is the key that the caller presents, or None if it presents none or a
+    malformed one; organisation is the one that holds it, once it was checked.
+    tokens counts the prompt and the longest answer, if the caller states them.
     last_event_id is the last event that the caller has of a stream that it
     takes up again; resumed_id is the caller's request that brought the first.
     """
@@ -31,5 +34,8 @@
     prefix: str = ''
     shared_parts: tuple[ids.PromptPart, ...] = ()
     prompt_tokens: int = 0
+    tokens: int | None = None
+    key: bytes | None = None
+    organisation: ids.OrganisationName | None = None
     last_event_id: int | None = None
     resumed_id: ids.RequestId | None = None
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -4,10 +4,13 @@
 
 from oatcrank import logs
 from oatcrank.forwarding import (
+    caller_request,
+    organisation_gate,
     request_dependencies,
     request_execution,
     wire_protocol,
 )
+from oatcrank.routing import route
 from oatcrank.transport import caller_connection, message, reply
 
 NOT_READY_RETRY_S = 0.5
@@ -21,6 +24,11 @@
     ) -> None:
         """Create a forwarder with the dependencies that requests share."""
         self._dependencies = dependencies
+        self._gate = organisation_gate.OrganisationGate(
+            dependencies.wire_protocol,
+            dependencies.routes,
+            dependencies.quotas,
+        )
         self.leaving = False
 
     def leave(self, stop_deadline_s: float) -> None:
@@ -62,6 +70,38 @@
             )
             out.answer(http.HTTPStatus.NOT_FOUND, [], b'')
             return
-        await request_execution.RequestExecution(
-            self._dependencies, decoded, found_route, out
-        ).run()
+        await self._admit(decoded, found_route, out)
+
+    async def _admit(
+        self,
+        request: caller_request.CallerRequest,
+        request_route: route.Route,
+        out: reply.Reply,
+    ) -> None:
+        """Execute a request of an organisation that is within its quota."""
+        try:
+            admission = await self._gate.admit(request, request_route)
+        except organisation_gate.KeyRefused as refused:
+            out.answer(
+                http.HTTPStatus.UNAUTHORIZED,
+                self._dependencies.wire_protocol.challenge(),
+                f'key {refused}'.encode(),
+            )
+            return
+        except organisation_gate.QuotaExceeded as exceeded:
+            out.answer(
+                http.HTTPStatus.TOO_MANY_REQUESTS,
+                request_execution.retry_after_headers(exceeded.retry_after_s)
+                if exceeded.retry_after_s is not None
+                else [],
+                str(exceeded).encode(),
+            )
+            return
+        execution = request_execution.RequestExecution(
+            self._dependencies, request, admission.route, out
+        )
+        try:
+            await execution.run()
+        finally:
+            if execution.has_not_run:
+                admission.give_back()
--- a/oatcrank/forwarding/request_dependencies.py
+++ b/oatcrank/forwarding/request_dependencies.py
@@ -10,6 +10,7 @@
     crash_guard,
     placement_requester,
     prompt_scheduler,
+    quotas,
     server_limiter,
     stream_origins,
     wire_protocol,
@@ -35,6 +36,7 @@
     stream_origins: stream_origins.StreamOrigins
     crash_guard: crash_guard.CrashGuard
     server_limiter: server_limiter.ServerLimiter
+    quotas: quotas.Quotas
     rng: random.Random
     # Monotonic time by which this instance stops, if it is shutting down.
     stop_deadline_s: float = math.inf
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -74,6 +74,14 @@
         self._identity = crash_guard.identity_of(request)
         self._outcome = 'cancelled'
 
+    @property
+    def has_not_run(self) -> bool:
+        """Return whether no server can have run the request."""
+        return (
+            self._history.execution_status
+            is attempt_state.ExecutionStatus.not_run
+        )
+
     async def run(self) -> None:
         """Execute the request and log its outcome."""
         try:
@@ -337,10 +345,7 @@
         elif self._failed_answer is not None:
             self._forward_answer(self._failed_answer)
             return
-        elif (
-            self._history.execution_status
-            is attempt_state.ExecutionStatus.not_run
-        ):
+        elif self.has_not_run:
             self._out.answer(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 retry_after_headers(retry_after_s),
@@ -372,6 +377,7 @@
             'request_done',
             request=self._request.request_id,
             route=self._route.name,
+            organisation=self._request.organisation or '',
             model=self._wanted.model or '',
             adapter=self._wanted.adapter or '',
             servers=','.join(self._sent_to_ids),
--- a/oatcrank/forwarding/request_metrics.py
+++ b/oatcrank/forwarding/request_metrics.py
@@ -2,6 +2,13 @@
 
 import prometheus_client
 
+from oatcrank import ids
+from oatcrank.forwarding import quotas
+
+# Further organisations are counted under one label.
+MAX_ORGANISATION_LABELS = 64
+OTHER_ORGANISATION = 'other'
+
 REQUESTS = prometheus_client.Counter(
     'oatcrank_requests',
     'Requests of callers by how they ended.',
@@ -41,3 +48,26 @@
     'Seconds from the first byte read to the first byte of the answer.',
     ('service',),
 )
+KEY_REFUSALS = prometheus_client.Counter(
+    'oatcrank_key_refusals',
+    'Requests that presented no key of an organisation.',
+    ('reason',),
+)
+QUOTA_DECISIONS = prometheus_client.Counter(
+    'oatcrank_quota_decisions',
+    'Requests of organisations by whether their quota had room for them.',
+    ('organisation', 'granted', 'source'),
+)
+_labelled_organisations: set[str] = set()
+
+
+def count_quota_decision(
+    organisation: ids.OrganisationName, decision: quotas.QuotaDecision
+) -> None:
+    """Count a decision under a bounded number of labels."""
+    label: str = organisation
+    if len(_labelled_organisations) < MAX_ORGANISATION_LABELS:
+        _labelled_organisations.add(organisation)
+    if organisation not in _labelled_organisations:
+        label = OTHER_ORGANISATION
+    QUOTA_DECISIONS.labels(label, decision.granted, decision.source.value).inc()
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -76,6 +76,14 @@
     ) -> caller_request.CallerRequest:
         """Decode a caller's request or raise MalformedRequest."""
 
+    @abc.abstractmethod
+    def remove_credentials(self, headers: message.Headers) -> message.Headers:
+        """Return headers without keys and without names of organisations."""
+
+    @abc.abstractmethod
+    def challenge(self) -> message.Headers:
+        """Return the headers that tell a caller how to present a key."""
+
     @abc.abstractmethod
     def encode_request(
         self,
--- a/oatcrank/ids.py
+++ b/oatcrank/ids.py
@@ -14,6 +14,9 @@
 PromptPart = NewType('PromptPart', str)
 # A hash in hexadecimal.
 RequestFingerprint = NewType('RequestFingerprint', str)
+OrganisationName = NewType('OrganisationName', str)
+# SHA-256 of a key in hexadecimal.
+KeyDigest = NewType('KeyDigest', str)
 RequestId = NewType('RequestId', str)
 ChangeId = NewType('ChangeId', str)
 OrderId = NewType('OrderId', str)
--- /dev/null
+++ b/oatcrank/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations that share a deployment: their keys and quotas."""
--- a/oatcrank/platform/codec.py
+++ b/oatcrank/platform/codec.py
@@ -4,6 +4,7 @@
 
 from oatcrank import ids, logs
 from oatcrank.cluster import codec, store
+from oatcrank.organisations import key_table, organisation
 from oatcrank.platform import configuration_messages, registration_messages
 from oatcrank.routing import route, server_registration
 from oatcrank.transport import limits
@@ -17,6 +18,8 @@
 MIN_PATIENCE_S = 2.0
 PATIENCE_PER_TARGET = 4
 PATIENCE_PER_GAP = 8
+# A quota without a burst lets requests of this time through at once.
+UNSTATED_BURST_S = 0.5
 IDEMPOTENT = 'idempotent'
 STREAMING = 'streaming'
 KINDS = frozenset((IDEMPOTENT, 'non_idempotent', STREAMING))
@@ -58,6 +61,36 @@
             header_timeout_s=configuration.limits.header_timeout_ms / MS_PER_S,
             idle_timeout_s=configuration.limits.idle_timeout_ms / MS_PER_S,
         ),
+        organisations=(
+            None
+            if configuration.tenants is None
+            else tuple(map(_organisation, configuration.tenants))
+        ),
+    )
+
+
+def _organisation(
+    tenant: configuration_messages.Tenant,
+) -> organisation.Organisation:
+    return organisation.Organisation(
+        name=ids.OrganisationName(tenant.name),
+        priority=tenant.priority,
+        quota=_quota(tenant) if tenant.rate_per_s > 0 else None,
+        key_digests=tuple(
+            key_table.digest(key.encode()) for key in tenant.api_keys
+        ),
+    )
+
+
+def _quota(tenant: configuration_messages.Tenant) -> organisation.Quota:
+    unit = organisation.QuotaUnit.requests
+    if tenant.unit == organisation.QuotaUnit.tokens.value:
+        unit = organisation.QuotaUnit.tokens
+    return organisation.Quota(
+        unit=unit,
+        per_s=tenant.rate_per_s,
+        burst=tenant.burst or tenant.rate_per_s * UNSTATED_BURST_S,
+        plain_cost=tenant.plain_tokens,
     )
 
 
@@ -83,6 +116,7 @@
         target_s=definition.target_latency_ms / MS_PER_S,
         priority=definition.priority,
         patience_s=_patience_s(definition) if streaming else None,
+        public=definition.public,
     )
 
 
--- a/oatcrank/platform/configuration_messages.py
+++ b/oatcrank/platform/configuration_messages.py
@@ -30,6 +30,8 @@
     resumable: bool = False
     # Longest gap between events of a stream that meets its target.
     gap_target_ms: float = 0
+    # Served without a key.
+    public: bool = False
 
 
 class Model(msgspec.Struct):
@@ -69,6 +71,22 @@
     idle_timeout_ms: float
 
 
+class Tenant(msgspec.Struct):
+    """Organisation: its keys, its priority and its quota."""
+
+    name: str
+    api_keys: list[str] = []
+    # Goes before the priority of routes.
+    priority: int | None = None
+    # 'tokens' or 'requests', which rate_per_s and burst count.
+    unit: str = 'requests'
+    # Tokens of a request that doesn't state its tokens.
+    plain_tokens: float = 1
+    # No limit if 0.
+    rate_per_s: float = 0
+    burst: float = 0
+
+
 class Configuration(msgspec.Struct):
     """Complete configuration."""
 
@@ -76,3 +94,5 @@
     routes: list[Route]
     backends: list[Backend]
     limits: Limits
+    # None if the deployment serves requests without keys.
+    tenants: list[Tenant] | None = None
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -5,6 +5,7 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import caller_request, wire_protocol
+from oatcrank.platform import credentials
 from oatcrank.transport import message
 
 REQUEST_ID = b'x-request-id'
@@ -80,6 +81,8 @@
             adapter=ids.AdapterName(adapter) if adapter else None,
             prefix=prefix,
             shared_parts=_part_ids(prefix),
+            tokens=_stated_tokens(_text(raw, TOKENS)),
+            key=credentials.decode_key(raw.headers),
             prompt_tokens=_own_tokens(
                 _text(raw, PREFIX),
                 _text(raw, TOKENS),
@@ -88,6 +91,14 @@
             resumed_id=ids.RequestId(_text(raw, RESUMED_ID)) or None,
         )
 
+    def remove_credentials(self, headers: message.Headers) -> message.Headers:
+        """Return headers without keys and without names of organisations."""
+        return credentials.remove(headers)
+
+    def challenge(self) -> message.Headers:
+        """Return the headers that tell a caller how to present a key."""
+        return [(b'WWW-Authenticate', credentials.KEY_SCHEME)]
+
     def encode_request(
         self,
         request: caller_request.CallerRequest,
@@ -105,6 +116,8 @@
         if request.model is not None:
             priority = min(LOWEST_PRIORITY, max(0, parameters.priority))
             lines.append(b'X-Request-Priority: %d' % priority)
+        if request.organisation is not None:
+            lines.append(b'X-Tenant: %s' % request.organisation.encode())
         if parameters.last_event_id is not None:
             lines.append(b'Last-Event-Id: %d' % parameters.last_event_id)
         if request.body or request.method not in {b'GET', b'HEAD'}:
@@ -157,6 +170,14 @@
     return '' if header is None else header.decode('latin-1').strip()
 
 
+def _stated_tokens(usage: str) -> int | None:
+    """Return the sum of `PROMPT,OUTPUT`, or None if it is malformed."""
+    numbers = [_number(part.strip()) for part in usage.split(',')]
+    if len(numbers) != 2 or numbers[0] is None or numbers[1] is None:
+        return None
+    return numbers[0] + numbers[1]
+
+
 def _number(text: str) -> int | None:
     if not (text.isascii() and text.isdigit()):
         return None
--- a/oatcrank/platform/settings.py
+++ b/oatcrank/platform/settings.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.cluster import instance, member
+from oatcrank.cluster import distributed_quotas, instance, member
 from oatcrank.orders import store_load_limit
 
 SETTINGS_VARIABLE = 'OATCRANK_CONFIG'
@@ -30,6 +30,9 @@
     ceiling_window_s: float = store_load_limit.Ceiling().window_s
     ceiling_overage: float = store_load_limit.Ceiling().overage
     ttl_max_s: float
+    # By how much quotas of organisations may be exceeded.
+    quota_overage: float = 0
+    quota_slack: float = 0
 
 
 class Store(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,6 +79,10 @@
                 overage=self.bounds.ceiling_overage,
             ),
             stop_timeout_s=self.bounds.grace_s,
+            quota_tolerance=distributed_quotas.QuotaTolerance(
+                overage=self.bounds.quota_overage,
+                slack=self.bounds.quota_slack,
+            ),
         )
 
 
--- a/oatcrank/routing/route.py
+++ b/oatcrank/routing/route.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from oatcrank import ids
+from oatcrank.organisations import organisation
 from oatcrank.transport import limits
 
 
@@ -33,6 +34,8 @@
     target_s: float
     priority: int
     patience_s: float | None = None
+    # Served without a key, whatever organisations there are.
+    public: bool = False
 
     @property
     def resumable(self) -> bool:
@@ -73,9 +76,13 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    Without organisations (None) requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[ids.ServiceName, Service]
     limits: limits.Limits
+    organisations: tuple[organisation.Organisation, ...] | None = None
--- a/oatcrank/routing/route_table.py
+++ b/oatcrank/routing/route_table.py
@@ -1,6 +1,8 @@
 """Find the route of a request: by host, then the longest prefix."""
 
-from oatcrank.routing import route
+from oatcrank import ids
+from oatcrank.organisations import key_table, organisation
+from oatcrank.routing import route, urgency
 
 
 class RouteTable:
@@ -9,6 +11,12 @@
     def __init__(self) -> None:
         """Start without a configuration."""
         self.configuration: route.Configuration | None = None
+        # None if requests need no key.
+        self.keys: key_table.KeyTable | None = None
+        self.organisation_by_name: dict[
+            ids.OrganisationName, organisation.Organisation
+        ] = {}
+        self.urgency = urgency.Urgency((), ())
         self._routes_by_host: dict[str, dict[str, route.Route]] = {}
 
     def replace(self, newest: route.Configuration) -> bool:
@@ -25,6 +33,7 @@
                 configured.prefix
             ] = configured
         self._routes_by_host = by_host
+        self._replace_organisations(newest)
         self.configuration = newest
         return True
 
@@ -41,3 +50,14 @@
                 return matched
             end -= 1
         return None
+
+    def _replace_organisations(self, newest: route.Configuration) -> None:
+        holders = newest.organisations or ()
+        self.keys = None
+        if newest.organisations is not None:
+            self.keys = key_table.KeyTable(holders)
+        self.organisation_by_name = {holder.name: holder for holder in holders}
+        self.urgency = urgency.Urgency(
+            {holder.priority for holder in holders},
+            {configured.priority for configured in newest.routes},
+        )
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -13,6 +13,7 @@
     forwarder,
     placement_requester,
     prompt_scheduler,
+    quotas,
     request_dependencies,
     server_limiter,
     stream_origins,
@@ -116,6 +117,24 @@
         return wait_s + 7
 
 
+class StubQuotas(quotas.Quotas):
+    """Decide as a test has set, and remember what was taken."""
+
+    def __init__(self) -> None:
+        self.decision = quotas.QuotaDecision(
+            granted=True, source=quotas.Source.owner
+        )
+        self.taken: list[tuple[str, float]] = []
+        self.given_back: list[tuple[str, float]] = []
+
+    async def take(self, holder, cost):
+        self.taken.append((holder.name, cost))
+        return self.decision
+
+    def give_back(self, holder, cost, held_s) -> None:
+        self.given_back.append((holder.name, cost))
+
+
 class StubPublisher(crash_guard.CrashPublisher):
     """Remember what an instance would tell the others."""
 
@@ -163,6 +182,7 @@
         self.placement_requester = StubPlacementRequester()
         self.prompt_scheduler = StubPromptScheduler()
         self.server_limiter = StubServerLimiter()
+        self.quotas = StubQuotas()
         self.crashes = crashing_requests.CrashingRequests()
         self.parts = crashing_parts.CrashingParts()
         self.publisher = StubPublisher()
@@ -188,6 +208,7 @@
                 self.crashes, self.parts, self.publisher
             ),
             server_limiter=self.server_limiter,
+            quotas=self.quotas,
             rng=random.Random(5),
         )
         self.forwarder = forwarder.Forwarder(self.dependencies)
