Use servers again after their suspension

Callers of an instance that had once failed to connect to a server were refused ("no usable server") as long as the process ran, or crowded onto the servers that it had never failed to reach.

Cause: the trial of a suspended server began when it was chosen, and made it unusable for the very request that was to be the trial, since permits and prompt slots are reserved before the send. Change: the trial begins just before the send, and any answer ends the suspension.

tests/test_suspended_server.py: three cases, all failed before.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -156,6 +156,7 @@
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
     ) -> AttemptResult:
+        self._server.end_suspension()
         answer = self._dependencies.wire_protocol.decode_answer_head(head)
         self._idle_timeout_s = answer.idle_timeout_s
         if answer.load is not None:
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -130,6 +130,8 @@
                 continue
             self._check_crashes()
             self._check_send_limits()
+            # Only now: a server with a trial counts as unusable.
+            chosen.begin_trial(self._dependencies.now())
             self._sent_to_ids.append(chosen.server_id)
             self._sent_to_versions.append(chosen.registration.software_version)
             result = await self._attempt(chosen)
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -187,7 +187,6 @@
             raise refusal.RequestRefused(
                 'expected to start after the deadline', retry_after_s
             )
-        chosen.begin_trial(now_s)
 
     def _log_wait(self, placement: placement_requester.PlacementResult) -> None:
         """Log the first wait of a request only."""
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -158,7 +158,7 @@
         if failed:
             self._failures += 1
         else:
-            self._suspensions = 0
+            self.end_suspension()
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of recent requests that failed."""
@@ -174,6 +174,11 @@
         self._suspensions = min(self._suspensions + 1, 8)
         self._suspended_until_s = now_s + pause_s
 
+    def end_suspension(self) -> None:
+        """Use the server again, since it has answered."""
+        self._suspensions = 0
+        self._suspended_until_s = -math.inf
+
     def begin_trial(self, now_s: float) -> None:
         """Let a single request test a server that was suspended."""
         if self._suspensions:
