Suspect no request when a server is cut off or has no power

In a cut, requests that servers had under way were reported as suspects of crashes, run apart from others and in the end refused.

Cause: a server that accepted no connection after it interrupted an answer counted as crashed. A process that has crashed leaves a machine that refuses connections; behind a cut or without power nothing answers. Change: only a refused connection counts as a crash; the server is suspended in both cases.

A cut that resets connections still looks like a crash. No test of its own: loopback can't leave a connection unanswered.

--- a/oatcrank/forwarding/crash_detector.py
+++ b/oatcrank/forwarding/crash_detector.py
@@ -1,6 +1,7 @@
 """Detect server crashes after interrupted answers."""
 
 import asyncio
+import enum
 from collections.abc import Callable, Collection
 
 import msgspec
@@ -24,6 +25,12 @@
     prompt: crash.Prompt | None = None
 
 
+class _ConnectionState(enum.Enum):
+    accepted = 'the server runs'
+    refused = 'no process listens'
+    unreached = 'nothing is known of the process'
+
+
 class CrashDetector:
     """Report the requests that ran on a server when it crashed."""
 
@@ -53,12 +60,16 @@
         self, target: server.Server, crash_id: server_process.ServerProcess
     ) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
-        crashed = not await self._accepts_connections(target)
+        state = await _connection_state(target)
         interruptions = self._interruptions_by_id.pop(crash_id)
-        if not crashed:
+        if state is _ConnectionState.accepted:
             return
         now_s = asyncio.get_running_loop().time()
         target.suspend(now_s)
+        if state is _ConnectionState.unreached:
+            # The link or the machine has failed: no request is the cause.
+            logs.event('server_unreached', server=crash_id.server_id)
+            return
         report = _report(crash_id, interruptions)
         logs.event(
             'server_crashed',
@@ -71,17 +82,21 @@
         )
         self._on_crash(report, now_s)
 
-    async def _accepts_connections(self, target: server.Server) -> bool:
-        try:
-            connection = await backend_connection.connect(
-                target.registration.host,
-                target.registration.port,
-                CONNECT_TIMEOUT_S,
-            )
-        except errors.ConnectFailed:
-            return False
-        connection.close()
-        return True
+
+async def _connection_state(target: server.Server) -> _ConnectionState:
+    """Return what becomes of a new connection to a server."""
+    try:
+        connection = await backend_connection.connect(
+            target.registration.host,
+            target.registration.port,
+            CONNECT_TIMEOUT_S,
+        )
+    except errors.ConnectionRefused:
+        return _ConnectionState.refused
+    except errors.ConnectFailed:
+        return _ConnectionState.unreached
+    connection.close()
+    return _ConnectionState.accepted
 
 
 def _report(
