Serve requests through another instance while cut off from servers

Callers of an instance that had lost the path to all servers of a service were refused, or waited for connections that nobody accepted.

Change: the instance notices it by failed connections and by probes when no server is heard for half a second, and sends requests that no server has on to another instance, as a caller would. Marked requests are not sent on again. It hands the order lease over.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from oatcrank import background, logs, metrics
+from oatcrank import background, ids, logs, metrics
 from oatcrank.cluster import (
     change_relay,
     codec,
@@ -33,6 +33,8 @@
 from oatcrank.forwarding import (
     crash_guard,
     forwarder,
+    link_prober,
+    peer_relay,
     request_dependencies,
     wire_protocol,
 )
@@ -43,6 +45,7 @@
     crashing_requests,
     retry_budgets,
     route_table,
+    server_links,
     server_selection,
     server_table,
 )
@@ -134,6 +137,8 @@
             rng,
             bounds.quota_tolerance,
         )
+        self._links = server_links.ServerLinks()
+        self._prober = link_prober.LinkProber(self._links, self.servers, rng)
         self._coordinator = order_coordinator.OrderCoordinator(
             instance_id=own.instance_id,
             servers=self.servers,
@@ -214,6 +219,12 @@
                 crash_guard=crash_guard.CrashGuard(requests, parts, self.peer),
                 server_limiter=self._server_limiter,
                 quotas=self._quotas,
+                links=self._links,
+                peer_relay=peer_relay.PeerRelay(
+                    dependencies.wire_protocol,
+                    self.members.other_caller_addresses,
+                    rng,
+                ),
                 rng=rng,
             ),
         )
@@ -256,6 +267,8 @@
             ('demand', self._placement_requester.run),
             ('version_records', self._version_records.run),
             ('crash_cause_records', self._crash_records.run),
+            ('link_probes', self._prober.run),
+            ('order_hand_over', self._hand_over_when_cut_off),
             ('readiness', self._become_ready),
             ('connection_pruning', self._prune),
         ):
@@ -303,6 +316,29 @@
             await asyncio.sleep(READY_POLL_INTERVAL_S)
         self._set_ready(ready=True)
 
+    async def _hand_over_when_cut_off(self) -> None:
+        """Leave the order lease to instances that reach the model servers."""
+        was_cut = False
+        while True:
+            await asyncio.sleep(PRUNE_INTERVAL_S)
+            is_cut = any(
+                self._links.of_service(name).is_cut
+                for name in self._model_services()
+            )
+            if is_cut and not was_cut:
+                await self._order_lease.hand_over()
+            was_cut = is_cut
+
+    def _model_services(self) -> list[ids.ServiceName]:
+        configuration = self.routes.configuration
+        if configuration is None:
+            return []
+        return [
+            service.name
+            for service in configuration.service_by_name.values()
+            if service.engine is not None
+        ]
+
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_INTERVAL_S)
--- a/oatcrank/cluster/members.py
+++ b/oatcrank/cluster/members.py
@@ -77,6 +77,10 @@
             if other.instance_id != self.own.instance_id
         ]
 
+    def other_caller_addresses(self) -> list[str]:
+        """Return where other instances that are ready take requests."""
+        return [other.caller_address for other in self.others() if other.ready]
+
     def ranked(self, key: str, count: int) -> list[member.Member]:
         """Return the first ready instances for a key, by rendezvous hashing.
 
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -29,6 +29,9 @@
 REPLICATION_INTERVAL_S = 0.25
 OVERDUE_CHECK_INTERVAL_S = 0.1
 MAX_START_DELAY_S = 0.3
+# After this time an instance that handed the lease over takes it again if no
+# other one has.
+HAND_OVER_S = 1.0
 
 
 class OrderLease:
@@ -54,6 +57,7 @@
         self.lease_duration_s = lease_duration_s
         self._holder_client = holder_client.HolderClient(peer_client)
         self._may_acquire = True
+        self._waits_until_s = float(0)
         self._store_lease_id: store.LeaseId | None = None
         self._reported_holder: lease_holder.LeaseHolder | None = None
         self._acquiring = False
@@ -125,6 +129,9 @@
     async def release(self) -> None:
         """Release the lease and never acquire it again."""
         self._may_acquire = False
+        await self._remove_holder()
+
+    async def _remove_holder(self) -> None:
         term = self._coordinator.term
         if term is None:
             return
@@ -144,6 +151,11 @@
             return
         logs.event('order_lease_released', fence=term.fence)
 
+    async def hand_over(self) -> None:
+        """Release the lease, and leave it to the others for HAND_OVER_S."""
+        self._waits_until_s = boot_clock.now() + HAND_OVER_S
+        await self._remove_holder()
+
     def confirm_holder(
         self, query: peer_messages.ConfirmQuery
     ) -> peer_messages.Confirmation:
@@ -183,10 +195,18 @@
     async def _step(self) -> None:
         if self._coordinator.term is not None:
             await self._renew(self._coordinator.term)
-        elif self._may_acquire and self._session.lease_id is not None:
+        elif (
+            self._may_acquire
+            and self._is_candidate
+            and self._session.lease_id is not None
+        ):
             if self._mirror.get(HOLDER_KEY) is None and self._mirror.is_loaded:
                 await self._acquire(self._session.lease_id)
 
+    @property
+    def _is_candidate(self) -> bool:
+        return self._may_acquire and boot_clock.now() >= self._waits_until_s
+
     async def _renew(self, term: lease_term.LeaseTerm) -> None:
         sent_s = boot_clock.now()
         holder = self._stored_holder()
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -97,6 +97,7 @@
         self._out = out
         self._stream = stream
         self._splitter = stream.splitter
+        self._links = dependencies.links.of_service(chosen.registration.service)
         self._idle_timeout_s: float | None = None
         self._began_s = float(0)
         self._wait_recorded = False
@@ -116,9 +117,10 @@
 
     async def _connect_and_send(self, deadline_s: float) -> AttemptResult:
         try:
-            connection = await self._server.pool.acquire()
+            connection = await self._acquire()
         except errors.ConnectFailed as error:
             self._server.suspend(self._dependencies.now())
+            self._links.record_failed(self._server.server_id)
             return self._failure(str(error))
         try:
             return await self._exchange(connection, deadline_s)
@@ -128,6 +130,15 @@
         finally:
             self._release(self._server.pool, connection)
 
+    async def _acquire(self) -> backend_connection.BackendConnection:
+        opened = self._server.pool.opened_count
+        connection = await self._server.pool.acquire()
+        if self._server.pool.opened_count != opened:
+            self._links.record_connected(
+                self._server.server_id, self._dependencies.now()
+            )
+        return connection
+
     async def _exchange(
         self,
         connection: backend_connection.BackendConnection,
@@ -146,16 +157,26 @@
         )
         self.progress = attempt_state.Progress.written
         connection.send(encoded, self._is_own_answer)
-        head = await connection.next_event()
+        head = await self._wait_for_head(connection)
         if not isinstance(head, message.ResponseHead):
             raise _InvalidAnswer('no answer')
         return await self._read_answer(connection, head)
 
+    async def _wait_for_head(
+        self, connection: backend_connection.BackendConnection
+    ) -> backend_connection.Event:
+        self._links.begin_wait(id(self), self._dependencies.now())
+        try:
+            return await connection.next_event()
+        finally:
+            self._links.end_wait(id(self))
+
     async def _read_answer(
         self,
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
     ) -> AttemptResult:
+        self._links.record_heard(self._dependencies.now())
         self._server.end_suspension()
         answer = self._dependencies.wire_protocol.decode_answer_head(head)
         self._idle_timeout_s = answer.idle_timeout_s
--- a/oatcrank/forwarding/caller_request.py
+++ b/oatcrank/forwarding/caller_request.py
@@ -14,6 +14,7 @@
     are shared_parts, from the first one on.
     key is the key that the caller presents, or None if it presents none or a
     malformed one; organisation is the one that holds it, once it was checked.
+    relayed: another instance sends it for a caller.
     tokens counts the prompt and the longest answer, if the caller states them.
     last_event_id is the last event that the caller has of a stream that it
     takes up again; resumed_id is the caller's request that brought the first.
@@ -35,7 +36,14 @@
     shared_parts: tuple[ids.PromptPart, ...] = ()
     prompt_tokens: int = 0
     tokens: int | None = None
+    relayed: bool = False
     key: bytes | None = None
     organisation: ids.OrganisationName | None = None
     last_event_id: int | None = None
     resumed_id: ids.RequestId | None = None
+
+    def deadline_s(self, max_s: float) -> float:
+        """Return when the caller gives up, or max_s after it began."""
+        if self.timeout_s is None:
+            return self.began_s + max_s
+        return self.began_s + min(max_s, self.timeout_s)
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -70,15 +70,49 @@
             )
             out.answer(http.HTTPStatus.NOT_FOUND, [], b'')
             return
-        await self._admit(decoded, found_route, out)
+        if self._is_down(found_route):
+            await self._relay(request, decoded, found_route, out)
+            return
+        if not await self._execute(decoded, found_route, out):
+            await self._relay(request, decoded, found_route, out)
+
+    def _is_down(self, request_route: route.Route) -> bool:
+        """Return whether this instance reaches no server of a route."""
+        now_s = self._dependencies.now()
+        return all(
+            self._dependencies.links.of_service(share.service).is_down(now_s)
+            for share in request_route.shares
+        )
 
-    async def _admit(
+    async def _relay(
         self,
+        raw: message.Request,
         request: caller_request.CallerRequest,
         request_route: route.Route,
         out: reply.Reply,
     ) -> None:
-        """Execute a request of an organisation that is within its quota."""
+        """Send a request through another instance, but only once."""
+        if request.relayed:
+            out.answer(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                self._dependencies.wire_protocol.unreached(),
+                b'',
+            )
+            return
+        await self._dependencies.peer_relay.relay(
+            raw, request, request.deadline_s(request_route.timeout_s), out
+        )
+
+    async def _execute(
+        self,
+        request: caller_request.CallerRequest,
+        request_route: route.Route,
+        out: reply.Reply,
+    ) -> bool:
+        """Execute a request that is within its organisation's quota.
+
+        Return False if it was not answered, since no server was reached.
+        """
         try:
             admission = await self._gate.admit(request, request_route)
         except organisation_gate.KeyRefused as refused:
@@ -87,7 +121,7 @@
                 self._dependencies.wire_protocol.challenge(),
                 f'key {refused}'.encode(),
             )
-            return
+            return True
         except organisation_gate.QuotaExceeded as exceeded:
             out.answer(
                 http.HTTPStatus.TOO_MANY_REQUESTS,
@@ -96,7 +130,7 @@
                 else [],
                 str(exceeded).encode(),
             )
-            return
+            return True
         execution = request_execution.RequestExecution(
             self._dependencies, request, admission.route, out
         )
@@ -105,3 +139,4 @@
         finally:
             if execution.has_not_run:
                 admission.give_back()
+        return not execution.is_unreached
--- a/oatcrank/forwarding/request_dependencies.py
+++ b/oatcrank/forwarding/request_dependencies.py
@@ -8,6 +8,7 @@
 
 from oatcrank.forwarding import (
     crash_guard,
+    peer_relay,
     placement_requester,
     prompt_scheduler,
     quotas,
@@ -18,6 +19,7 @@
 from oatcrank.routing import (
     retry_budgets,
     route_table,
+    server_links,
     server_selection,
     server_table,
 )
@@ -37,6 +39,8 @@
     crash_guard: crash_guard.CrashGuard
     server_limiter: server_limiter.ServerLimiter
     quotas: quotas.Quotas
+    links: server_links.ServerLinks
+    peer_relay: peer_relay.PeerRelay
     rng: random.Random
     # Monotonic time by which this instance stops, if it is shutting down.
     stop_deadline_s: float = math.inf
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -62,10 +62,7 @@
         self._stream = resumable_stream.ResumableStream(
             dependencies, request, request_route
         )
-        timeout_s = request_route.timeout_s
-        if request.timeout_s is not None:
-            timeout_s = min(timeout_s, request.timeout_s)
-        self._deadline_s = request.began_s + timeout_s
+        self._deadline_s = request.deadline_s(request_route.timeout_s)
         self._wanted = need.Need(
             self._choose_service(),
             request.model,
@@ -73,6 +70,8 @@
         )
         self._identity = crash_guard.identity_of(request)
         self._outcome = 'cancelled'
+        # The request was not answered, since no server was reached.
+        self.is_unreached = False
 
     @property
     def has_not_run(self) -> bool:
@@ -102,8 +101,17 @@
             )
         except refusal.RequestRefused as refused:
             self._outcome = 'refused'
+            if self._may_relay():
+                self.is_unreached = True
+                self._outcome = f'unreached: {refused.reason}'
+                return
             self._give_up(refused.reason, refused.retry_after_s)
 
+    def _may_relay(self) -> bool:
+        """Return whether another instance may still serve the request."""
+        links = self._dependencies.links.of_service(self._wanted.service)
+        return links.is_suspect and self.has_not_run and not self._out.started
+
     async def _execute(self) -> None:
         self._check_crashes()
         await self._stream.find_origin(self._wanted.service)
@@ -280,7 +288,10 @@
         if result.progress is attempt_state.Progress.written:
             search.exclude(chosen.server_id)
         elif result.progress is attempt_state.Progress.unsent:
-            return
+            if self._may_relay():
+                raise refusal.RequestRefused(
+                    'no server is reached', FAILURE_RETRY_S
+                )
         elif result.misdirected:
             chosen.remove_held(self._wanted)
         elif self._wanted.model is not None:
--- a/oatcrank/forwarding/request_metrics.py
+++ b/oatcrank/forwarding/request_metrics.py
@@ -48,6 +48,11 @@
     'Seconds from the first byte read to the first byte of the answer.',
     ('service',),
 )
+RELAYED_REQUESTS = prometheus_client.Counter(
+    'oatcrank_relayed_requests',
+    'Requests sent through other instances by how they ended.',
+    ('outcome',),
+)
 KEY_REFUSALS = prometheus_client.Counter(
     'oatcrank_key_refusals',
     'Requests that presented no key of an organisation.',
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -80,6 +80,18 @@
     def remove_credentials(self, headers: message.Headers) -> message.Headers:
         """Return headers without keys and without names of organisations."""
 
+    @abc.abstractmethod
+    def encode_relayed(self, raw: message.Request, left_s: float) -> bytes:
+        """Encode a request for another instance; left_s is the time left."""
+
+    @abc.abstractmethod
+    def unreached(self) -> message.Headers:
+        """Return the headers of a refusal by an instance without servers."""
+
+    @abc.abstractmethod
+    def is_unreached(self, head: message.ResponseHead) -> bool:
+        """Return whether an instance has refused since it has no servers."""
+
     @abc.abstractmethod
     def challenge(self) -> message.Headers:
         """Return the headers that tell a caller how to present a key."""
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -5,7 +5,7 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import caller_request, wire_protocol
-from oatcrank.platform import credentials
+from oatcrank.platform import credentials, relay_headers
 from oatcrank.transport import message
 
 REQUEST_ID = b'x-request-id'
@@ -32,6 +32,7 @@
 RESERVED_HEADERS = frozenset(
     (
         DEADLINE_MS,
+        relay_headers.RELAYED,
         LAST_EVENT_ID,
         EXPECTED_INSTANCE,
         PRIORITY,
@@ -82,6 +83,7 @@
             prefix=prefix,
             shared_parts=_part_ids(prefix),
             tokens=_stated_tokens(_text(raw, TOKENS)),
+            relayed=bool(_text(raw, relay_headers.RELAYED)),
             key=credentials.decode_key(raw.headers),
             prompt_tokens=_own_tokens(
                 _text(raw, PREFIX),
@@ -95,6 +97,18 @@
         """Return headers without keys and without names of organisations."""
         return credentials.remove(headers)
 
+    def encode_relayed(self, raw: message.Request, left_s: float) -> bytes:
+        """Encode a request for another instance; left_s is the time left."""
+        return relay_headers.encode(raw, left_s)
+
+    def unreached(self) -> message.Headers:
+        """Return the headers of a refusal by an instance without servers."""
+        return [(relay_headers.UNREACHED, b'1')]
+
+    def is_unreached(self, head: message.ResponseHead) -> bool:
+        """Return whether an instance has refused since it has no servers."""
+        return head.header(relay_headers.UNREACHED) is not None
+
     def challenge(self) -> message.Headers:
         """Return the headers that tell a caller how to present a key."""
         return [(b'WWW-Authenticate', credentials.KEY_SCHEME)]
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -11,6 +11,7 @@
 from oatcrank.forwarding import (
     crash_guard,
     forwarder,
+    peer_relay,
     placement_requester,
     prompt_scheduler,
     quotas,
@@ -28,6 +29,7 @@
     prompt_schedule,
     retry_budgets,
     route_table,
+    server_links,
     server_selection,
     server_table,
     stream_origin,
@@ -183,6 +185,8 @@
         self.prompt_scheduler = StubPromptScheduler()
         self.server_limiter = StubServerLimiter()
         self.quotas = StubQuotas()
+        self.links = server_links.ServerLinks()
+        self.peer_addresses: list[str] = []
         self.crashes = crashing_requests.CrashingRequests()
         self.parts = crashing_parts.CrashingParts()
         self.publisher = StubPublisher()
@@ -209,6 +213,12 @@
             ),
             server_limiter=self.server_limiter,
             quotas=self.quotas,
+            links=self.links,
+            peer_relay=peer_relay.PeerRelay(
+                platform_protocol.PlatformProtocol(),
+                lambda: self.peer_addresses,
+                random.Random(7),
+            ),
             rng=random.Random(5),
         )
         self.forwarder = forwarder.Forwarder(self.dependencies)
