--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -93,6 +93,11 @@
     ) -> None:
         """Send a request through another instance, but only once."""
         if request.relayed:
+            logs.event(
+                'request_refused',
+                request=request.request_id,
+                reason='this instance reaches no server either',
+            )
             out.answer(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 self._dependencies.wire_protocol.unreached(),
