Refuse for want of room without asking another instance

A request that was refused because servers were full went through up to three more instances if two servers had not accepted connections just before, and asked for room there again.

Change: only a request whose servers accept no connection is relayed, or any once the instance takes itself as cut off. tests/test_peer_relay.py has the case; it failed before.

--- a/oatcrank/forwarding/refusal.py
+++ b/oatcrank/forwarding/refusal.py
@@ -11,3 +11,7 @@
         super().__init__(reason)
         self.reason = reason
         self.retry_after_s = retry_after_s
+
+
+class ServersUnreached(RequestRefused):
+    """Raised when the chosen servers accept no connection."""
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -101,12 +101,19 @@
             )
         except refusal.RequestRefused as refused:
             self._outcome = 'refused'
-            if self._may_relay():
+            if self._is_unreached_by(refused):
                 self.is_unreached = True
                 self._outcome = f'unreached: {refused.reason}'
                 return
             self._give_up(refused.reason, refused.retry_after_s)
 
+    def _is_unreached_by(self, refused: refusal.RequestRefused) -> bool:
+        """Return whether a refusal is due to this instance's links alone."""
+        links = self._dependencies.links.of_service(self._wanted.service)
+        if isinstance(refused, refusal.ServersUnreached):
+            return self._may_relay()
+        return links.is_cut and self._may_relay()
+
     def _may_relay(self) -> bool:
         """Return whether another instance may still serve the request."""
         links = self._dependencies.links.of_service(self._wanted.service)
@@ -289,7 +296,7 @@
             search.exclude(chosen.server_id)
         elif result.progress is attempt_state.Progress.unsent:
             if self._may_relay():
-                raise refusal.RequestRefused(
+                raise refusal.ServersUnreached(
                     'no server is reached', FAILURE_RETRY_S
                 )
         elif result.misdirected:
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -185,3 +185,19 @@
         assert cut.runs() == 1
 
     relay(work)
+
+
+def test_a_refusal_for_want_of_room_is_not_relayed():
+    async def work(site):
+        links = site.links.of_service(routing_parts.SERVICE)
+        for server_id in ('ended-1', 'ended-2'):
+            links.record_failed(server_id)
+        site.dependencies.peer_relay = None
+        for server in site.servers.by_id.values():
+            server.in_flight = server.registration.slots
+            server.record_wait(60, site.dependencies.now())
+        answer = await site.ask()
+        assert answer.status == 503
+        assert links.is_suspect
+
+    forwarding_site.run(work, **STREAM)
