--- a/oatcrank/cluster/members.py
+++ b/oatcrank/cluster/members.py
@@ -11,7 +11,7 @@
 MAX_ADDRESSES = 64
 # With fewer in the caller's failure domain, others are returned as well.
 MIN_NEAR_ADDRESSES = 2
-# Rankings are kept for so many keys, with so many instances each.
+# So many rankings are kept, of so many instances each.
 MAX_RANKINGS = 2048
 MAX_RANKED = 4
 
@@ -86,11 +86,13 @@
 
         Instances that know the same members rank them alike.
         """
+        if count > MAX_RANKED:
+            return self._rank(key, count)
         ranked = self._ranked_by_key.get(key)
         if ranked is None:
             if len(self._ranked_by_key) >= MAX_RANKINGS:
                 self._ranked_by_key.clear()
-            ranked = self._rank(key)
+            ranked = self._rank(key, MAX_RANKED)
             self._ranked_by_key[key] = ranked
         return ranked[:count]
 
@@ -114,14 +116,14 @@
             near.extend(far)
         return [chosen.caller_address for chosen in near][:MAX_ADDRESSES]
 
-    def _rank(self, key: str) -> list[member.Member]:
+    def _rank(self, key: str, count: int) -> list[member.Member]:
         candidates = [
             candidate
             for candidate in (self.own, *self.others())
             if candidate.ready and candidate.datagram_address
         ]
         return heapq.nlargest(
-            MAX_RANKED,
+            count,
             candidates,
             key=lambda candidate: rank(key, candidate.instance_id),
         )
