Give the instances of a test different ports

The other tests draw from tests/ports.py, which returns no port twice; this one does now. No assertion is changed.

--- a/tests/test_pace_keepers.py
+++ b/tests/test_pace_keepers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import ports
 import pytest
 
 from oatcrank.cluster import (
@@ -33,9 +34,8 @@
 
 
 def free_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp_socket:
-        udp_socket.bind(('127.0.0.1', 0))
-        return udp_socket.getsockname()[1]
+    """Return a port that no other instance of the test has."""
+    return ports.free_port(socket.SOCK_DGRAM)
 
 
 def run_instances(scenario, instances=3):
