--- a/review/lab/server.py
+++ b/review/lab/server.py
@@ -66,6 +66,7 @@
     repeat_share: share of the answers that are sent once more, late: where the
         next response on that connection is expected.
     load_s: how long a load of a model takes.
+    draw_events: returns the number of events of a stream, if it varies.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         self.repeat_share = 0.0
         self.load_s = 0.4
         self.is_busy = False
+        self.draw_events: Callable[[], int] | None = None
         self.state = 'ready'
         self.seq = 0
         self.runs: list[Run] = []
@@ -266,7 +268,8 @@
         parts = ['\r\n'.join((*lines, '', '')).encode()]
         writer.write(parts[0])
         first = int(request.headers.get('last-event-id', '0')) + 1
-        for number in range(first, self.events + 1):
+        last = self.draw_events() if self.draw_events else self.events
+        for number in range(first, last + 1):
             event = f'id: {number}\ndata: {self.version}-{number}\n\n'.encode()
             parts.append(b'%x\r\n%s\r\n' % (len(event), event))
             writer.write(parts[-1])
--- a/review/lab/system.py
+++ b/review/lab/system.py
@@ -218,12 +218,16 @@
             raise RuntimeError('target/app is missing: run deploy/build.sh')
         for instance in self.instances:
             instance.start(self.seeds)
-        ends_s = time.monotonic() + READY_WITHIN_S
         for instance in self.instances:
-            while not await instance.is_ready():
-                if time.monotonic() > ends_s:
-                    raise RuntimeError(f'{instance.name} is not ready')
-                await asyncio.sleep(0.1)
+            await self.wait_until_ready(instance)
+
+    async def wait_until_ready(self, instance: Instance) -> None:
+        """Wait until an instance says that callers may connect."""
+        ends_s = time.monotonic() + READY_WITHIN_S
+        while not await instance.is_ready():
+            if time.monotonic() > ends_s:
+                raise RuntimeError(f'{instance.name} is not ready')
+            await asyncio.sleep(0.1)
 
     def end(self) -> None:
         """End all processes and remove the temporary folder."""
