--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,6 +13,7 @@
     caller,
     deployment,
     drill,
+    playing,
     record,
     server,
     store,
@@ -210,8 +211,4 @@
 
 
 if __name__ == '__main__':
-    try:
-        sys.exit(asyncio.run(main()))
-    except (RuntimeError, OSError) as error:
-        print(error)
-        sys.exit(2)
+    sys.exit(playing.play(main))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,15 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from lab import caller, deployment, record, server, store, system  # noqa: E402
+from lab import (  # noqa: E402
+    caller,
+    deployment,
+    playing,
+    record,
+    server,
+    store,
+    system,
+)
 
 HERE = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -190,8 +198,4 @@
 
 
 if __name__ == '__main__':
-    try:
-        sys.exit(asyncio.run(main()))
-    except (RuntimeError, OSError) as error:
-        print(error)
-        sys.exit(2)
+    sys.exit(playing.play(main))
