Refuse requests that come late in a planned stop

Cause: the instance ends taking work by closing its port, 2.5 s after the SIGTERM. A stream that began before the SIGTERM doesn't say that the connection closes; its caller sends the next request on the same connection, between two polls for idle connections, however late that is.

Now a request that is handled after the port has closed is answered 503 with Retry-After 0, as not run, and the connection closes. This holds when the request is handled, so that a pipelined one that was read in time is refused as well.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -54,8 +54,9 @@
 READY_POLL_INTERVAL_S = 0.05
 # Callers keep an address this long before they resolve it again.
 ADDRESS_TTL_S = 2.0
-# Callers that keep it longer find the port closed and resolve it again.
-LISTEN_AFTER_STOP_S = 2.5
+# Callers that keep it longer find the port closed, and their requests on open
+# connections are refused, so that they resolve it again.
+ACCEPT_AFTER_STOP_S = 2.5
 # A stop ends this long before its timeout.
 STOP_MARGIN_S = 1.0
 # Requests stop waiting for a server this long before connections are closed.
@@ -279,10 +280,11 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         ends_s = started_s + self._bounds.stop_timeout_s - STOP_MARGIN_S
-        self._forwarder.leave(ends_s - ANSWER_MARGIN_S)
+        accepts_until_s = started_s + ACCEPT_AFTER_STOP_S
+        self._forwarder.leave(ends_s - ANSWER_MARGIN_S, accepts_until_s)
         self._set_ready(ready=False)
         await self._order_lease.release()
-        await asyncio.sleep(LISTEN_AFTER_STOP_S - (loop.time() - started_s))
+        await asyncio.sleep(accepts_until_s - loop.time())
         if self._server is not None:
             self._server.close()
         while self._open_connections and loop.time() < ends_s:
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -1,11 +1,13 @@
 """Handle callers' requests by forwarding them to backend servers."""
 
 import http
+import math
 
 from oatcrank import logs
 from oatcrank.forwarding import (
     caller_request,
     organisation_gate,
+    refusal,
     request_dependencies,
     request_execution,
     wire_protocol,
@@ -14,6 +16,8 @@
 from oatcrank.transport import caller_connection, message, reply
 
 NOT_READY_RETRY_S = 0.5
+# Other instances can serve the request at once.
+STOPPING_RETRY_S = float(0)
 
 
 class Forwarder(caller_connection.Handler):
@@ -30,10 +34,18 @@
             dependencies.quotas,
         )
         self.leaving = False
+        self._accepts_until_s = math.inf
 
-    def leave(self, stop_deadline_s: float) -> None:
-        """Close connections after their answers and limit waits."""
+    def leave(
+        self, stop_deadline_s: float, accepts_until_s: float = math.inf
+    ) -> None:
+        """Close connections after their answers and limit waits.
+
+        Requests that are read after accepts_until_s are refused, since the
+        stop may cut off their answers.
+        """
         self.leaving = True
+        self._accepts_until_s = accepts_until_s
         self._dependencies.stop_deadline_s = stop_deadline_s
         self._dependencies.servers.notify_change()
 
@@ -47,34 +59,50 @@
             logs.event('request_malformed', reason=error, peer=request.peer)
             out.answer(http.HTTPStatus.BAD_REQUEST, [], str(error).encode())
             return
-        if self._dependencies.routes.configuration is None:
-            logs.event(
-                'request_refused',
-                request=decoded.request_id,
-                reason='no configuration received yet',
-            )
-            out.answer(
-                http.HTTPStatus.SERVICE_UNAVAILABLE,
-                request_execution.retry_after_headers(NOT_READY_RETRY_S),
-                b'',
-            )
+        try:
+            configuration = self._accepting_configuration()
+        except refusal.RequestRefused as refused:
+            _refuse(decoded, refused, out)
             return
-        found_route = self._dependencies.routes.find(decoded.host, decoded.path)
+        await self._route(request, decoded, configuration, out)
+
+    async def _route(
+        self,
+        raw: message.Request,
+        request: caller_request.CallerRequest,
+        configuration: route.Configuration,
+        out: reply.Reply,
+    ) -> None:
+        """Serve a request on the route that it names."""
+        found_route = self._dependencies.routes.find(request.host, request.path)
         if found_route is None:
             logs.event(
                 'route_not_found',
-                request=decoded.request_id,
-                host=decoded.host,
-                path=decoded.path,
-                version=self._dependencies.routes.configuration.version,
+                request=request.request_id,
+                host=request.host,
+                path=request.path,
+                version=configuration.version,
             )
             out.answer(http.HTTPStatus.NOT_FOUND, [], b'')
             return
         if self._is_down(found_route):
-            await self._relay(request, decoded, found_route, out)
+            await self._relay(raw, request, found_route, out)
             return
-        if not await self._execute(decoded, found_route, out):
-            await self._relay(request, decoded, found_route, out)
+        if not await self._execute(request, found_route, out):
+            await self._relay(raw, request, found_route, out)
+
+    def _accepting_configuration(self) -> route.Configuration:
+        """Return the configuration, or raise RequestRefused."""
+        if self._dependencies.now() >= self._accepts_until_s:
+            raise refusal.RequestRefused(
+                'this instance is stopping', STOPPING_RETRY_S
+            )
+        configuration = self._dependencies.routes.configuration
+        if configuration is None:
+            raise refusal.RequestRefused(
+                'no configuration received yet', NOT_READY_RETRY_S
+            )
+        return configuration
 
     def _is_down(self, request_route: route.Route) -> bool:
         """Return whether this instance reaches no server of a route."""
@@ -145,3 +173,18 @@
             if execution.has_not_run:
                 admission.give_back()
         return not execution.is_unreached
+
+
+def _refuse(
+    request: caller_request.CallerRequest,
+    refused: refusal.RequestRefused,
+    out: reply.Reply,
+) -> None:
+    logs.event(
+        'request_refused', request=request.request_id, reason=refused.reason
+    )
+    out.answer(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        request_execution.retry_after_headers(refused.retry_after_s),
+        b'',
+    )
