Refuse requests late in a stop at the own interface too

An instance of `oatcrank serve` took requests until none was under way, which may never be the case, and cut off what came after that or after the grace time. Now it refuses them with the code `stopping` once its callers should all have another address.

--- a/oatcrank/entry/caller_handler.py
+++ b/oatcrank/entry/caller_handler.py
@@ -46,6 +46,7 @@
         )
         if self.dependencies.members.own.leaving:
             self.set_header('Connection', 'close')
+        self.dependencies.check_accepting()
         self.dependencies.check_not_isolated()
 
     def on_connection_close(self) -> None:
--- a/oatcrank/entry/entry_instance.py
+++ b/oatcrank/entry/entry_instance.py
@@ -64,6 +64,7 @@
         await asyncio.sleep(
             self.settings.limits.address_keep_s + LEAVE_PROPAGATION_S,
         )
+        self.serving.accepting = False
         await self._finish_running()
         self._server.stop()
         await self._background.close()
--- a/oatcrank/entry/serving_dependencies.py
+++ b/oatcrank/entry/serving_dependencies.py
@@ -19,6 +19,8 @@
 from oatcrank.settings import settings
 
 ISOLATED_RETRY_AFTER_S = 2.0
+# Other instances can serve the request at once.
+STOPPING_RETRY_AFTER_S = float(0)
 
 ProfileByName = Mapping[ids.ProfileName, profile.Profile]
 
@@ -44,6 +46,7 @@
     claims: claims.Claims
     at_most_once_runner: at_most_once_runner.AtMostOnceRunner
     running: int = 0
+    accepting: bool = True
 
     def __post_init__(self) -> None:
         """Start without running requests."""
@@ -65,6 +68,20 @@
         """Wait until no request runs."""
         await self._idle.wait()
 
+    def check_accepting(self) -> None:
+        """Refuse requests that the end of a planned stop may cut off."""
+        if self.accepting:
+            return
+        raise refusal.Refused(
+            refusal.Refusal(
+                code=refusal.Code.stopping,
+                message='this instance stops; use another address',
+                run_state=refusal.RunState.did_not_run,
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+            ),
+        )
+
     def check_not_isolated(self) -> None:
         """Refuse requests while this instance may miss profile changes."""
         if not self.isolated():
--- a/tests/test_proof_7_planned_stop.py
+++ b/tests/test_proof_7_planned_stop.py
@@ -9,6 +9,8 @@
 from emulator import call_outcome
 
 CALLERS = 6
+# After the time for which callers keep addresses, and its margin.
+LATE_S = 3.5
 
 
 async def work(
@@ -70,6 +72,29 @@
     assert await site.entries[0].wait() == 0
 
 
+async def late_request(site: proof_site.ProofSite) -> None:
+    """Send a request after all callers should have left the instance.
+
+    The stop does not wait for the end of such a request.
+    """
+    sender = site.caller('talk', site.addresses[0])
+    asking = asyncio.create_task(
+        sender.complete(proof_site.new_completion('m-one', 'long', tokens=900))
+    )
+    while 'long' not in await proof_site.started_request_ids(site):
+        await asyncio.sleep(0)
+    site.entries[0].terminate()
+    await asyncio.sleep(LATE_S)
+    assert not asking.done()
+    late = await sender.complete(
+        proof_site.new_completion('m-one', 'late', tokens=900)
+    )
+    assert late.outcome is call_outcome.Outcome.refused, late.problem
+    assert 'late' not in await proof_site.started_request_ids(site)
+    assert (await asking).outcome is proof_site.ANSWERED
+    assert await site.entries[0].wait() == 0
+
+
 @pytest.mark.parametrize(
     'scenario',
     [
@@ -77,6 +102,7 @@
         for scenario, title in (
             (rolling, 'every entry instance is replaced under load'),
             (long_stream, 'an entry instance stops amid a long stream'),
+            (late_request, 'a request comes late in a planned stop'),
         )
     ],
 )
