Send a request only once on a connection

Cause: answers are told apart by the request's id, and a request that a full server refused was sent to it again, with that id, on the connection that was used last. A late copy of the refusal comes there first and counted as the answer to the second send.

Now an execution keeps the connections that its sends have used, and the pool hands out another one. A copy of an earlier answer can then only meet another request's id, by which it is recognised.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -33,6 +33,7 @@
     overloaded = '429 without a statement that the request was not run'
     timed_out = '408 without a statement that the request was not run'
     late_decline_first = 'a late 503 without an id, then the answer'
+    repeated_decline_first = 'its own earlier refusal again, then the answer'
     wrong_address = 'not run: another worker has the address'
     truncated = 'closes within the answer'
     truncated_stream = 'closes within the stream'
@@ -128,6 +129,10 @@
         self._writers: set[asyncio.StreamWriter] = set()
         # Those on which an earlier request was answered.
         self._reused_writers = weakref.WeakSet[asyncio.StreamWriter]()
+        # The id of the request that was last declined on a connection.
+        self._declined_id_by_writer = weakref.WeakKeyDictionary[
+            asyncio.StreamWriter, str
+        ]()
 
     async def start(self, port: int = 0) -> None:
         """Listen on a port; 0 means any free one."""
@@ -234,10 +239,7 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        if mode is AnswerMode.late_decline_first:
-            # Only an earlier request can have a late answer.
-            if writer not in self._reused_writers:
-                mode = AnswerMode.whole
+        mode = self._possible_mode(mode, request, writer)
         build = BUILDER_BY_MODE.get(mode)
         if build is not None:
             writer.write(build(self._answer_headers(request)))
@@ -262,6 +264,23 @@
         writer.transport.abort()
         return False
 
+    def _possible_mode(
+        self,
+        mode: AnswerMode,
+        request: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+    ) -> AnswerMode:
+        """Return a mode; late answers need an earlier request."""
+        request_id = request.header_by_name.get('x-request-id', '')
+        declined_id = self._declined_id_by_writer.get(writer)
+        if mode is AnswerMode.full:
+            self._declined_id_by_writer[writer] = request_id
+        if mode is AnswerMode.late_decline_first:
+            return mode if writer in self._reused_writers else AnswerMode.whole
+        if mode is AnswerMode.repeated_decline_first:
+            return mode if declined_id == request_id else AnswerMode.whole
+        return mode
+
     async def _send_stream(
         self,
         mode: AnswerMode,
@@ -396,6 +415,10 @@
     return late + _whole(headers)
 
 
+def _repeated_decline_first(headers: Headers) -> bytes:
+    return _full(headers) + _whole(headers)
+
+
 def _wrong_address(headers: Headers) -> bytes:
     return _encode_answer(
         HTTPStatus.MISDIRECTED_REQUEST, {'X-Instance-Id': 'another'}, b''
@@ -431,6 +454,7 @@
     AnswerMode.overloaded: _overloaded,
     AnswerMode.timed_out: _timed_out,
     AnswerMode.late_decline_first: _late_decline_first,
+    AnswerMode.repeated_decline_first: _repeated_decline_first,
     AnswerMode.wrong_address: _wrong_address,
     AnswerMode.duplicated: _duplicated,
     AnswerMode.late_answer_first: _late_answer_first,
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -85,10 +85,13 @@
         chosen: server.Server,
         out: reply.Reply,
         stream: resumable_stream.ResumableStream,
+        used_connections: list[backend_connection.BackendConnection],
     ) -> None:
         """Prepare a send to the chosen server.
 
-        The stream holds what earlier attempts have forwarded.
+        The stream holds what earlier attempts have forwarded. The connections
+        that they used are avoided: on these, a late copy of an earlier answer
+        can't be told from the answer to this send, as both bear the same id.
         """
         self._dependencies = dependencies
         self._request = request
@@ -96,6 +99,7 @@
         self._server = chosen
         self._out = out
         self._stream = stream
+        self._used_connections = used_connections
         self._splitter = stream.splitter
         self._links = dependencies.links.of_service(chosen.registration.service)
         self._idle_timeout_s: float | None = None
@@ -132,7 +136,8 @@
 
     async def _acquire(self) -> backend_connection.BackendConnection:
         opened = self._server.pool.opened_count
-        connection = await self._server.pool.acquire()
+        connection = await self._server.pool.acquire(self._used_connections)
+        self._used_connections.append(connection)
         if self._server.pool.opened_count != opened:
             self._links.record_connected(
                 self._server.server_id, self._dependencies.now()
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -21,7 +21,7 @@
     server_search,
 )
 from oatcrank.routing import need, route, server
-from oatcrank.transport import message, reply
+from oatcrank.transport import backend_connection, message, reply
 
 # Leaves time to forward an answer that a server sends at the deadline.
 DEADLINE_SLACK_S = 0.1
@@ -57,6 +57,7 @@
         self._sent_to_versions: list[ids.SoftwareVersion] = []
         # The servers on which the request may have run.
         self._tried_ids: list[ids.ServerId] = []
+        self._used_connections: list[backend_connection.BackendConnection] = []
         self._last_end: answer_end.AnswerEnd | None = None
         self._failed_answer: attempt.BufferedAnswer | None = None
         self._stream = resumable_stream.ResumableStream(
@@ -230,6 +231,7 @@
             chosen,
             self._out,
             self._stream,
+            self._used_connections,
         )
         began_s = self._dependencies.now()
         self._dependencies.placement_requester.record_start(
--- a/oatcrank/transport/connection_pool.py
+++ b/oatcrank/transport/connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of connections to one backend server."""
 
 import time
+from collections.abc import Collection
 
 from oatcrank.transport import backend_connection, errors
 
@@ -37,10 +38,13 @@
         """Return whether a request would need no new connection."""
         return bool(self._idle)
 
-    async def acquire(self) -> backend_connection.BackendConnection:
-        """Return a connection or raise errors.ConnectFailed."""
+    async def acquire(
+        self,
+        avoided: Collection[backend_connection.BackendConnection] = (),
+    ) -> backend_connection.BackendConnection:
+        """Return a connection that is not avoided, or raise ConnectFailed."""
         self.acquired_count += 1
-        idle = self._pop_idle()
+        idle = self._pop_idle(avoided)
         if idle is not None:
             return idle
         try:
@@ -92,6 +96,12 @@
             connection.close()
         self._idle.clear()
 
-    def _pop_idle(self) -> backend_connection.BackendConnection | None:
+    def _pop_idle(
+        self, avoided: Collection[backend_connection.BackendConnection]
+    ) -> backend_connection.BackendConnection | None:
         self.prune()
-        return self._idle.pop() if self._idle else None
+        for connection in reversed(self._idle):
+            if connection not in avoided:
+                self._idle.remove(connection)
+                return connection
+        return None
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -27,3 +27,24 @@
         assert pool.connection_count == 0
 
     virtual.run(work())
+
+
+def test_a_request_is_never_sent_twice_on_one_connection():
+    """A late copy of its first answer would be taken for the second one."""
+
+    async def work():
+        listening = await asyncio.start_server(lambda *_: None, '127.0.0.1', 0)
+        port = listening.sockets[0].getsockname()[1]
+        pool = connection_pool.ConnectionPool('127.0.0.1', port)
+        used = await pool.acquire()
+        pool.release(used)
+        other = await pool.acquire([used])
+        assert other is not used
+        pool.release(other)
+        # Later requests may use both.
+        assert {await pool.acquire(), await pool.acquire()} == {used, other}
+        assert pool.opened_count == 2
+        pool.close()
+        listening.close()
+
+    asyncio.run(work())
--- a/tests/test_not_run_promise.py
+++ b/tests/test_not_run_promise.py
@@ -10,6 +10,7 @@
 MODE = platform_worker.AnswerMode
 PROMISES = {408, 421, 429, 503}
 ONCE = {'repeatable': False, 'max_servers': 1}
+STREAM = {**ONCE, 'streaming': True}
 IDEMPOTENT = {'repeatable': True}
 
 
@@ -63,6 +64,29 @@
     forwarding_site.run(work, **ONCE)
 
 
+@pytest.mark.parametrize('route_changes', [ONCE, STREAM])
+def test_a_late_copy_of_a_decline_is_not_taken_for_the_next_answer(
+    route_changes,
+):
+    """The same request is sent again to the server that declined it.
+
+    The copy bears the id of that request, which now runs.
+    """
+
+    async def work(site):
+        (worker,) = site.workers
+        worker.next_answer_modes = [
+            MODE.full,
+            MODE.repeated_decline_first,
+            MODE.repeated_decline_first,
+        ]
+        answer = await site.ask()
+        assert answer.status in {200, 502}
+        assert site.runs() == 1
+
+    forwarding_site.run(work, workers=1, **route_changes)
+
+
 def test_a_decline_without_an_id_on_a_new_connection_counts():
     async def work(site):
         shared = [MODE.wrong_address]
--- a/tests/test_real_processes.py
+++ b/tests/test_real_processes.py
@@ -29,6 +29,7 @@
     MODE.duplicated,
     MODE.late_answer_first,
     MODE.late_decline_first,
+    MODE.repeated_decline_first,
     MODE.reset,
     MODE.truncated,
     MODE.garbage,
