Keep revisions and leases apart by the era of the store

By the same cause a configuration or registration that was written at a revision below the known one was never applied.

Cause: revisions were compared across eras, and Store-Era was not read. The former holder kept its record as the newer one, renewed its lease by number, and counted as the newer holder because of its higher token; the next one did not wait, as the restored record named an instance that had ended.

Now the client of the store puts the era before revisions and leases, so that a later era is always higher, and refuses conditions, watches and leases of an earlier one. The copy that each instance keeps is read again: what is lost was removed by nobody, and what was known to be removed is not used until it is written again. The record of the holder names its era; if that has passed, or there is no record in a store that names an era, the next holder waits 3 s, and peers confirm no holder of an earlier era. An instance removes a record of the order lease that names it without its knowing.

--- a/emulator/memory_store.py
+++ b/emulator/memory_store.py
@@ -1,13 +1,14 @@
 """In-process store of values, leases and history, with faults."""
 
 import asyncio
+import copy
 import enum
 import itertools
 
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.cluster import store
+from oatcrank.cluster import store, store_eras
 
 POLL_INTERVAL_S = 0.01
 
@@ -27,6 +28,15 @@
     term_s: float
 
 
+class Copy(msgspec.Struct, frozen=True, kw_only=True):
+    """What a copy of the store holds."""
+
+    revision: int
+    item_by_key: dict[str, store.Item]
+    lease_by_key: dict[str, ids.LeaseId]
+    lease_by_id: dict[ids.LeaseId, Lease]
+
+
 class MemoryStore:
     """Contents of the store, shared by all clients.
 
@@ -35,10 +45,11 @@
 
     def __init__(self) -> None:
         """Start empty, at revision one."""
+        self.era = store_eras.FIRST_ERA
         self.revision = 1
         self.item_by_key: dict[str, store.Item] = {}
-        self.lease_by_key: dict[str, store.LeaseId] = {}
-        self.lease_by_id: dict[store.LeaseId, Lease] = {}
+        self.lease_by_key: dict[str, ids.LeaseId] = {}
+        self.lease_by_id: dict[ids.LeaseId, Lease] = {}
         self.history: list[store.Item] = []
         self.discarded_revision = 0
         self._lease_ids = itertools.count(1)
@@ -48,6 +59,45 @@
         self.history.clear()
         self.discarded_revision = self.revision
 
+    def take_copy(self) -> Copy:
+        """Return a copy of the store as it is now."""
+        return Copy(
+            revision=self.revision,
+            item_by_key=copy.copy(self.item_by_key),
+            lease_by_key=copy.copy(self.lease_by_key),
+            lease_by_id=copy.copy(self.lease_by_id),
+        )
+
+    def return_from(self, older: Copy) -> None:
+        """Return from an older copy in a new era; leases run anew."""
+        self.era = ids.StoreEra(self.era + 1)
+        self.revision = self._renumbered(older.revision)
+        self.item_by_key = {
+            key: msgspec.structs.replace(
+                item, revision=self._renumbered(item.revision)
+            )
+            for key, item in older.item_by_key.items()
+        }
+        now_s = asyncio.get_running_loop().time()
+        self.lease_by_id = {
+            self._renewed_lease(lease_id): Lease(
+                now_s + lease.term_s, lease.term_s
+            )
+            for lease_id, lease in older.lease_by_id.items()
+        }
+        self.lease_by_key = {
+            key: self._renewed_lease(lease_id)
+            for key, lease_id in older.lease_by_key.items()
+        }
+        self.discard_history()
+
+    def _renumbered(self, revision: int) -> ids.Revision:
+        number = store_eras.revision_number(revision)
+        return store_eras.revision(self.era, number)
+
+    def _renewed_lease(self, lease_id: ids.LeaseId) -> ids.LeaseId:
+        return store_eras.lease(self.era, store_eras.lease_number(lease_id))
+
     def remove(self, key: str) -> None:
         """Remove a key, as if its lease had ended."""
         self._remove(key)
@@ -59,14 +109,14 @@
             if lease.ends_s <= now_s:
                 self.end_lease(lease_id)
 
-    def grant_lease(self, term_s: float) -> store.LeaseId:
+    def grant_lease(self, term_s: float) -> ids.LeaseId:
         """Grant a lease."""
-        lease_id = next(self._lease_ids)
+        lease_id = store_eras.lease(self.era, next(self._lease_ids))
         now_s = asyncio.get_running_loop().time()
         self.lease_by_id[lease_id] = Lease(now_s + term_s, term_s)
         return lease_id
 
-    def renew_lease(self, lease_id: store.LeaseId) -> bool:
+    def renew_lease(self, lease_id: ids.LeaseId) -> bool:
         """Renew a lease; return whether it had not ended."""
         self.expire()
         lease = self.lease_by_id.get(lease_id)
@@ -75,7 +125,7 @@
         lease.ends_s = asyncio.get_running_loop().time() + lease.term_s
         return True
 
-    def end_lease(self, lease_id: store.LeaseId) -> None:
+    def end_lease(self, lease_id: ids.LeaseId) -> None:
         """End a lease and remove its keys."""
         self.lease_by_id.pop(lease_id, None)
         for key, owner in tuple(self.lease_by_key.items()):
@@ -190,20 +240,20 @@
             raise errors.UnknownOutcome('the answer is lost')
         return revision
 
-    async def grant_lease(self, term_s: float) -> store.LeaseId:
+    async def grant_lease(self, term_s: float) -> ids.LeaseId:
         """Grant a lease."""
         self._begin_call()
         return self.shared.grant_lease(term_s)
 
     async def renew_lease(
-        self, lease_id: store.LeaseId, timeout_s: float
+        self, lease_id: ids.LeaseId, timeout_s: float
     ) -> None:
         """Renew a lease or raise LeaseEnded."""
         self._begin_call()
         if not self.shared.renew_lease(lease_id):
             raise store.LeaseEnded(str(lease_id))
 
-    async def end_lease(self, lease_id: store.LeaseId) -> None:
+    async def end_lease(self, lease_id: ids.LeaseId) -> None:
         """End a lease and remove its keys."""
         self._begin_call()
         self.shared.end_lease(lease_id)
--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -10,7 +10,7 @@
 
 from emulator import memory_store
 from oatcrank import ids
-from oatcrank.cluster import store
+from oatcrank.cluster import store, store_eras
 
 PAGE_ITEMS = 50
 
@@ -69,6 +69,7 @@
         """Set the server whose store is used."""
         self.server = server
         self.store = server.store
+        self.set_header('Store-Era', str(self.store.era))
 
     async def prepare(self) -> None:
         """Withhold the answer or fail the call if the server is set to."""
@@ -116,7 +117,7 @@
             {
                 'items': [_encode_item(item) for item in items[:PAGE_ITEMS]],
                 'has_more': len(items) > PAGE_ITEMS,
-                'store_revision': self.store.revision,
+                'store_revision': _number(self.store.revision),
             },
         )
 
@@ -129,7 +130,8 @@
         loop = asyncio.get_running_loop()
         wait_s = int(self.get_query_argument('wait_ms')) / 1000
         ends_s = loop.time() + wait_s
-        after = int(self.get_query_argument('after'))
+        number = int(self.get_query_argument('after'))
+        after = store_eras.revision(self.store.era, number)
         while True:
             try:
                 items = self.store.changes_after(after)
@@ -142,7 +144,7 @@
         await self.answer(
             {
                 'events': [_encode_item(item) for item in items],
-                'store_revision': self.store.revision,
+                'store_revision': _number(self.store.revision),
             },
         )
 
@@ -156,14 +158,18 @@
         leases = {row['lease'] for row in message['set_keys'] if row['lease']}
         transaction = store.Transaction(
             expected_revision_by_key={
-                row['key']: ids.Revision(row['revision'])
+                row['key']: self._revision(row['revision'])
                 for row in message['expected']
             },
             value_by_key={
                 row['key']: base64.b64decode(row['value'])
                 for row in message['set_keys']
             },
-            lease_id=leases.pop() if leases else store.NO_LEASE,
+            lease_id=(
+                store_eras.lease(self.store.era, leases.pop())
+                if leases
+                else store.NO_LEASE
+            ),
             leased_keys=frozenset(
                 row['key'] for row in message['set_keys'] if row['lease']
             ),
@@ -177,7 +183,12 @@
         except store.LeaseEnded:
             self.set_status(http.HTTPStatus.NOT_FOUND)
             return
-        await self.answer({'revision': revision})
+        await self.answer({'revision': _number(revision)})
+
+    def _revision(self, number: int) -> ids.Revision:
+        if number == store.ABSENT:
+            return store.ABSENT
+        return store_eras.revision(self.store.era, number)
 
 
 class LeaseHandler(_Handler):
@@ -187,7 +198,8 @@
         """Grant a lease."""
         term_ms = json.loads(self.request.body)['ttl_ms']
         lease = self.store.grant_lease(term_ms / 1000)
-        await self.answer({'lease': lease, 'ttl_ms': term_ms})
+        number = store_eras.lease_number(lease)
+        await self.answer({'lease': number, 'ttl_ms': term_ms})
 
 
 class LeaseRenewalHandler(_Handler):
@@ -195,7 +207,8 @@
 
     async def post(self, number: str) -> None:
         """Renew a lease; 404 if it has ended."""
-        if not self.store.renew_lease(int(number)):
+        lease = store_eras.lease(self.store.era, int(number))
+        if not self.store.renew_lease(lease):
             self.set_status(http.HTTPStatus.NOT_FOUND)
             return
         await self.answer({'ttl_ms': 0})
@@ -206,21 +219,26 @@
 
     async def delete(self, number: str) -> None:
         """End a lease."""
-        self.store.end_lease(int(number))
+        self.store.end_lease(store_eras.lease(self.store.era, int(number)))
         await self.answer({})
 
 
+def _number(revision: int) -> int:
+    """Return the number that the store gives to a revision in its era."""
+    return store_eras.revision_number(revision)
+
+
 def _encode_item(item: store.Item) -> dict:
     if item.value is None:
         return {
             'key': item.key,
-            'revision': item.revision,
+            'revision': _number(item.revision),
             'tombstone': True,
         }
     return {
         'key': item.key,
         'value': base64.b64encode(item.value).decode(),
-        'revision': item.revision,
-        'created_rev': item.revision,
+        'revision': _number(item.revision),
+        'created_rev': _number(item.revision),
         'lease': 0,
     }
--- a/oatcrank/cluster/lease_holder.py
+++ b/oatcrank/cluster/lease_holder.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from oatcrank import ids, logs
-from oatcrank.cluster import store
+from oatcrank.cluster import store, store_eras
 
 
 class LeaseHolder(msgspec.Struct, frozen=True, kw_only=True):
@@ -16,11 +16,15 @@
 
 
 class HolderRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """Identify the holder of the order lease as stored."""
+    """Identify the holder of the order lease as stored.
+
+    era is that of the store when the record was written.
+    """
 
     instance_id: ids.InstanceId
     started_ms: int
     peer_address: str = msgspec.field(name='peer')
+    era: ids.StoreEra = store_eras.FIRST_ERA
 
 
 def decode_record(item: store.Item) -> HolderRecord | None:
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -15,6 +15,7 @@
     peers,
     session,
     store,
+    store_eras,
     store_mirror,
 )
 from oatcrank.orders import boot_clock, lease_term, order_coordinator
@@ -58,7 +59,7 @@
         self._holder_client = holder_client.HolderClient(peer_client)
         self._may_acquire = True
         self._waits_until_s = float(0)
-        self._store_lease_id: store.LeaseId | None = None
+        self._store_lease_id: ids.LeaseId | None = None
         self._reported_holder: lease_holder.LeaseHolder | None = None
         self._acquiring = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -137,14 +138,7 @@
             return
         # Keeps sending orders until a successor requests a stop.
         try:
-            await self._store.write(
-                store.Transaction(
-                    expected_revision_by_key={
-                        HOLDER_KEY: ids.Revision(term.fence)
-                    },
-                    removed_keys=(HOLDER_KEY,),
-                ),
-            )
+            await self._store.write(_removal(term.fence))
         except errors.PlatformError as error:
             # The lease then expires with this instance's session.
             logs.event('order_lease_release_failed', error=error)
@@ -165,10 +159,14 @@
         the holder may rely on it, or asks the holder to stop.
         """
         known = self.newest_holder()
-        newest = not self._acquiring and (
-            known is None or known.fence <= query.holder.fence
+        fence = query.holder.fence
+        newest = known is None or known.fence <= fence
+        # In a later era the record of the holder may be lost, so that another
+        # instance acquires the lease without asking it.
+        is_current = store_eras.revision_era(fence) >= self._mirror.era
+        return peer_messages.Confirmation(
+            newest=newest and is_current and not self._acquiring, holder=known
         )
-        return peer_messages.Confirmation(newest=newest, holder=known)
 
     def stop_for_successor(
         self, query: peer_messages.StopQuery
@@ -195,14 +193,27 @@
     async def _step(self) -> None:
         if self._coordinator.term is not None:
             await self._renew(self._coordinator.term)
-        elif (
-            self._may_acquire
-            and self._is_candidate
-            and self._session.lease_id is not None
-        ):
+            return
+        await self._remove_own_record()
+        if self._is_candidate and self._session.lease_id is not None:
             if self._mirror.get(HOLDER_KEY) is None and self._mirror.is_loaded:
                 await self._acquire(self._session.lease_id)
 
+    async def _remove_own_record(self) -> None:
+        """Remove the record of a term that this instance does not have.
+
+        It is left over if the term ended early, or if a write of which the
+        outcome was unknown was carried out late.
+        """
+        stored = self._stored_holder()
+        if stored is None or not self._is_own(stored):
+            return
+        removed = await self._store.write(_removal(stored.fence))
+        self._mirror.apply(
+            store.Item(key=HOLDER_KEY, value=None, revision=removed)
+        )
+        logs.event('order_lease_record_removed', fence=stored.fence)
+
     @property
     def _is_candidate(self) -> bool:
         return self._may_acquire and boot_clock.now() >= self._waits_until_s
@@ -266,20 +277,21 @@
             fence=ids.Fence(term.fence),
         )
 
-    async def _acquire(self, lease_id: store.LeaseId) -> None:
+    async def _acquire(self, lease_id: ids.LeaseId) -> None:
         self._acquiring = True
         try:
             await self._write_holder(lease_id)
         finally:
             self._acquiring = False
 
-    async def _write_holder(self, lease_id: store.LeaseId) -> None:
+    async def _write_holder(self, lease_id: ids.LeaseId) -> None:
         sent_s = boot_clock.now()
         former = self._mirror.get(LAST_HOLDER_KEY)
         own = lease_holder.HolderRecord(
             instance_id=self._members.own.instance_id,
             started_ms=self._members.own.started_ms,
             peer_address=self._members.own.peer_address,
+            era=self._mirror.era,
         )
         encoded = msgspec.json.encode(own)
         try:
@@ -311,19 +323,31 @@
         self._mirror.apply(
             store.Item(key=HOLDER_KEY, value=encoded, revision=revision),
         )
+        self._store_lease_id = lease_id
+        self._begin_term(former, revision, sent_s)
+
+    def _begin_term(
+        self, former: store.Item | None, fence: ids.Revision, sent_s: float
+    ) -> None:
+        former_is_known = _is_of_era(former, store_eras.revision_era(fence))
         term = lease_term.begin(
-            fence=revision,
+            fence=fence,
             sent_s=sent_s,
             now_s=boot_clock.now(),
             own_orders_end_s=self._coordinator.last_order_s
             + self.lease_duration_s,
-            first=former is None,
+            first=former is None and former_is_known,
+            wait_s=(
+                lease_term.FORMER_STOPS_S
+                if former_is_known
+                else lease_term.UNKNOWN_FORMER_STOPS_S
+            ),
         )
-        self._store_lease_id = lease_id
         self._coordinator.begin_term(term)
         logs.event(
             'order_lease_acquired',
-            fence=revision,
+            fence=fence,
+            former_is_known=former_is_known,
             wait_s=round(term.earliest_start_s - term.acquired_s, 3),
         )
         for other in self._members.others():
@@ -332,7 +356,7 @@
                     other.peer_address, self._own_holder(term)
                 ),
             )
-        if former is not None:
+        if former is not None and former_is_known:
             self._spawn(self._request_former_stop(former, term))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
@@ -379,3 +403,22 @@
             own.instance_id,
             own.started_ms,
         )
+
+
+def _removal(fence: int) -> store.Transaction:
+    """Return the removal of the record that was written under a fence."""
+    return store.Transaction(
+        expected_revision_by_key={HOLDER_KEY: ids.Revision(fence)},
+        removed_keys=(HOLDER_KEY,),
+    )
+
+
+def _is_of_era(former: store.Item | None, era: ids.StoreEra) -> bool:
+    """Return whether the store can't have lost a later holder's record.
+
+    It may have lost it with the era before.
+    """
+    if former is None:
+        return era == store_eras.FIRST_ERA
+    record = lease_holder.decode_record(former)
+    return record is not None and record.era == era
--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank import errors, logs
+from oatcrank import errors, ids, logs
 from oatcrank.cluster import members, store, store_mirror
 from oatcrank.orders import boot_clock
 
@@ -27,7 +27,7 @@
         """Register this instance as described in members.own."""
         self._mirror = mirror
         self._failing = False
-        self.lease_id: store.LeaseId | None = None
+        self.lease_id: ids.LeaseId | None = None
         self._store = store_client
         self._members = members
         self._registered = b''
@@ -102,8 +102,9 @@
     def _forget_lease(self) -> None:
         self.lease_id = None
         self._members.record_own_lease(boot_clock.now())
+        self._wake.set()
 
-    async def _register(self, lease_id: store.LeaseId | None) -> None:
+    async def _register(self, lease_id: ids.LeaseId | None) -> None:
         encoded = msgspec.json.encode(self._members.own)
         if lease_id is None or encoded == self._registered:
             return
--- a/oatcrank/cluster/store.py
+++ b/oatcrank/cluster/store.py
@@ -6,13 +6,15 @@
 
 from oatcrank import errors, ids
 
-LeaseId = int
-NO_LEASE = 0
+NO_LEASE = ids.LeaseId(0)
 ABSENT = ids.Revision(0)
 
 
 class HistoryLost(errors.PlatformError):
-    """Raised when the changes since a revision are no longer available."""
+    """Raised when the changes since a revision are no longer available.
+
+    So it is for all revisions of an earlier era of the store.
+    """
 
 
 class LeaseEnded(errors.PlatformError):
@@ -52,7 +54,7 @@
         default_factory=dict
     )
     value_by_key: dict[str, bytes] = msgspec.field(default_factory=dict)
-    lease_id: LeaseId = NO_LEASE
+    lease_id: ids.LeaseId = NO_LEASE
     leased_keys: frozenset[str] = frozenset()
     removed_keys: tuple[str, ...] = ()
 
@@ -60,6 +62,9 @@
 class Store(abc.ABC):
     """Interface of a key-value store for small values with leases.
 
+    Revisions grow over all eras of the store, and leases of an earlier era have
+    ended: see store_eras.
+
     Every method raises errors.Unavailable if it had no effect, and
     errors.UnknownOutcome if a write may take effect now or later.
     """
@@ -84,13 +89,15 @@
         """Apply a transaction, or raise RevisionConflict or LeaseEnded."""
 
     @abc.abstractmethod
-    async def grant_lease(self, term_s: float) -> LeaseId:
+    async def grant_lease(self, term_s: float) -> ids.LeaseId:
         """Grant a lease that ends after term_s without a renewal."""
 
     @abc.abstractmethod
-    async def renew_lease(self, lease_id: LeaseId, timeout_s: float) -> None:
+    async def renew_lease(
+        self, lease_id: ids.LeaseId, timeout_s: float
+    ) -> None:
         """Renew a lease or raise LeaseEnded."""
 
     @abc.abstractmethod
-    async def end_lease(self, lease_id: LeaseId) -> None:
+    async def end_lease(self, lease_id: ids.LeaseId) -> None:
         """End a lease and remove its keys."""
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -10,6 +10,7 @@
     change_source,
     relay_follower,
     store,
+    store_eras,
     store_metrics,
 )
 from oatcrank.orders import boot_clock
@@ -30,6 +31,17 @@
     def on_change(self, item: store.Item) -> None:
         """Handle a key's newer value."""
 
+    @abc.abstractmethod
+    def on_restored(self, item: store.Item, *, removed: bool) -> None:
+        """Handle a value of a store that has returned from an older copy.
+
+        removed: the key was known to be removed.
+        """
+
+    @abc.abstractmethod
+    def on_lost(self, item: store.Item) -> None:
+        """Handle a key that a store has lost, as it returned from a copy."""
+
     @abc.abstractmethod
     def on_reconnect(self) -> None:
         """Handle the first answer of the store after an outage."""
@@ -80,6 +92,11 @@
         """Return the revision up to which all changes are known."""
         return self._revision or ids.Revision(0)
 
+    @property
+    def era(self) -> ids.StoreEra:
+        """Return the era of the store that the copy follows."""
+        return store_eras.revision_era(self._first_revision or 0)
+
     def age_s(self) -> float:
         """Return the time since the store has confirmed the copy."""
         return boot_clock.now() - self._confirmed_s
@@ -93,6 +110,8 @@
         """Return whether all changes after a revision are known."""
         if self._revision is None or self._first_revision is None:
             return False
+        if store_eras.revision_era(revision) != self.era:
+            return False
         return revision >= self._first_revision
 
     def items_after(self, revision: int) -> tuple[store.Item, ...]:
@@ -156,8 +175,7 @@
         known = self._item_by_key.get(item.key)
         if known is not None and known.revision >= item.revision:
             return
-        self._item_by_key[item.key] = item
-        self.change_count += 1
+        self._set(item)
         self._listener.on_change(item)
 
     async def _step(self) -> None:
@@ -224,21 +242,10 @@
             self._watching = None
 
     def _apply_snapshot(self, snapshot: store.Snapshot) -> None:
-        present = set()
-        for item in snapshot.items:
-            present.add(item.key)
-            self.apply(item)
-        for key, known in tuple(self._item_by_key.items()):
-            if key in present or known.value is None:
-                continue
-            if known.revision <= snapshot.revision:
-                self.apply(
-                    store.Item(
-                        key=key,
-                        value=None,
-                        revision=ids.Revision(snapshot.revision),
-                    ),
-                )
+        if self._begins_era(snapshot.revision):
+            self._restore(snapshot)
+        else:
+            self._replace(snapshot)
         if self._first_revision is None:
             self._first_revision = snapshot.revision
         self._move_to(snapshot.revision)
@@ -247,10 +254,61 @@
         self._listener.on_snapshot()
         logs.event(
             'store_read',
-            keys=len(present),
+            keys=len(snapshot.items),
             revision=snapshot.revision,
         )
 
+    def _begins_era(self, revision: ids.Revision) -> bool:
+        """Return whether the store has returned from an older copy."""
+        return (
+            self._first_revision is not None
+            and store_eras.revision_era(revision) > self.era
+        )
+
+    def _replace(self, snapshot: store.Snapshot) -> None:
+        """Apply all values, and the removal of the other keys."""
+        for item in snapshot.items:
+            self.apply(item)
+        for key in self._missing_keys(snapshot):
+            self.apply(_removal(key, snapshot.revision))
+
+    def _restore(self, snapshot: store.Snapshot) -> None:
+        """Apply what a store still has after it returned from an older copy.
+
+        What it has lost was not removed by anyone, and what it has again may
+        have been removed since the copy was made.
+        """
+        lost_keys = self._missing_keys(snapshot)
+        logs.event('store_restored', lost=len(lost_keys))
+        self._listener.on_reconnect()
+        self._first_revision = snapshot.revision
+        for item in snapshot.items:
+            known = self._item_by_key.get(item.key)
+            if known is not None and known.revision >= item.revision:
+                continue
+            removed = known is not None and known.value is None
+            self._set(item)
+            self._listener.on_restored(item, removed=removed)
+        for key in lost_keys:
+            lost = _removal(key, snapshot.revision)
+            self._set(lost)
+            self._listener.on_lost(lost)
+
+    def _missing_keys(self, snapshot: store.Snapshot) -> tuple[str, ...]:
+        """Return the known keys that were gone when a snapshot was read."""
+        present = {item.key for item in snapshot.items}
+        return tuple(
+            key
+            for key, known in self._item_by_key.items()
+            if key not in present
+            and known.value is not None
+            and known.revision <= snapshot.revision
+        )
+
+    def _set(self, item: store.Item) -> None:
+        self._item_by_key[item.key] = item
+        self.change_count += 1
+
     def _is_cancelling(self) -> bool:
         """Return whether the mirror itself is being cancelled."""
         task = asyncio.current_task()
@@ -269,3 +327,7 @@
             logs.event('dependency_lost', dependency='store', error=error)
         await asyncio.sleep(self._backoff_s * (1 + self._rng.random()))
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
+
+
+def _removal(key: str, revision: ids.Revision) -> store.Item:
+    return store.Item(key=key, value=None, revision=revision)
--- a/oatcrank/cluster/table_updater.py
+++ b/oatcrank/cluster/table_updater.py
@@ -50,6 +50,24 @@
         self._grace_ends_s = float(0)
         self._removal_reason_by_id: dict[ids.ServerId, str] = {}
 
+    def on_restored(self, item: store.Item, *, removed: bool) -> None:
+        """Apply a restored value, unless the key was known to be removed.
+
+        A server or an instance that lives registers again.
+        """
+        if removed:
+            logs.event('restored_value_ignored', key=item.key)
+            return
+        self.on_change(item)
+
+    def on_lost(self, item: store.Item) -> None:
+        """Remove a lost registration; what this system wrote is kept.
+
+        It is written again by those that know it.
+        """
+        if not crash_cause_records.is_record(item):
+            self.on_change(item)
+
     def on_change(self, item: store.Item) -> None:
         """Apply a key's newer value."""
         if item.key.startswith(session.MEMBERS_PREFIX):
@@ -78,7 +96,9 @@
         """Keep servers with expired registrations for a grace period."""
         loop = asyncio.get_running_loop()
         self._grace_ends_s = loop.time() + REREGISTRATION_GRACE_S
-        loop.call_later(REREGISTRATION_GRACE_S, self._remove_missing)
+        loop.call_at(
+            self._grace_ends_s, self._remove_missing, self._grace_ends_s
+        )
 
     def on_snapshot(self) -> None:
         """Do nothing, since each item was applied by on_change."""
@@ -92,7 +112,10 @@
             return
         self._servers.remove(removal.server_id, removal.reason)
 
-    def _remove_missing(self) -> None:
+    def _remove_missing(self, grace_ends_s: float) -> None:
+        if grace_ends_s != self._grace_ends_s:
+            # Another grace period has begun since.
+            return
         missing = self._removal_reason_by_id
         self._removal_reason_by_id = {}
         for server_id, reason in missing.items():
--- a/oatcrank/ids.py
+++ b/oatcrank/ids.py
@@ -21,4 +21,7 @@
 ChangeId = NewType('ChangeId', str)
 OrderId = NewType('OrderId', str)
 Fence = NewType('Fence', int)
+# Grows over all eras of the store.
 Revision = NewType('Revision', int)
+StoreEra = NewType('StoreEra', int)
+LeaseId = NewType('LeaseId', int)
--- a/oatcrank/orders/lease_term.py
+++ b/oatcrank/orders/lease_term.py
@@ -11,6 +11,11 @@
 VALIDITY_S = 1.2
 # A successor waits this much longer than a lease can be valid.
 SAFETY_MARGIN_S = 0.2
+# A former holder that can't be asked has stopped after this time.
+FORMER_STOPS_S = VALIDITY_S + SAFETY_MARGIN_S
+# If the store has lost who held the lease: until then all instances know that
+# it was restored, or know the new holder, and no longer confirm the former one.
+UNKNOWN_FORMER_STOPS_S = 3.0
 
 
 class LeaseTerm(msgspec.Struct, kw_only=True):
@@ -65,12 +70,14 @@
     now_s: float,
     own_orders_end_s: float,
     first: bool,
+    wait_s: float = FORMER_STOPS_S,
 ) -> LeaseTerm:
     """Return the term of a lease acquired by a write that was sent at sent_s.
 
-    A former holder that can't be asked may send orders for VALIDITY_S more.
+    A former holder may send orders for wait_s more, unless it is asked to stop.
     """
-    wait_s = float(0) if first else VALIDITY_S + SAFETY_MARGIN_S
+    if first:
+        wait_s = 0
     return LeaseTerm(
         fence=fence,
         acquired_s=now_s,
--- a/tests/cluster_parts.py
+++ b/tests/cluster_parts.py
@@ -75,9 +75,9 @@
     """One instance's components that decide whether it may send orders."""
 
     def __init__(
-        self, name: str, shared, network: PeerNetwork, number: int
+        self, name: str, client: store.Store, network: PeerNetwork, number: int
     ) -> None:
-        self.client = memory_store.MemoryClient(shared)
+        self.client = client
         own = member.Member(
             instance_id=name,
             started_ms=number,
@@ -145,11 +145,16 @@
 class Fleet:
     """A set of instances of which at most one may send orders at a time."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, new_client=None) -> None:
         self.shared = memory_store.MemoryStore()
         self.network = PeerNetwork()
+        self.new_client = new_client or (
+            lambda: memory_store.MemoryClient(self.shared)
+        )
         self.members = [
-            Member(f'instance-{number}', self.shared, self.network, number)
+            Member(
+                f'instance-{number}', self.new_client(), self.network, number
+            )
             for number in range(count)
         ]
         self.holders: list[str] = []
--- a/tests/test_crash_cause_records.py
+++ b/tests/test_crash_cause_records.py
@@ -209,3 +209,17 @@
             assert len(causes.refused()) == 2
 
     run(scenario)
+
+
+def test_what_was_refused_stays_refused_when_the_store_has_lost_its_record():
+    async def scenario(shared, instances):
+        older = shared.take_copy()
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        shared.return_from(older)
+        await asyncio.sleep(store_mirror.WATCH_WAIT_S + SYNC_S)
+        for instance in instances:
+            assert instance.refused_kinds == set(crash_causes.Kind)
+        assert set(KEYS) <= shared.item_by_key.keys()
+
+    run(scenario)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -60,7 +60,8 @@
     async def scenario():
         shared = memory_store.MemoryStore()
         network = cluster_parts.PeerNetwork()
-        instance = cluster_parts.Member('instance-0', shared, network, 0)
+        client = memory_store.MemoryClient(shared)
+        instance = cluster_parts.Member('instance-0', client, network, 0)
         instance.start()
         await asyncio.sleep(1 + late_s)
         renew = instance.client.renew_lease
--- /dev/null
+++ b/tests/test_store_eras.py
@@ -0,0 +1,257 @@
+"""Test what follows when the store returns from an older copy of itself."""
+
+import asyncio
+import contextlib
+import random
+
+import cluster_parts
+import pytest
+import virtual
+
+from emulator import memory_store, platform_store
+from oatcrank.cluster import order_lease, session, store, store_eras
+from oatcrank.platform import store_client
+
+FAULT = memory_store.StoreFault
+SEEDS = range(12)
+
+
+class OrderWatch:
+    """Check that one instance orders, under tokens that never fall."""
+
+    def __init__(self, fleet: cluster_parts.Fleet) -> None:
+        self._fleet = fleet
+        self._highest_fence = 0
+
+    async def run(self) -> None:
+        while True:
+            holder = self._fleet.holder()
+            if holder is not None:
+                fence = holder.coordinator.term.fence
+                assert fence >= self._highest_fence
+                self._highest_fence = fence
+            await asyncio.sleep(0.01)
+
+
+async def end(watching, fleet):
+    watching.cancel()
+    with contextlib.suppress(asyncio.CancelledError, AssertionError):
+        await watching
+    await fleet.stop()
+
+
+async def watch_orders(fleet, scenario):
+    """Run a scenario while the orders of a fleet are watched."""
+    fleet.start()
+    watching = asyncio.ensure_future(OrderWatch(fleet).run())
+    try:
+        await fleet.wait_for_holder(5)
+        await scenario(fleet)
+        assert not watching.done(), watching.exception()
+    finally:
+        await end(watching, fleet)
+
+
+def run_drill(scenario, count=3):
+    """Run a scenario with a store in memory."""
+    virtual.run(watch_orders(cluster_parts.Fleet(count), scenario))
+
+
+async def restart(fleet, stopped):
+    """Stop an instance as planned, and start it again."""
+    await stopped.order_lease.release()
+    await asyncio.sleep(2.5)
+    await stopped.kill()
+    own = stopped.members.own
+    started = cluster_parts.Member(
+        own.instance_id, fleet.new_client(), fleet.network, own.started_ms + 100
+    )
+    fleet.members[fleet.members.index(stopped)] = started
+    started.start()
+
+
+async def drill(fleet, older, away_s, longer_away=()):
+    """Let the store be away, and return from a copy."""
+    for instance in fleet.members:
+        instance.client.fault = FAULT.down
+    await asyncio.sleep(away_s)
+    fleet.shared.return_from(older)
+    for instance in fleet.members:
+        if instance not in longer_away:
+            instance.client.fault = FAULT.none
+
+
+def test_one_holder_orders_after_the_store_has_lost_its_record():
+    """The former holder acquired the lease beside the one that lost it."""
+
+    async def run():
+        served = platform_store.PlatformStoreServer()
+        served.start()
+        fleet = cluster_parts.Fleet(
+            3, lambda: store_client.PlatformStore(served.address)
+        )
+        fleet.shared = served.store
+
+        async def scenario(fleet):
+            older = served.store.take_copy()
+            await asyncio.sleep(1)
+            restarting = asyncio.ensure_future(
+                restart(fleet, await fleet.wait_for_holder(3))
+            )
+            await asyncio.sleep(1.5)
+            served.mode = platform_store.StoreMode.unavailable
+            await asyncio.sleep(0.5)
+            served.store.return_from(older)
+            served.mode = platform_store.StoreMode.normal
+            await restarting
+            await asyncio.sleep(5)
+            await fleet.wait_for_holder(3)
+
+        try:
+            await watch_orders(fleet, scenario)
+        finally:
+            served.stop()
+
+    asyncio.run(run())
+
+
+def test_a_holder_that_the_store_lost_before_its_first_order_keeps_others_out():
+    """Without a record of any holder, a new one must not order at once."""
+
+    async def scenario(fleet):
+        first = await fleet.wait_for_holder(3)
+        older = fleet.shared.take_copy()
+        empty = memory_store.MemoryStore().take_copy()
+        assert older.item_by_key.keys() > empty.item_by_key.keys()
+        await drill(fleet, empty, away_s=0.5, longer_away=(first,))
+        await asyncio.sleep(1)
+        first.client.fault = FAULT.none
+        await asyncio.sleep(5)
+        await fleet.wait_for_holder(1)
+
+    run_drill(scenario)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_one_holder_orders_whatever_the_store_has_lost(seed):
+    """Copies of any age return beside stops, kills and single cuts."""
+
+    async def scenario(fleet):
+        rng = random.Random(seed)
+        for _ in range(3):
+            older = fleet.shared.take_copy()
+            await asyncio.sleep(rng.uniform(0, 8))
+            chosen = rng.choice(fleet.members)
+            holder = fleet.holder() or chosen
+            stopped = rng.choice((chosen, holder))
+            restarting = asyncio.ensure_future(restart(fleet, stopped))
+            await asyncio.sleep(rng.uniform(0, 4))
+            away = rng.sample(fleet.members, rng.randrange(2))
+            await drill(fleet, older, rng.uniform(0, 1.5), away)
+            await asyncio.sleep(rng.uniform(0, 3))
+            for instance in fleet.members:
+                instance.client.fault = FAULT.none
+            await restarting
+            await asyncio.sleep(3)
+        await asyncio.sleep(5)
+        await fleet.wait_for_holder(1)
+
+    run_drill(scenario, count=3 + seed % 3)
+
+
+def test_an_instance_registers_again_after_its_registration_was_lost():
+    """Its lease goes on by its number, but what it wrote under it is lost."""
+
+    async def scenario(fleet):
+        older = fleet.shared.take_copy()
+        await asyncio.sleep(0.5)
+        for instance in fleet.members:
+            fleet.shared.put(instance.session.key, b'changed since')
+        await drill(fleet, older, away_s=0.2)
+        await asyncio.sleep(3)
+        registered = {
+            item.key
+            for item in fleet.shared.items()
+            if item.key.startswith(session.MEMBERS_PREFIX)
+        }
+        assert registered == {
+            instance.session.key for instance in fleet.members
+        }
+        for instance in fleet.members:
+            assert instance.session.lease_id is not None
+            era = store_eras.lease_era(instance.session.lease_id)
+            assert era == fleet.shared.era
+
+    run_drill(scenario)
+
+
+def with_platform_store(work):
+    """Run work(store, first client, second client) over the wire."""
+
+    async def run():
+        served = platform_store.PlatformStoreServer()
+        served.start()
+        clients = [store_client.PlatformStore(served.address) for _ in range(2)]
+        try:
+            await work(served.store, *clients)
+        finally:
+            served.stop()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('is_known', [False, True])
+def test_numbers_of_an_earlier_era_do_not_name_what_was_written_since(is_known):
+    """The store gives out lost revisions and leases again."""
+
+    async def work(kept, client, other):
+        older = kept.take_copy()
+        lost = await client.write(store.Transaction(value_by_key={'a': b'1'}))
+        lease = await client.grant_lease(5.0)
+        kept.return_from(older)
+        again = await other.write(store.Transaction(value_by_key={'a': b'2'}))
+        assert store_eras.revision_number(again) == (
+            store_eras.revision_number(lost)
+        )
+        assert again > lost
+        if is_known:
+            await client.read('a')
+        with pytest.raises(store.HistoryLost):
+            await client.watch(lost, 0.1)
+        with pytest.raises(store.RevisionConflict):
+            await client.write(
+                store.Transaction(
+                    expected_revision_by_key={'a': lost}, removed_keys=('a',)
+                )
+            )
+        kept.lease_by_id[store_eras.lease(kept.era, lease)] = (
+            memory_store.Lease(asyncio.get_running_loop().time() + 5, 5)
+        )
+        with pytest.raises(store.LeaseEnded):
+            await client.renew_lease(lease, 1.0)
+        item = await client.read('a')
+        assert (item.value, item.revision) == (b'2', again)
+
+    with_platform_store(work)
+
+
+def test_what_is_written_under_a_lease_of_another_one_does_not_count():
+    """A lease of the new era may have the number of one that was lost."""
+
+    async def work(kept, client, other):
+        older = kept.take_copy()
+        lease = await client.grant_lease(5.0)
+        kept.return_from(older)
+        kept.lease_by_id[store_eras.lease(kept.era, lease)] = (
+            memory_store.Lease(asyncio.get_running_loop().time() + 5, 5)
+        )
+        with pytest.raises(store.LeaseEnded):
+            await client.write(
+                store.Transaction(
+                    value_by_key={order_lease.HOLDER_KEY: b'me'},
+                    lease_id=lease,
+                    leased_keys=frozenset((order_lease.HOLDER_KEY,)),
+                )
+            )
+
+    with_platform_store(work)
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -108,6 +108,59 @@
     run_mirror(scenario)
 
 
+async def restore(shared, client, older):
+    """Let the store be away, and return from an older copy."""
+    await outage(client)
+    shared.return_from(older)
+    client.fault = FAULT.none
+    await asyncio.sleep(1.5)
+
+
+def test_a_value_is_followed_that_a_restored_store_numbers_below_a_lost_one():
+    async def scenario(shared, client, servers):
+        older = shared.take_copy()
+        for _ in range(9):
+            shared.put(f'{PREFIX}lost', b'x')
+        await restore(shared, client, older)
+        shared.put(f'{PREFIX}new', b'x')
+        await asyncio.sleep(1)
+        assert {'one', 'new'} <= servers.by_id.keys()
+
+    run_mirror(scenario)
+
+
+def test_a_server_that_had_left_is_not_used_again_when_its_entry_is_restored():
+    async def scenario(shared, client, servers):
+        older = shared.take_copy()
+        shared.remove(f'{PREFIX}one')
+        await asyncio.sleep(1)
+        await restore(shared, client, older)
+        assert not servers.by_id
+        shared.put(f'{PREFIX}one', b'x')
+        await asyncio.sleep(1)
+        assert set(servers.by_id) == {'one'}
+
+    run_mirror(scenario)
+
+
+@pytest.mark.parametrize('registers_again', [False, True])
+def test_a_server_whose_entry_is_lost_has_time_to_register_again(
+    registers_again,
+):
+    async def scenario(shared, client, servers):
+        older = shared.take_copy()
+        shared.put(f'{PREFIX}two', b'x')
+        await asyncio.sleep(1)
+        await restore(shared, client, older)
+        assert set(servers.by_id) == {'one', 'two'}
+        if registers_again:
+            shared.put(f'{PREFIX}two', b'x')
+        await asyncio.sleep(table_updater.REREGISTRATION_GRACE_S + 1)
+        assert ('two' in servers.by_id) == registers_again
+
+    run_mirror(scenario)
+
+
 @pytest.mark.parametrize(
     ('domain', 'ready', 'expected'),
     [
--- a/tests/test_store_relays.py
+++ b/tests/test_store_relays.py
@@ -63,6 +63,24 @@
     assert took_s <= APPLY_BOUND_S
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_changes_arrive_in_time_after_the_store_was_restored(seed):
+    """The lost history ended at a higher number than the change has."""
+
+    async def scenario(fleet):
+        older = fleet.shared.take_copy()
+        for number in range(20):
+            fleet.register_server(f'lost-{number}')
+        await asyncio.sleep(2)
+        fleet.shared.return_from(older)
+        await asyncio.sleep(fleet.rng.random())
+        fleet.register_server('new')
+        return await fleet.seconds_until_known('new', fleet.instances, 10)
+
+    took_s = relay_fleet.run(scenario, 30, 3, seed)
+    assert took_s <= APPLY_BOUND_S
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_changes_arrive_while_relays_leave(seed):
     async def scenario(fleet):
