Compare the copy with the store before assuming a stream's version

If no instance that is reached knows the origin of a stream, it was assumed when the service had a single version by this instance's copy of the store, which counts as current until a call fails, however old it is.

Now the copy must first reach the revision that the store has at that moment; take-ups that come together share the read. Records of versions count at all instances. Without the store the others are believed only if all that are asked answer.

--- a/emulator/memory_store.py
+++ b/emulator/memory_store.py
@@ -210,6 +210,11 @@
         self.shared.expire()
         return self.shared.item_by_key.get(key)
 
+    async def read_revision(self) -> ids.Revision:
+        """Return the revision of the store."""
+        self._begin_call()
+        return ids.Revision(self.shared.revision)
+
     async def read_all(self) -> store.Snapshot:
         """Return all items."""
         self._begin_call()
--- a/oatcrank/cluster/shared_stream_origins.py
+++ b/oatcrank/cluster/shared_stream_origins.py
@@ -3,7 +3,9 @@
 A caller takes a stream up at any instance, often because the one that began it
 has ended. So each origin is copied to other instances before the caller sees
 the first event. An origin that no instance knows is assumed only if the service
-has had a single software version while any stream that goes on may have begun.
+has had a single software version while any stream that goes on may have begun,
+by a copy of the store that is compared with it then: an instance that was cut
+off or suspended may not know yet that servers of another version have come.
 """
 
 import asyncio
@@ -70,15 +72,19 @@
         own = self.answer(query)
         if own.origin is not None:
             return own.origin
-        if request_id is None and self._versions.is_current:
-            return _assumed_origin(service, [own])
-        others = await self._ask_others(query)
-        for answer in others:
+        others: list[stream_origin_messages.OriginAnswer | None] = []
+        if request_id is not None or not self._versions.is_current:
+            others = await self._ask_others(query)
+        answers = [answer for answer in others if answer is not None]
+        for answer in answers:
             if answer.origin is not None:
                 return answer.origin
-        if not (others or self._versions.is_current):
-            return None
-        return _assumed_origin(service, [own, *others])
+        if await self._versions.catch_up():
+            return _assumed_origin(service, [self.answer(query), *answers])
+        if answers and len(answers) == len(others):
+            # The store is probably away for all: no one learns of new servers.
+            return _assumed_origin(service, [own, *answers])
+        return None
 
     def answer(
         self, query: stream_origin_messages.OriginQuery
@@ -104,22 +110,23 @@
 
     async def _ask_others(
         self, query: stream_origin_messages.OriginQuery
-    ) -> list[stream_origin_messages.OriginAnswer]:
-        """Return the answers up to the first that has the origin."""
+    ) -> list[stream_origin_messages.OriginAnswer | None]:
+        """Return the answers up to the first that has the origin.
+
+        None is that of an instance that was not reached.
+        """
         tasks = [
             asyncio.ensure_future(self._ask(other, query))
             for other in self._ranked_others(
                 query.request_id or query.service, ASKED_INSTANCES
             )
         ]
-        answers = []
+        answers: list[stream_origin_messages.OriginAnswer | None] = []
         try:
             for next_answer in asyncio.as_completed(tasks):
                 answer = await next_answer
-                if answer is None:
-                    continue
                 answers.append(answer)
-                if answer.origin is not None:
+                if answer is not None and answer.origin is not None:
                     break
         finally:
             for task in tasks:
--- a/oatcrank/cluster/store.py
+++ b/oatcrank/cluster/store.py
@@ -73,6 +73,10 @@
     async def read(self, key: str) -> Item | None:
         """Return a key's newest item, or None if there is none."""
 
+    @abc.abstractmethod
+    async def read_revision(self) -> ids.Revision:
+        """Return the revision of the store."""
+
     @abc.abstractmethod
     async def read_all(self) -> Snapshot:
         """Return all items."""
--- a/oatcrank/cluster/version_records.py
+++ b/oatcrank/cluster/version_records.py
@@ -7,7 +7,7 @@
 import time
 
 from oatcrank import errors, ids, logs
-from oatcrank.cluster import members, store, store_mirror
+from oatcrank.cluster import catch_up, members, store, store_mirror
 from oatcrank.routing import server_table, stream_origin_table
 
 # Followed by the service, a slash and the version.
@@ -30,20 +30,24 @@
         self._mirror = mirror
         self._members = members
         self._servers = servers
+        self._catch_up = catch_up.CatchUp(store_client, mirror)
 
     @property
     def is_current(self) -> bool:
         """Return whether this instance follows the store, as far as known."""
         return self._mirror.is_current
 
+    async def catch_up(self) -> bool:
+        """Return whether all versions are known that the store knows now."""
+        return self.is_current and await self._catch_up.run()
+
     def recent_versions(
         self, service: ids.ServiceName
     ) -> set[ids.SoftwareVersion]:
         """Return all versions that may have begun a stream that goes on."""
         since_s = time.monotonic() - stream_origin_table.STREAM_LIFETIME_S
         versions = self._servers.versions_since(service, since_s)
-        if self._servers.created_s > since_s:
-            versions.update(self._recorded_versions(service))
+        versions.update(self._recorded_versions(service))
         return versions
 
     async def run(self) -> None:
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -20,6 +20,8 @@
 MAX_SHOWN_BYTES = 200
 OK = http.HTTPStatus.OK
 ERA = b'store-era'
+# No key begins with it.
+NO_KEYS = 'no-keys/'
 NOT_EXECUTED_STATUSES = frozenset(
     (
         http.HTTPStatus.SERVICE_UNAVAILABLE,
@@ -52,6 +54,11 @@
             return None
         return _convert_item(_decode(answer, store_messages.Item), answer.era)
 
+    async def read_revision(self) -> ids.Revision:
+        """Return the revision of the store, read with a page of no items."""
+        page, era = await self._read_page(prefix=NO_KEYS)
+        return store_eras.revision(era, page.store_revision)
+
     async def read_all(self) -> store.Snapshot:
         """Return all items; pages are read at different revisions.
 
@@ -59,11 +66,13 @@
         there repeats the changes made while the pages were read.
         """
         items: list[store.Item] = []
-        page, era = await self._read_page('', None)
+        page, era = await self._read_page()
         revision = store_eras.revision(era, page.store_revision)
         items.extend(_convert_items(page.items, era))
         while page.has_more and page.items:
-            page, _ = await self._read_page(page.items[-1].key, era)
+            page, _ = await self._read_page(
+                after_key=page.items[-1].key, expected_era=era
+            )
             items.extend(_convert_items(page.items, era))
         return store.Snapshot(items=tuple(items), revision=revision)
 
@@ -166,9 +175,13 @@
                 raise store.RevisionConflict(key)
 
     async def _read_page(
-        self, after_key: str, expected_era: ids.StoreEra | None
+        self,
+        *,
+        prefix: str = '',
+        after_key: str = '',
+        expected_era: ids.StoreEra | None = None,
     ) -> tuple[store_messages.Page, ids.StoreEra]:
-        query = {'prefix': ''}
+        query = {'prefix': prefix}
         if after_key:
             query['after'] = after_key
         answer = await self._read('/kv-range', query)
--- a/tests/test_shared_stream_origins.py
+++ b/tests/test_shared_stream_origins.py
@@ -25,6 +25,14 @@
     def __init__(self):
         self.known: set[str] = set()
         self.is_current = True
+        self.is_caught_up = True
+        self.new: set[str] = set()
+
+    async def catch_up(self):
+        if not (self.is_current and self.is_caught_up):
+            return False
+        self.known |= self.new
+        return True
 
     def recent_versions(self, service):
         assert service == SERVICE
@@ -158,6 +166,36 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('request_id', ['request-1', None])
+@pytest.mark.parametrize(
+    ('is_caught_up', 'new', 'reached', 'expected'),
+    [
+        # It was suspended, and learns of the new version when it reads it.
+        (True, {'v1.1'}, 0, None),
+        (True, {'v1.1'}, 6, None),
+        (True, set(), 0, BEGUN_AT_V1),
+        # It has not noticed yet that the store does not answer, and the
+        # instances that know the origin are not reached.
+        (False, set(), 0, None),
+        (False, set(), 1, None),
+    ],
+)
+def test_an_instance_out_of_step_does_not_join_streams_of_two_versions(
+    is_caught_up, new, reached, expected, request_id
+):
+    async def scenario(instances, network):
+        first, *peers_of_first = instances
+        for instance in instances:
+            instance.versions.known = {'v1'}
+        first.versions.is_caught_up = is_caught_up
+        first.versions.new = new
+        for other in peers_of_first[reached:]:
+            network.end(other)
+        assert await first.origins.find(request_id, SERVICE) == expected
+
+    run(scenario)
+
+
 def test_an_origin_is_forgotten_after_the_lifetime_of_streams():
     table = stream_origin_table.StreamOriginTable()
     table.record('request-1', BEGUN_AT_V1, 0)
