Go on following the store beside entries that can't be read

Other operators saw instances end, or stop following the list of servers, for one odd entry of another writer: deeply nested, a number too large, a port out of range.

It can happen here. For deep nesting the decoder raises RecursionError, which nothing caught: the task that follows the store failed at that change again and again, and servers that registered later were not used. Numbers beyond 64 bits failed when they were sent to other instances, ports out of range in the request that chose the server.

Now one function decodes JSON and raises one kind of error, in all modules; registrations have bounds for numbers, ports, lengths and characters, in a module of their own; an address that is none is a failed connection; and a value that can't be applied keeps no other one from that.

--- a/oatcrank/claims/claim_log.py
+++ b/oatcrank/claims/claim_log.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from oatcrank import clock, errors, logs
+from oatcrank import clock, decoding, errors, logs
 from oatcrank.claims import claim, claim_record, claim_snapshot, claim_state
 from oatcrank.configuration import append_log
 from oatcrank.settings import claims_settings
@@ -122,7 +122,7 @@
             if text is None:
                 return
             self._apply(
-                msgspec.json.decode(text, type=claim_record.ClaimRecord),
+                decoding.from_json(text, expected=claim_record.ClaimRecord),
             )
 
     async def _append(self, record: claim_record.ClaimRecord) -> bool:
--- a/oatcrank/claims/claim_router.py
+++ b/oatcrank/claims/claim_router.py
@@ -3,7 +3,7 @@
 import msgspec
 import xxhash
 
-from oatcrank import clock, errors, ids, logs, refusal, rpc
+from oatcrank import clock, decoding, errors, ids, logs, refusal, rpc
 from oatcrank.claims import (
     claim,
     claim_forwarder,
@@ -138,7 +138,7 @@
 
 def _raise_if_platform_unavailable(error: rpc.RpcStatusError) -> None:
     try:
-        refused = msgspec.json.decode(error.body, type=refusal.Refusal)
+        refused = decoding.from_json(error.body, expected=refusal.Refusal)
     except msgspec.MsgspecError:
         return
     if refused.code is refusal.Code.platform_unavailable:
--- a/oatcrank/claims/claim_snapshot.py
+++ b/oatcrank/claims/claim_snapshot.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from oatcrank import errors
+from oatcrank import decoding, errors
 from oatcrank.claims import claim_holder, claim_snapshot_head, claim_state
 from oatcrank.store import keyvalue
 
@@ -161,9 +161,9 @@
 def _decode_head(
     entry: keyvalue.Entry,
 ) -> claim_snapshot_head.ClaimSnapshotHead:
-    return msgspec.json.decode(
+    return decoding.from_json(
         entry.value,
-        type=claim_snapshot_head.ClaimSnapshotHead,
+        expected=claim_snapshot_head.ClaimSnapshotHead,
     )
 
 
@@ -181,7 +181,7 @@
 
 
 def _decode_chunk(text: str) -> Holders:
-    chunk = msgspec.json.decode(text, type=list[ChunkItem])
+    chunk = decoding.from_json(text, expected=list[ChunkItem])
     return [
         (
             int(chunk_item.digest, claim_state.HEX_BASE),
--- a/oatcrank/claims/existing_claim.py
+++ b/oatcrank/claims/existing_claim.py
@@ -2,9 +2,7 @@
 
 import asyncio
 
-import msgspec
-
-from oatcrank import errors, ids
+from oatcrank import decoding, errors, ids
 from oatcrank.claims import (
     attempt_reply,
     claim,
@@ -109,7 +107,7 @@
 
 
 def _find_answer(text: str, digest: str) -> claimed_answer.ClaimedAnswer | None:
-    record = msgspec.json.decode(text, type=claim_record.ClaimRecord)
+    record = decoding.from_json(text, expected=claim_record.ClaimRecord)
     for entry in record.entries:
         if isinstance(entry, claim.Ended) and entry.digest == digest:
             return entry.answer
--- a/oatcrank/cluster/datagram_messages.py
+++ b/oatcrank/cluster/datagram_messages.py
@@ -53,7 +53,7 @@
     """Decode a datagram or raise Malformed."""
     try:
         return _DECODER.decode(datagram)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError, UnicodeError) as error:
         raise Malformed(str(error)) from error
 
 
--- a/oatcrank/cluster/lease_holder.py
+++ b/oatcrank/cluster/lease_holder.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import ids, logs
+from oatcrank import decoding, ids, logs
 from oatcrank.cluster import store, store_eras
 
 
@@ -30,7 +30,7 @@
 def decode_record(item: store.Item) -> HolderRecord | None:
     """Decode a store item; return None if it is malformed."""
     try:
-        return msgspec.json.decode(item.value or b'', type=HolderRecord)
+        return decoding.from_json(item.value or b'', expected=HolderRecord)
     except msgspec.MsgspecError as error:
         logs.event('holder_record_malformed', key=item.key, error=error)
         return None
--- a/oatcrank/cluster/peer_handlers.py
+++ b/oatcrank/cluster/peer_handlers.py
@@ -6,7 +6,7 @@
 import msgspec
 from tornado import web
 
-from oatcrank import logs
+from oatcrank import decoding, logs
 from oatcrank.cluster import (
     change_relay,
     crash_messages,
@@ -37,9 +37,9 @@
     async def post(self) -> None:
         """Reply to one message."""
         try:
-            message = msgspec.json.decode(
+            message = decoding.from_json(
                 self.request.body,
-                type=self._message_type,
+                expected=self._message_type,
             )
         except msgspec.MsgspecError as error:
             logs.event(
--- a/oatcrank/cluster/peers.py
+++ b/oatcrank/cluster/peers.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from oatcrank import errors
+from oatcrank import decoding, errors
 from oatcrank.cluster import (
     crash_messages,
     lease_holder,
@@ -127,7 +127,7 @@
                 f'{message_name}: {address} returned status {called.status}',
             )
         try:
-            return msgspec.json.decode(called.body, type=reply_type)
+            return decoding.from_json(called.body, expected=reply_type)
         except msgspec.MsgspecError as error:
             raise PeerUnreachable(
                 f'{message_name}: unreadable reply from {address}: {error}',
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -2,8 +2,11 @@
 
 import abc
 import asyncio
+import functools
 import math
 import random
+import traceback
+from collections.abc import Callable
 
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
@@ -175,8 +178,7 @@
         known = self._item_by_key.get(item.key)
         if known is not None and known.revision >= item.revision:
             return
-        self._set(item)
-        self._listener.on_change(item)
+        self._set(item, self._listener.on_change)
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -287,12 +289,13 @@
             if known is not None and known.revision >= item.revision:
                 continue
             removed = known is not None and known.value is None
-            self._set(item)
-            self._listener.on_restored(item, removed=removed)
+            self._set(
+                item,
+                functools.partial(self._listener.on_restored, removed=removed),
+            )
         for key in lost_keys:
             lost = _removal(key, snapshot.revision)
-            self._set(lost)
-            self._listener.on_lost(lost)
+            self._set(lost, self._listener.on_lost)
 
     def _missing_keys(self, snapshot: store.Snapshot) -> tuple[str, ...]:
         """Return the known keys that were gone when a snapshot was read."""
@@ -305,9 +308,20 @@
             and known.revision <= snapshot.revision
         )
 
-    def _set(self, item: store.Item) -> None:
+    def _set(
+        self, item: store.Item, notify: Callable[[store.Item], None]
+    ) -> None:
+        """Keep an item and pass it on; no item may keep others from that."""
         self._item_by_key[item.key] = item
         self.change_count += 1
+        try:
+            notify(item)
+        except Exception:
+            logs.event(
+                'store_item_not_applied',
+                key=item.key,
+                error=traceback.format_exc(),
+            )
 
     def _is_cancelling(self) -> bool:
         """Return whether the mirror itself is being cancelled."""
--- a/oatcrank/cluster/table_updater.py
+++ b/oatcrank/cluster/table_updater.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank import ids, logs
+from oatcrank import decoding, ids, logs
 from oatcrank.cluster import (
     codec,
     crash_cause_records,
@@ -130,7 +130,7 @@
             logs.event('member_removed', member=instance_id)
             return
         try:
-            registered = msgspec.json.decode(item.value, type=member.Member)
+            registered = decoding.from_json(item.value, expected=member.Member)
         except msgspec.MsgspecError as error:
             logs.event('member_malformed', key=item.key, error=error)
             self._members.remove(instance_id)
--- a/oatcrank/commands/operator_client.py
+++ b/oatcrank/commands/operator_client.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from oatcrank import errors, ids, refusal, rpc
+from oatcrank import decoding, errors, ids, refusal, rpc
 from oatcrank.commands import command
 
 TIMEOUT_S = 15.0
@@ -51,7 +51,7 @@
     body = None if message is None else msgspec.json.encode(message)
     try:
         text = asyncio.run(_fetch(address, method, path, body))
-        return msgspec.json.decode(text, type=answer_type)
+        return decoding.from_json(text, expected=answer_type)
     except rpc.RpcStatusError as error:
         raise _failed(error) from error
     except errors.Unavailable as error:
@@ -94,7 +94,7 @@
     elif error.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         status = command.ExitStatus.unavailable
     try:
-        refused = msgspec.json.decode(error.body, type=RefusalText)
+        refused = decoding.from_json(error.body, expected=RefusalText)
     except msgspec.MsgspecError:
         return CommandFailed(status, str(error))
     return CommandFailed(status, f'{refused.code.value}: {refused.message}')
--- a/oatcrank/configuration/change_log.py
+++ b/oatcrank/configuration/change_log.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from oatcrank import clock, errors, ids
+from oatcrank import clock, decoding, errors, ids
 from oatcrank.configuration import (
     append_log,
     applied_change,
@@ -197,7 +197,7 @@
 def decode_record(text: str) -> change.Change:
     """Decode a record of the log; raises errors.Unavailable if invalid."""
     try:
-        return msgspec.json.decode(text, type=change.Change)
+        return decoding.from_json(text, expected=change.Change)
     except msgspec.MsgspecError as error:
         raise errors.Unavailable(f'invalid change record: {error}') from error
 
--- a/oatcrank/configuration/snapshot_store.py
+++ b/oatcrank/configuration/snapshot_store.py
@@ -3,7 +3,7 @@
 import msgspec
 import xxhash
 
-from oatcrank import errors, logs
+from oatcrank import decoding, errors, logs
 from oatcrank.configuration import (
     _chunks,
     change,
@@ -92,7 +92,7 @@
         last = (number + size - 1) // size * size
         text = await _chunks.read(self._store, f'segments/{last}')
         if text is not None:
-            records = msgspec.json.decode(text, type=tuple[str, ...])
+            records = decoding.from_json(text, expected=tuple[str, ...])
             return tuple(
                 change_log.decode_record(record)
                 for record in records[number - 1 - last :]
@@ -109,7 +109,7 @@
                 f'snapshot {pointer.prefix} is not visible yet'
             )
         try:
-            base = msgspec.json.decode(text, type=snapshot.Snapshot)
+            base = decoding.from_json(text, expected=snapshot.Snapshot)
         except msgspec.MsgspecError as error:
             raise errors.Unavailable(f'invalid snapshot: {error}') from error
         self._log.restore(base)
@@ -136,9 +136,9 @@
         entry = await self._store.get(POINTER_KEY)
         if entry is None:
             return None, None
-        pointer = msgspec.json.decode(
+        pointer = decoding.from_json(
             entry.value,
-            type=snapshot_pointer.SnapshotPointer,
+            expected=snapshot_pointer.SnapshotPointer,
         )
         return pointer, entry
 
--- a/oatcrank/control/lease.py
+++ b/oatcrank/control/lease.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from oatcrank import clock, errors, ids, logs
+from oatcrank import clock, decoding, errors, ids, logs
 from oatcrank.control import leadership, lease_record
 from oatcrank.store import keyvalue
 
@@ -199,6 +199,8 @@
 
 def _decode(entry: keyvalue.Entry) -> lease_record.LeaseRecord:
     try:
-        return msgspec.json.decode(entry.value, type=lease_record.LeaseRecord)
+        return decoding.from_json(
+            entry.value, expected=lease_record.LeaseRecord
+        )
     except msgspec.MsgspecError as error:
         raise errors.Unavailable(f'invalid lease record: {error}') from error
--- a/oatcrank/control/plan_codec.py
+++ b/oatcrank/control/plan_codec.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from oatcrank import ids
+from oatcrank import decoding, ids
 from oatcrank.control import plan, superseded_controller
 
 Name = TypeVar('Name')
@@ -71,7 +71,7 @@
 
 def decode(text: str) -> plan.Plan:
     """Return the plan in the text; raises msgspec.MsgspecError."""
-    document = msgspec.json.decode(text, type=_Document)
+    document = decoding.from_json(text, expected=_Document)
     return plan.Plan(
         pool=document.pool,
         fence=document.fence,
--- a/oatcrank/engines/engine_http.py
+++ b/oatcrank/engines/engine_http.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import errors, ids, rpc
+from oatcrank import decoding, errors, ids, rpc
 from oatcrank.engines import engine, order
 from oatcrank.store import platform_call
 
@@ -47,7 +47,7 @@
             body = await platform_call.read(
                 self._client, self._address, '/v1/report', timeout_s=timeout_s
             )
-            return msgspec.json.decode(body, type=engine.EngineReport)
+            return decoding.from_json(body, expected=engine.EngineReport)
         except (rpc.RpcStatusError, msgspec.MsgspecError) as error:
             raise errors.Unavailable(f'report: {error}') from error
 
@@ -67,6 +67,6 @@
 
 def _current_fence(error: rpc.RpcStatusError) -> ids.Revision:
     try:
-        return msgspec.json.decode(error.body, type=_OutdatedFence).fence
+        return decoding.from_json(error.body, expected=_OutdatedFence).fence
     except msgspec.MsgspecError:
         return ids.Revision(0)
--- a/oatcrank/entry/_entry_serving.py
+++ b/oatcrank/entry/_entry_serving.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank import ids
+from oatcrank import decoding, ids
 from oatcrank.claims import at_most_once_runner, claims
 from oatcrank.control import plan, plan_view
 from oatcrank.engines import adapter_loader, backend_server, engine, engine_http
@@ -186,7 +186,7 @@
 
     def on_document(received: document.Document) -> None:
         if received.name != own_name:
-            counts = msgspec.json.decode(received.text, type=dict[str, int])
+            counts = decoding.from_json(received.text, expected=dict[str, int])
             suspects.update_from_peer(received.name, counts)
 
     platform.documents.add_listener(SUSPECTS_PREFIX, on_document)
--- a/oatcrank/entry/json_handler.py
+++ b/oatcrank/entry/json_handler.py
@@ -7,7 +7,7 @@
 import msgspec
 from tornado import web
 
-from oatcrank import logs, refusal
+from oatcrank import decoding, logs, refusal
 
 Message = TypeVar('Message')
 
@@ -18,7 +18,7 @@
     def decode(self, message_type: type[Message]) -> Message:
         """Return the body as a message, or refuse it as a bad request."""
         try:
-            return msgspec.json.decode(self.request.body, type=message_type)
+            return decoding.from_json(self.request.body, expected=message_type)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise refusal.Refused(
                 refusal.Refusal(
--- a/oatcrank/entry/upstream_connection.py
+++ b/oatcrank/entry/upstream_connection.py
@@ -114,14 +114,15 @@
         return self._closed_here or stream.error is not None
 
     async def _connect(self, address: str) -> iostream.IOStream:
-        host, port = address.rsplit(':', 1)
+        host, _, port = address.rpartition(':')
         try:
             self._stream = await tcpclient.TCPClient().connect(
                 host,
                 int(port),
                 timeout=rpc.CONNECT_TIMEOUT_S,
             )
-        except (OSError, iostream.StreamClosedError) as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # The last two: the address is none.
             raise errors.NotStarted(f'{address}: {error}') from error
         self._stream.set_nodelay(True)
         return self._stream
--- a/oatcrank/membership/membership.py
+++ b/oatcrank/membership/membership.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from oatcrank import clock, errors, logs, rpc
+from oatcrank import clock, decoding, errors, logs, rpc
 from oatcrank.configuration import change_follower
 from oatcrank.membership import (
     documents,
@@ -285,7 +285,7 @@
         )
         self.bytes_received += len(reply)
         try:
-            return msgspec.json.decode(reply, type=reply_type)
+            return decoding.from_json(reply, expected=reply_type)
         except msgspec.MsgspecError as error:
             raise errors.UnknownOutcome(f'unreadable reply: {error}') from error
 
@@ -326,7 +326,9 @@
         own_name = f'{roster.MEMBER_PREFIX}{self._own.instance_id}'
         for document in received.documents:
             if document.name == own_name:
-                known = msgspec.json.decode(document.text, type=member.Member)
+                known = decoding.from_json(
+                    document.text, expected=member.Member
+                )
                 if known != self._own and (
                     known.incarnation >= self._own.incarnation
                 ):
--- a/oatcrank/membership/roster.py
+++ b/oatcrank/membership/roster.py
@@ -1,8 +1,6 @@
 """Track the known members and which of them are in the own cell."""
 
-import msgspec
-
-from oatcrank import clock, ids
+from oatcrank import clock, decoding, ids
 from oatcrank.membership import (
     cells,
     documents,
@@ -55,7 +53,7 @@
     def known_members(self) -> tuple[member.Member, ...]:
         """Return every member that has a document."""
         return tuple(
-            msgspec.json.decode(document.text, type=member.Member)
+            decoding.from_json(document.text, expected=member.Member)
             for document in self._documents.with_prefix(MEMBER_PREFIX)
         )
 
--- a/oatcrank/platform/codec.py
+++ b/oatcrank/platform/codec.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from oatcrank import ids, logs
+from oatcrank import decoding, ids, logs
 from oatcrank.cluster import codec, store
 from oatcrank.organisations import key_table, organisation
-from oatcrank.platform import configuration_messages, registration_messages
-from oatcrank.routing import route, server_registration
+from oatcrank.platform import configuration_messages, registration_codec
+from oatcrank.routing import route
 from oatcrank.transport import limits
 
 CONFIGURATION_KEY = 'op/config'
@@ -23,7 +23,6 @@
 IDEMPOTENT = 'idempotent'
 STREAMING = 'streaming'
 KINDS = frozenset((IDEMPOTENT, 'non_idempotent', STREAMING))
-STATES = frozenset(('ready', 'draining'))
 
 
 class PlatformCodec(codec.Codec):
@@ -34,7 +33,8 @@
         if item.key == CONFIGURATION_KEY:
             return _decode_configuration(item)
         if item.key.startswith(SERVERS_PREFIX):
-            return _decode_registration(item)
+            server_id = ids.ServerId(item.key.removeprefix(SERVERS_PREFIX))
+            return registration_codec.decode(server_id, item.value)
         return None
 
 
@@ -42,8 +42,8 @@
     if item.value is None:
         return None
     try:
-        configuration = msgspec.json.decode(
-            item.value, type=configuration_messages.Configuration
+        configuration = decoding.from_json(
+            item.value, expected=configuration_messages.Configuration
         )
     except msgspec.MsgspecError as error:
         logs.event('configuration_unreadable', error=error)
@@ -158,44 +158,3 @@
         max_adapters=definition.max_adapters,
         store_loads_per_s=definition.loads_per_s,
     )
-
-
-def _decode_registration(
-    item: store.Item,
-) -> server_registration.Registration | codec.ServerRemoval:
-    server_id = ids.ServerId(item.key.removeprefix(SERVERS_PREFIX))
-    if item.value is None:
-        return codec.ServerRemoval(server_id, 'registration ended')
-    try:
-        entry = msgspec.json.decode(
-            item.value, type=registration_messages.Registration
-        )
-        return _convert_registration(server_id, entry)
-    except (msgspec.MsgspecError, ValueError) as error:
-        logs.event('registration_unreadable', server=server_id, error=error)
-        return codec.ServerRemoval(server_id, 'registration unreadable')
-
-
-def _convert_registration(
-    server_id: ids.ServerId, entry: registration_messages.Registration
-) -> server_registration.Registration:
-    if entry.state not in STATES:
-        raise ValueError(f'unknown state {entry.state}')
-    host, _, port = entry.address.rpartition(':')
-    if not host:
-        raise ValueError(f'no address: {entry.address}')
-    return server_registration.Registration(
-        server_id=server_id,
-        started_ms=entry.born,
-        service=ids.ServiceName(entry.backend),
-        host=host,
-        port=int(port),
-        failure_domain=ids.FailureDomain(entry.zone),
-        slots=entry.slots,
-        leaving=entry.state == 'draining',
-        software_version=ids.SoftwareVersion(entry.version),
-        orders_taken=entry.seq,
-        adapters_by_model=registration_messages.held_adapters(entry.models),
-        cached_in_memory=tuple(map(ids.ModelName, entry.at_hand.in_memory)),
-        cached_on_disk=tuple(map(ids.ModelName, entry.at_hand.on_disk)),
-    )
--- a/oatcrank/platform/registration_messages.py
+++ b/oatcrank/platform/registration_messages.py
@@ -1,9 +1,22 @@
 """Define the registration format of the platform's workers."""
 
+from typing import Annotated
+
 import msgspec
 
 from oatcrank import ids
 
+MAX_SLOTS = 100_000
+# Larger numbers can't be sent to other instances.
+NUMBER_BITS = 53
+MAX_NUMBER = 2**NUMBER_BITS
+# Versions are parts of keys of the store, which are short.
+MAX_VERSION_LENGTH = 100
+
+Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Version = Annotated[str, msgspec.Meta(max_length=MAX_VERSION_LENGTH)]
+
 
 class HeldModel(msgspec.Struct):
     """Model that a worker holds, with its loaded adapters."""
@@ -26,14 +39,14 @@
     backend: str
     address: str
     zone: str
-    slots: int
+    slots: Slots
     state: str
     # Version of the worker's software, not of its weights.
-    version: str = ''
+    version: Version = ''
     # Start time of the worker in Unix milliseconds.
-    born: int = 0
+    born: Number = 0
     # Number of accepted orders.
-    seq: int = 0
+    seq: Number = 0
     models: list[HeldModel] = []
     at_hand: CachedModels = msgspec.field(default_factory=CachedModels)
 
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from oatcrank import errors, ids, logs
+from oatcrank import decoding, errors, ids, logs
 from oatcrank.cluster import store, store_eras, store_metrics
 from oatcrank.platform import store_messages
 from oatcrank.transport import calls, message
@@ -276,7 +276,7 @@
             f'status {answer.status}: {answer.body[:MAX_SHOWN_BYTES]!r}',
         )
     try:
-        return msgspec.json.decode(answer.body, type=expected)
+        return decoding.from_json(answer.body, expected=expected)
     except msgspec.MsgspecError as error:
         raise errors.Unavailable(f'unreadable answer: {error}') from error
 
--- a/oatcrank/platform/worker_order_sender.py
+++ b/oatcrank/platform/worker_order_sender.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from oatcrank import errors, ids, logs
+from oatcrank import decoding, errors, ids, logs
 from oatcrank.orders import order
 from oatcrank.platform import platform_protocol, registration_messages
 from oatcrank.routing import server_registration
@@ -53,12 +53,12 @@
 class _ReportBody(msgspec.Struct):
     busy: bool
     # Number of accepted orders.
-    seq: int
+    seq: registration_messages.Number
     models: list[registration_messages.HeldModel] = []
     # Adapters being loaded, each as MODEL/NAME@VERSION.
     coming: list[str] = []
     # Start time of the worker in Unix milliseconds.
-    born: int | None = None
+    born: registration_messages.Number | None = None
 
 
 class _WorkerPool(msgspec.Struct):
@@ -148,7 +148,7 @@
                     status=response.status,
                 )
                 return None
-            body = msgspec.json.decode(response.body, type=_ReportBody)
+            body = decoding.from_json(response.body, expected=_ReportBody)
         except (errors.BackendError, msgspec.MsgspecError) as error:
             logs.event(
                 'report_failed', server=registration.server_id, error=error
--- a/oatcrank/rpc.py
+++ b/oatcrank/rpc.py
@@ -6,7 +6,7 @@
 import msgspec
 from tornado import httpclient, simple_httpclient
 
-from oatcrank import errors
+from oatcrank import decoding, errors
 
 MAX_CONNECTIONS = 20_000
 CONNECT_TIMEOUT_S = 1.0
@@ -106,7 +106,8 @@
     ) -> httpclient.HTTPResponse:
         try:
             return await self._client.fetch(request, raise_error=False)
-        except ConnectionRefusedError as error:
+        except (ConnectionRefusedError, OverflowError, ValueError) as error:
+            # The last two: the address is none.
             raise errors.Unavailable(f'{request.url}: {error}') from error
         except simple_httpclient.HTTPTimeoutError as error:
             raise _timeout_error(request, error) from error
@@ -127,6 +128,6 @@
 
 def _decoded(body: bytes, answer_type: type[Answer]) -> Answer:
     try:
-        return msgspec.json.decode(body, type=answer_type)
+        return decoding.from_json(body, expected=answer_type)
     except msgspec.MsgspecError as error:
         raise errors.UnknownOutcome(f'unreadable answer: {error}') from error
--- a/oatcrank/store/instance_list_http.py
+++ b/oatcrank/store/instance_list_http.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import errors, rpc
+from oatcrank import decoding, errors, rpc
 from oatcrank.membership import instance_list
 from oatcrank.store import platform_call
 
@@ -35,6 +35,6 @@
                 '/v1/instances',
                 timeout_s=self._timeout_s,
             )
-            return msgspec.json.decode(body, type=_Listing).instances
+            return decoding.from_json(body, expected=_Listing).instances
         except (rpc.RpcStatusError, msgspec.MsgspecError) as error:
             raise errors.Unavailable(f'instance list: {error}') from error
--- a/oatcrank/store/keyvalue_http.py
+++ b/oatcrank/store/keyvalue_http.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from oatcrank import errors, ids, rpc
+from oatcrank import decoding, errors, ids, rpc
 from oatcrank.store import keyvalue, platform_call
 
 
@@ -108,13 +108,13 @@
 
 def _decode_entry(body: bytes) -> keyvalue.Entry:
     try:
-        return msgspec.json.decode(body, type=keyvalue.Entry)
+        return decoding.from_json(body, expected=keyvalue.Entry)
     except msgspec.MsgspecError as error:
         raise errors.Unavailable(f'unreadable entry: {error}') from error
 
 
 def _decode_written(body: bytes) -> _Written:
     try:
-        return msgspec.json.decode(body, type=_Written)
+        return decoding.from_json(body, expected=_Written)
     except msgspec.MsgspecError as error:
         raise errors.UnknownOutcome(f'unreadable answer: {error}') from error
--- a/oatcrank/store/weight_store_http.py
+++ b/oatcrank/store/weight_store_http.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from oatcrank import errors, rpc
+from oatcrank import decoding, errors, rpc
 from oatcrank.store import platform_call, weight_store
 
 
@@ -30,6 +30,6 @@
                 '/v1/catalogue',
                 timeout_s=self._timeout_s,
             )
-            return msgspec.json.decode(body, type=weight_store.Catalogue)
+            return decoding.from_json(body, expected=weight_store.Catalogue)
         except (rpc.RpcStatusError, msgspec.MsgspecError) as error:
             raise errors.Unavailable(f'weight store: {error}') from error
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -279,6 +279,7 @@
             )
     except ConnectionRefusedError as error:
         raise errors.ConnectionRefused(f'{host}:{port}: {error!r}') from error
-    except (OSError, TimeoutError) as error:
+    except (OSError, OverflowError, ValueError) as error:
+        # The last two: the address is none.
         raise errors.ConnectFailed(f'{host}:{port}: {error!r}') from error
     return connection
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -141,3 +141,26 @@
     with pytest.raises(errors.Interrupted):
         asyncio.run(run())
     assert sent_bytes < 20_000_000
+
+
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:65536', '127.0.0.1:x', '127.0.0.1', 'a..b:80']
+)
+def test_a_request_to_an_address_that_is_none_was_not_sent(address):
+    async def probe() -> bool:
+        return True
+
+    connection = upstream_connection.UpstreamConnection(
+        lambda status, headers: None, lambda chunk: None
+    )
+    with pytest.raises(errors.NotStarted):
+        asyncio.run(
+            connection.run(
+                address,
+                httputil.RequestStartLine('GET', '/x', ''),
+                httputil.HTTPHeaders(),
+                b'',
+                permit=permit.UnrestrictedPermit(),
+                probe=probe,
+            )
+        )
