Read the body of a request that offers an upgrade as its body

Cause: the parser ends such a message after its head, whatever its length says, and the rest was taken for the next request.

Now the parser gets the head again without the offer, and then the rest. What follows a CONNECT is no request either: it is answered 501, and the connection closes.

--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -15,6 +15,7 @@
 BODY_TIMEOUT_S = 15.0
 # Time for the caller to read the last answer before the connection closes.
 LINGER_S = 2.0
+CONNECT = b'CONNECT'
 
 
 class Handler(abc.ABC):
@@ -99,16 +100,29 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
-            # Upgrades are ignored; the rest of the data is the next request.
-            self._new_parser()
-            rest = data[upgrade.args[0] :]
-            if rest:
-                self._parse(rest)
+            self._ignore_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             self._refuse(http.HTTPStatus.BAD_REQUEST, str(error))
         if not self._headers_done:
             self._check_header_size()
 
+    def _ignore_upgrade(self, rest: bytes) -> None:
+        """Read a request again without its offer to upgrade.
+
+        With the offer, the parser takes its body for another protocol.
+        """
+        if self._parser.get_method() == CONNECT:
+            self._refuse(http.HTTPStatus.NOT_IMPLEMENTED, 'no tunnels')
+            return
+        head = message.encode_head_without_upgrade(
+            self._parser.get_method(),
+            self._target,
+            self._parser.get_http_version(),
+            self._headers,
+        )
+        self._new_parser()
+        self._parse(head + rest)
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -125,6 +139,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the header size; answer 100 Continue if expected."""
+        if self._parser.should_upgrade():
+            return
         self._headers_done = True
         size = len(self._target) + sum(
             len(name) + len(text) + 4 for name, text in self._headers
@@ -150,7 +166,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request."""
-        if self._closing:
+        if self._closing or self._parser.should_upgrade():
             return
         self._reading = False
         self._pending.append(
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -45,6 +45,87 @@
     forwarding_site.run(work)
 
 
+OFFER = {
+    'connection': 'Upgrade, HTTP2-Settings',
+    'upgrade': 'h2c',
+    'http2_settings': 'AAMAAABkAAQAAP__',
+}
+SMUGGLED = forwarding_site.request(x_request_id='smuggled')
+
+
+def chunked(body: bytes, **headers) -> bytes:
+    """Return a request whose body is sent in two chunks."""
+    head = forwarding_site.request(
+        body=b'', transfer_encoding='chunked', **headers
+    )
+    head = head.replace(b'Content-Length: 0\r\n', b'')
+    middle = len(body) // 2
+    chunks = [body[:middle], body[middle:], b'']
+    return head + b''.join(
+        b'%x\r\n%s\r\n' % (len(chunk), chunk) for chunk in chunks
+    )
+
+
+@pytest.mark.parametrize('piece_bytes', [1, 7, 10000])
+@pytest.mark.parametrize('encode', [forwarding_site.request, chunked])
+@pytest.mark.parametrize(
+    'offer',
+    [
+        OFFER,
+        {**OFFER, 'connection': 'keep-alive, upgrade'},
+        {**OFFER, 'upgrade': 'websocket'},
+        {'upgrade': 'h2c'},
+        {},
+    ],
+)
+def test_the_body_of_a_request_that_offers_an_upgrade_is_its_body(
+    offer, encode, piece_bytes
+):
+    """It was run as a request of its own, under an id that nobody sent."""
+
+    async def work(site):
+        caller = await forwarding_site.Caller.open(site.port)
+        text = encode(body=SMUGGLED, **offer)
+        text += forwarding_site.request(x_request_id='request-2')
+        for begin in range(0, len(text), piece_bytes):
+            caller.writer.write(text[begin : begin + piece_bytes])
+            await caller.writer.drain()
+        answers = [await caller.read(), await caller.read()]
+        caller.close()
+        assert [answer.status for answer in answers] == [200, 200]
+        received = [
+            (request.header_by_name['x-request-id'], request.body)
+            for worker in site.workers
+            for request in worker.received_requests
+        ]
+        assert sorted(received) == [
+            ('request-1', SMUGGLED),
+            ('request-2', b'hello'),
+        ]
+
+    forwarding_site.run(work)
+
+
+def test_the_close_of_a_request_that_offers_an_upgrade_is_kept():
+    async def work(site):
+        answer = await site.ask(**{**OFFER, 'connection': 'upgrade, close'})
+        assert answer.status == 200
+        assert answer.header_by_name['connection'] == 'close'
+
+    forwarding_site.run(work)
+
+
+def test_what_follows_a_request_for_a_tunnel_is_no_request():
+    async def work(site):
+        text = forwarding_site.request(method='CONNECT', body=b'') + SMUGGLED
+        answer = await site.ask(text)
+        assert answer.status == 501
+        await asyncio.sleep(0.1)
+        assert site.runs() == 0
+
+    forwarding_site.run(work)
+
+
 def test_bad_input_does_not_affect_other_connections():
     async def work(site):
         site.limits = SMALL
