Ask the others about versions if the copy can't be compared

A stream without the id of its first request was refused while the store did not answer and this instance had not noticed yet, though the others could tell that there is a single version.

--- a/oatcrank/cluster/shared_stream_origins.py
+++ b/oatcrank/cluster/shared_stream_origins.py
@@ -72,14 +72,14 @@
         own = self.answer(query)
         if own.origin is not None:
             return own.origin
-        others: list[stream_origin_messages.OriginAnswer | None] = []
-        if request_id is not None or not self._versions.is_current:
-            others = await self._ask_others(query)
+        if request_id is None and await self._versions.catch_up():
+            return _assumed_origin(service, [self.answer(query)])
+        others = await self._ask_others(query)
         answers = [answer for answer in others if answer is not None]
         for answer in answers:
             if answer.origin is not None:
                 return answer.origin
-        if await self._versions.catch_up():
+        if request_id is not None and await self._versions.catch_up():
             return _assumed_origin(service, [self.answer(query), *answers])
         if answers and len(answers) == len(others):
             # The store is probably away for all: no one learns of new servers.
