Restart the watch when the store has ended this instance's lease

A restored store may never answer a watch of the history that it has lost, so that an instance kept its copy of the lost history for up to 11.5 s, and with it the record of a holder that had stopped.

tests/test_session.py: the new test failed before.

--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -102,6 +102,8 @@
     def _forget_lease(self) -> None:
         self.lease_id = None
         self._members.record_own_lease(boot_clock.now())
+        # The store may have been restored, and the watch may wait in vain.
+        self._failing = True
         self._wake.set()
 
     async def _register(self, lease_id: ids.LeaseId | None) -> None:
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -79,3 +79,33 @@
         await instance.kill()
 
     virtual.run(scenario())
+
+
+def test_the_watch_is_restarted_when_the_store_has_ended_a_lease():
+    """A restored store may never answer a watch of the history it has lost."""
+
+    async def scenario():
+        shared = memory_store.MemoryStore()
+        client = memory_store.MemoryClient(shared)
+        instance = cluster_parts.Member(
+            'instance-0', client, cluster_parts.PeerNetwork(), 0
+        )
+        instance.start()
+        await asyncio.sleep(1)
+        older = shared.take_copy()
+        watch = client.watch
+
+        async def hang(after, wait_s):
+            client.watch = watch
+            await asyncio.sleep(wait_s)
+            return await watch(after, wait_s)
+
+        client.watch = hang
+        shared.put('a', b'1')
+        await asyncio.sleep(0.2)
+        shared.return_from(older)
+        await asyncio.sleep(2 * session.RENEW_INTERVAL_S)
+        assert instance.mirror.era == shared.era
+        await instance.kill()
+
+    virtual.run(scenario())
