--- a/emulator/memory_store.py
+++ b/emulator/memory_store.py
@@ -45,7 +45,7 @@
 
     def __init__(self) -> None:
         """Start empty, at revision one."""
-        self.era = store_eras.FIRST_ERA
+        self.era = store_eras.UNNAMED_ERA
         self.revision = 1
         self.item_by_key: dict[str, store.Item] = {}
         self.lease_by_key: dict[str, ids.LeaseId] = {}
--- a/oatcrank/cluster/catch_up.py
+++ b/oatcrank/cluster/catch_up.py
@@ -46,4 +46,4 @@
         except (TimeoutError, errors.PlatformError) as error:
             logs.event('store_catch_up_failed', error=repr(error))
             return False
-        return True
+        return self._mirror.revision >= revision
--- a/oatcrank/cluster/lease_holder.py
+++ b/oatcrank/cluster/lease_holder.py
@@ -24,7 +24,7 @@
     instance_id: ids.InstanceId
     started_ms: int
     peer_address: str = msgspec.field(name='peer')
-    era: ids.StoreEra = store_eras.FIRST_ERA
+    era: ids.StoreEra = store_eras.UNNAMED_ERA
 
 
 def decode_record(item: store.Item) -> HolderRecord | None:
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -329,7 +329,7 @@
     def _begin_term(
         self, former: store.Item | None, fence: ids.Revision, sent_s: float
     ) -> None:
-        former_is_known = _is_of_era(former, store_eras.revision_era(fence))
+        former_is_known = _knows_former(former, store_eras.revision_era(fence))
         term = lease_term.begin(
             fence=fence,
             sent_s=sent_s,
@@ -413,12 +413,12 @@
     )
 
 
-def _is_of_era(former: store.Item | None, era: ids.StoreEra) -> bool:
-    """Return whether the store can't have lost a later holder's record.
+def _knows_former(former: store.Item | None, era: ids.StoreEra) -> bool:
+    """Return whether the store, in an era, has the last holder's record.
 
-    It may have lost it with the era before.
+    If its newest record is of an earlier era, it may have lost later ones.
     """
     if former is None:
-        return era == store_eras.FIRST_ERA
+        return era == store_eras.UNNAMED_ERA
     record = lease_holder.decode_record(former)
     return record is not None and record.era == era
--- a/oatcrank/cluster/store_eras.py
+++ b/oatcrank/cluster/store_eras.py
@@ -9,7 +9,8 @@
 # Fences are revisions, and must fit into the 53 bits of a JSON number.
 REVISION_BITS = 40
 LEASE_BITS = 64
-FIRST_ERA = ids.StoreEra(0)
+# That of a store that names no era, and so has never been restored.
+UNNAMED_ERA = ids.StoreEra(0)
 
 
 def revision(era: ids.StoreEra, number: int) -> ids.Revision:
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -237,7 +237,7 @@
         late_error: type[errors.PlatformError],
     ) -> _Answer:
         """Return an answer with its era, or raise if a later one is known."""
-        known = store_eras.FIRST_ERA if self._era is None else self._era
+        known = store_eras.UNNAMED_ERA if self._era is None else self._era
         era = _decode_era(response.headers, known)
         if era < known:
             raise late_error(f'{path}: a late answer of era {era}')
