Leave out the Upgrade header when a request is read again

With Proxy-Connection: upgrade the parser found the offer again, and the request was read again without end, until its connection was closed with an error. No upgrade is offered without the Upgrade header, whatever names it.

--- a/oatcrank/transport/message.py
+++ b/oatcrank/transport/message.py
@@ -89,13 +89,9 @@
 def encode_head_without_upgrade(
     method: bytes, target: bytes, version: str, headers: Headers
 ) -> bytes:
-    """Encode the head of a request whose connection is not to be upgraded."""
+    """Encode the head of a request without its offer to upgrade."""
     lines = [b'%s %s HTTP/%s' % (method, target, version.encode())]
-    for key, text in headers:
-        if key.lower() == b'connection':
-            words = (word.strip() for word in text.split(b','))
-            kept = [word for word in words if word.lower() != b'upgrade']
-            lines.append(b'%s: %s' % (key, b', '.join(kept)))
-        else:
-            lines.append(b'%s: %s' % (key, text))
+    lines.extend(
+        b'%s: %s' % pair for pair in headers if pair[0].lower() != b'upgrade'
+    )
     return b'\r\n'.join((*lines, b'', b''))
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -74,6 +74,7 @@
         OFFER,
         {**OFFER, 'connection': 'keep-alive, upgrade'},
         {**OFFER, 'upgrade': 'websocket'},
+        {'proxy_connection': 'upgrade', 'upgrade': 'h2c'},
         {'upgrade': 'h2c'},
         {},
     ],
