Keep a version's record while its streams may go on

Cause: an instance that had missed a version's servers, because it was suspended or lost the history of the store meanwhile, found only the record of that version and removed it as one that had ended long ago, if it was the one to write. All instances then counted a single version, and a stream of unknown origin could go on at another one (ORDER).

Now a record counts from when an instance first saw it, and is removed 60 s later at the earliest. tests/test_version_records.py: the new test failed before for both ages (1 s and 61 s).

--- a/oatcrank/cluster/version_records.py
+++ b/oatcrank/cluster/version_records.py
@@ -31,6 +31,8 @@
         self._members = members
         self._servers = servers
         self._catch_up = catch_up.CatchUp(store_client, mirror)
+        # When this instance first saw each record; monotonic, in seconds.
+        self._first_seen_s_by_key: dict[str, float] = {}
 
     @property
     def is_current(self) -> bool:
@@ -65,6 +67,7 @@
             for version in self._servers.versions_since(service, since_s)
         }
         recorded_keys = set(self._mirror.keys(KEY_PREFIX))
+        self._note_records(recorded_keys)
         for new_key in seen_keys - recorded_keys:
             await self._write_if_chosen(
                 new_key,
@@ -73,13 +76,20 @@
                     value_by_key={new_key: b'seen'},
                 ),
             )
-        if self._servers.created_s > since_s:
-            return
         for old_key in recorded_keys - seen_keys:
+            if self._first_seen_s_by_key[old_key] > since_s:
+                # Its servers may have ended unseen while streams go on.
+                continue
             await self._write_if_chosen(
                 old_key, store.Transaction(removed_keys=(old_key,))
             )
 
+    def _note_records(self, keys: set[str]) -> None:
+        now_s = time.monotonic()
+        self._first_seen_s_by_key = {
+            key: self._first_seen_s_by_key.get(key, now_s) for key in keys
+        }
+
     async def _write_if_chosen(
         self, key: str, transaction: store.Transaction
     ) -> None:
--- a/tests/test_version_records.py
+++ b/tests/test_version_records.py
@@ -127,3 +127,21 @@
         assert fleet.records[0].recent_versions(SERVICE) == {'v1'}
 
     run(scenario)
+
+
+@pytest.mark.parametrize('age_s', [1, LIFETIME_S + 1])
+def test_a_version_whose_servers_ended_unseen_counts_while_streams_go_on(age_s):
+    """An instance that was suspended finds only the record of it."""
+
+    async def scenario(fleet):
+        fleet.register('v1')
+        await asyncio.sleep(age_s)
+        fleet.shared.put(f'{version_records.KEY_PREFIX}{SERVICE}/v2', b'seen')
+        await asyncio.sleep(ROUND_S)
+        for records in fleet.records:
+            assert records.recent_versions(SERVICE) == {'v1', 'v2'}
+        await asyncio.sleep(LIFETIME_S + ROUND_S)
+        for records in fleet.records:
+            assert records.recent_versions(SERVICE) == {'v1'}
+
+    run(scenario)
