--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -11,13 +11,14 @@
 import msgspec
 
 from emulator import endless_answer
+from emulator import platform_worker_answers as answers
 
 OK = b'HTTP/1.1 200 OK'
 CLOSE = b'Connection: close'
 LONG_BODY = b'a long body that is not sent to its end'
 MISSING_BYTES = 20
 
-Headers = dict[str, str]
+Headers = answers.Headers
 BuildAnswer = Callable[[Headers], bytes]
 
 
@@ -184,12 +185,14 @@
         if request.target == '/order':
             await asyncio.sleep(self.order_delay_s)
             writer.write(
-                _encode_answer(self.order_status, self._limit_headers(), b'{}')
+                answers.encode_answer(
+                    self.order_status, self._limit_headers(), b'{}'
+                )
             )
             return True
         if request.target == '/report':
             writer.write(
-                _encode_answer(
+                answers.encode_answer(
                     HTTPStatus.OK,
                     self._limit_headers(),
                     json.dumps(self.report).encode(),
@@ -250,7 +253,7 @@
             await asyncio.Event().wait()
         await writer.drain()
         if mode is AnswerMode.truncated:
-            answer = _encode_answer(
+            answer = answers.encode_answer(
                 HTTPStatus.OK, self._answer_headers(request), LONG_BODY
             )
             writer.write(answer[:-MISSING_BYTES])
@@ -258,7 +261,7 @@
             return False
         if mode is AnswerMode.without_length:
             writer.write(
-                _without_length(self._answer_headers(request), b'whole')
+                answers.without_length(self._answer_headers(request), b'whole')
             )
             return False
         writer.transport.abort()
@@ -360,18 +363,6 @@
     return ReceivedRequest(method, target, header_by_name, body)
 
 
-def _encode_answer(status: int, headers: Headers, body: bytes) -> bytes:
-    lines = [f'HTTP/1.1 {status} Told', f'Content-Length: {len(body)}']
-    lines.extend(f'{key}: {text}' for key, text in headers.items())
-    return '\r\n'.join((*lines, '', '')).encode() + body
-
-
-def _without_length(headers: Headers, body: bytes) -> bytes:
-    lines = ['HTTP/1.1 200 OK', 'Connection: close']
-    lines.extend(f'{key}: {text}' for key, text in headers.items())
-    return '\r\n'.join((*lines, '', '')).encode() + body
-
-
 def _write_chunk(writer: asyncio.StreamWriter, body: bytes) -> None:
     writer.write(b'%x\r\n%s\r\n' % (len(body), body))
 
@@ -380,84 +371,19 @@
     writer.write(body)
 
 
-def _whole(headers: Headers) -> bytes:
-    return _encode_answer(HTTPStatus.OK, headers, b'whole')
-
-
-def _failure(headers: Headers) -> bytes:
-    return _encode_answer(HTTPStatus.INTERNAL_SERVER_ERROR, headers, b'failed')
-
-
-def _full(headers: Headers) -> bytes:
-    return _encode_answer(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        {**headers, 'X-Not-Executed': '1'},
-        b'',
-    )
-
-
-def _unavailable(headers: Headers) -> bytes:
-    return _encode_answer(HTTPStatus.SERVICE_UNAVAILABLE, headers, b'failed')
-
-
-def _overloaded(headers: Headers) -> bytes:
-    return _encode_answer(HTTPStatus.TOO_MANY_REQUESTS, headers, b'failed')
-
-
-def _timed_out(headers: Headers) -> bytes:
-    return _encode_answer(HTTPStatus.REQUEST_TIMEOUT, headers, b'failed')
-
-
-def _late_decline_first(headers: Headers) -> bytes:
-    late = _encode_answer(
-        HTTPStatus.SERVICE_UNAVAILABLE, {'X-Not-Executed': '1'}, b''
-    )
-    return late + _whole(headers)
-
-
-def _repeated_decline_first(headers: Headers) -> bytes:
-    return _full(headers) + _whole(headers)
-
-
-def _wrong_address(headers: Headers) -> bytes:
-    return _encode_answer(
-        HTTPStatus.MISDIRECTED_REQUEST, {'X-Instance-Id': 'another'}, b''
-    )
-
-
-def _duplicated(headers: Headers) -> bytes:
-    return _whole(headers) + _whole(headers)
-
-
-def _late_answer_first(headers: Headers) -> bytes:
-    late = {**headers, 'X-Request-Id': 'an-earlier-one'}
-    return _encode_answer(HTTPStatus.OK, late, b'late') + _whole(headers)
-
-
-def _unsigned(headers: Headers) -> bytes:
-    unsigned_headers = {
-        key: text for key, text in headers.items() if 'Sig' not in key
-    }
-    return _encode_answer(HTTPStatus.OK, unsigned_headers, b'whole')
-
-
-def _garbage(headers: Headers) -> bytes:
-    return b'\x00\x01 this is no answer\r\n\r\n'
-
-
 BUILDER_BY_MODE: dict[AnswerMode, BuildAnswer] = {
-    AnswerMode.whole: _whole,
-    AnswerMode.closing: _whole,
-    AnswerMode.failure: _failure,
-    AnswerMode.full: _full,
-    AnswerMode.unavailable: _unavailable,
-    AnswerMode.overloaded: _overloaded,
-    AnswerMode.timed_out: _timed_out,
-    AnswerMode.late_decline_first: _late_decline_first,
-    AnswerMode.repeated_decline_first: _repeated_decline_first,
-    AnswerMode.wrong_address: _wrong_address,
-    AnswerMode.duplicated: _duplicated,
-    AnswerMode.late_answer_first: _late_answer_first,
-    AnswerMode.unsigned: _unsigned,
-    AnswerMode.garbage: _garbage,
+    AnswerMode.whole: answers.whole,
+    AnswerMode.closing: answers.whole,
+    AnswerMode.failure: answers.failure,
+    AnswerMode.full: answers.full,
+    AnswerMode.unavailable: answers.unavailable,
+    AnswerMode.overloaded: answers.overloaded,
+    AnswerMode.timed_out: answers.timed_out,
+    AnswerMode.late_decline_first: answers.late_decline_first,
+    AnswerMode.repeated_decline_first: answers.repeated_decline_first,
+    AnswerMode.wrong_address: answers.wrong_address,
+    AnswerMode.duplicated: answers.duplicated,
+    AnswerMode.late_answer_first: answers.late_answer_first,
+    AnswerMode.unsigned: answers.unsigned,
+    AnswerMode.garbage: answers.garbage,
 }
--- a/oatcrank/cluster/catch_up.py
+++ b/oatcrank/cluster/catch_up.py
@@ -6,7 +6,8 @@
 from oatcrank.cluster import store, store_mirror
 
 # Callers of a stream wait two seconds or more for its next event.
-TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 0.5
+COPY_TIMEOUT_S = 1.0
 
 
 class CatchUp:
@@ -32,18 +33,23 @@
         return await asyncio.shield(self._next)
 
     async def _read_after(self, earlier: asyncio.Task[bool] | None) -> bool:
-        """Wait for an earlier read, which may have begun before the call."""
+        """Read the revision once an earlier read has ended.
+
+        That one may have begun before the call.
+        """
         if earlier is not None:
             await asyncio.wait((earlier,))
         self._reading = self._next
         self._next = None
         try:
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(READ_TIMEOUT_S):
                 revision = await self._store.read_revision()
-                await self._mirror.wait_for_changes(
-                    ids.Revision(revision - 1), TIMEOUT_S
-                )
         except (TimeoutError, errors.PlatformError) as error:
             logs.event('store_catch_up_failed', error=repr(error))
             return False
-        return self._mirror.revision >= revision
+        before = ids.Revision(revision - 1)
+        await self._mirror.wait_for_changes(before, COPY_TIMEOUT_S)
+        if self._mirror.revision < revision:
+            logs.event('store_catch_up_failed', error='the copy lags behind')
+            return False
+        return True
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -4,11 +4,10 @@
 import random
 from collections.abc import Coroutine
 
-import msgspec
-
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
     holder_client,
+    holder_records,
     lease_holder,
     members,
     peer_messages,
@@ -20,10 +19,6 @@
 )
 from oatcrank.orders import boot_clock, lease_term, order_coordinator
 
-# Removed when the lease ends.
-HOLDER_KEY = 'orders/holder'
-# Outlives the lease, so that a successor can ask the former holder to stop.
-LAST_HOLDER_KEY = 'orders/last'
 ACQUIRE_INTERVAL_S = 0.25
 RENEW_TIMEOUT_S = 0.3
 RENEW_INTERVAL_S = 0.3
@@ -50,7 +45,9 @@
         peer_client: peers.Client,
     ) -> None:
         """Let the order coordinator send orders while the lease is held."""
-        self._store = store_client
+        self._records = holder_records.HolderRecords(
+            store_client, mirror, members
+        )
         self._mirror = mirror
         self._members = members
         self._session = session
@@ -66,7 +63,7 @@
 
     def newest_holder(self) -> lease_holder.LeaseHolder | None:
         """Return the newest holder read from the store or sent by a peer."""
-        stored = self._stored_holder()
+        stored = self._records.holder()
         reported = self._reported_holder
         if reported is not None and (
             stored is None or stored.fence < reported.fence
@@ -85,18 +82,6 @@
                 fence=reported.fence,
             )
 
-    def _stored_holder(self) -> lease_holder.LeaseHolder | None:
-        item = self._mirror.get(HOLDER_KEY)
-        record = None if item is None else lease_holder.decode_record(item)
-        if item is None or record is None:
-            return None
-        return lease_holder.LeaseHolder(
-            instance_id=record.instance_id,
-            started_ms=record.started_ms,
-            peer_address=record.peer_address,
-            fence=ids.Fence(item.revision),
-        )
-
     async def run(self) -> None:
         """Acquire and renew the lease until cancelled."""
         await asyncio.sleep(MAX_START_DELAY_S * random.random())  # noqa: S311
@@ -138,7 +123,7 @@
             return
         # Keeps sending orders until a successor requests a stop.
         try:
-            await self._store.write(_removal(term.fence))
+            await self._records.remove(term.fence)
         except errors.PlatformError as error:
             # The lease then expires with this instance's session.
             logs.event('order_lease_release_failed', error=error)
@@ -163,7 +148,7 @@
         newest = known is None or known.fence <= fence
         # In a later era the record of the holder may be lost, so that another
         # instance acquires the lease without asking it.
-        is_current = store_eras.revision_era(fence) >= self._mirror.era
+        is_current = store_eras.revision_era(fence) >= self._records.era
         return peer_messages.Confirmation(
             newest=newest and is_current and not self._acquiring, holder=known
         )
@@ -194,25 +179,14 @@
         if self._coordinator.term is not None:
             await self._renew(self._coordinator.term)
             return
-        await self._remove_own_record()
-        if self._is_candidate and self._session.lease_id is not None:
-            if self._mirror.get(HOLDER_KEY) is None and self._mirror.is_loaded:
-                await self._acquire(self._session.lease_id)
-
-    async def _remove_own_record(self) -> None:
-        """Remove the record of a term that this instance does not have.
-
-        It is left over if the term ended early, or if a write of which the
-        outcome was unknown was carried out late.
-        """
-        stored = self._stored_holder()
-        if stored is None or not self._is_own(stored):
-            return
-        removed = await self._store.write(_removal(stored.fence))
-        self._mirror.apply(
-            store.Item(key=HOLDER_KEY, value=None, revision=removed)
-        )
-        logs.event('order_lease_record_removed', fence=stored.fence)
+        await self._records.remove_own()
+        lease_id = self._session.lease_id
+        if (
+            self._is_candidate
+            and lease_id is not None
+            and self._records.is_free
+        ):
+            await self._acquire(lease_id)
 
     @property
     def _is_candidate(self) -> bool:
@@ -220,9 +194,10 @@
 
     async def _renew(self, term: lease_term.LeaseTerm) -> None:
         sent_s = boot_clock.now()
-        holder = self._stored_holder()
-        is_holder = holder is not None and self._is_own(holder)
-        if not is_holder or self._session.lease_id != self._store_lease_id:
+        if (
+            not self._records.is_own
+            or self._session.lease_id != self._store_lease_id
+        ):
             logs.event('order_lease_lost', fence=term.fence)
             self._coordinator.stop()
             return
@@ -278,58 +253,23 @@
         )
 
     async def _acquire(self, lease_id: ids.LeaseId) -> None:
+        sent_s = boot_clock.now()
+        former = self._records.last()
         self._acquiring = True
         try:
-            await self._write_holder(lease_id)
+            fence = await self._records.write(former, lease_id)
         finally:
             self._acquiring = False
-
-    async def _write_holder(self, lease_id: ids.LeaseId) -> None:
-        sent_s = boot_clock.now()
-        former = self._mirror.get(LAST_HOLDER_KEY)
-        own = lease_holder.HolderRecord(
-            instance_id=self._members.own.instance_id,
-            started_ms=self._members.own.started_ms,
-            peer_address=self._members.own.peer_address,
-            era=self._mirror.era,
-        )
-        encoded = msgspec.json.encode(own)
-        try:
-            revision = await self._store.write(
-                store.Transaction(
-                    # Fails if another instance has held the lease since, as
-                    # the former holder read above would be the wrong one.
-                    expected_revision_by_key={
-                        HOLDER_KEY: store.ABSENT,
-                        LAST_HOLDER_KEY: (
-                            store.ABSENT if former is None else former.revision
-                        ),
-                    },
-                    value_by_key={
-                        HOLDER_KEY: encoded,
-                        LAST_HOLDER_KEY: encoded,
-                    },
-                    lease_id=lease_id,
-                    leased_keys=frozenset((HOLDER_KEY,)),
-                ),
-            )
-        except store.RevisionConflict:
-            return
-        except errors.UnknownOutcome:
-            written = await self._written_revision(encoded)
-            if written is None:
-                return
-            revision = written
-        self._mirror.apply(
-            store.Item(key=HOLDER_KEY, value=encoded, revision=revision),
-        )
-        self._store_lease_id = lease_id
-        self._begin_term(former, revision, sent_s)
+        if fence is not None:
+            self._store_lease_id = lease_id
+            self._begin_term(former, fence, sent_s)
 
     def _begin_term(
         self, former: store.Item | None, fence: ids.Revision, sent_s: float
     ) -> None:
-        former_is_known = _knows_former(former, store_eras.revision_era(fence))
+        former_is_known = holder_records.is_last_known(
+            former, store_eras.revision_era(fence)
+        )
         term = lease_term.begin(
             fence=fence,
             sent_s=sent_s,
@@ -364,13 +304,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _written_revision(self, encoded: bytes) -> ids.Revision | None:
-        """Return the revision of a write with a lost answer, if it was done."""
-        stored = await self._store.read(HOLDER_KEY)
-        if stored is None or stored.value != encoded:
-            return None
-        return stored.revision
-
     async def _request_former_stop(
         self,
         last: store.Item,
@@ -396,29 +329,3 @@
             store_loads=reply.store_loads,
             open_loads=reply.open_loads,
         )
-
-    def _is_own(self, record: lease_holder.LeaseHolder) -> bool:
-        own = self._members.own
-        return (record.instance_id, record.started_ms) == (
-            own.instance_id,
-            own.started_ms,
-        )
-
-
-def _removal(fence: int) -> store.Transaction:
-    """Return the removal of the record that was written under a fence."""
-    return store.Transaction(
-        expected_revision_by_key={HOLDER_KEY: ids.Revision(fence)},
-        removed_keys=(HOLDER_KEY,),
-    )
-
-
-def _knows_former(former: store.Item | None, era: ids.StoreEra) -> bool:
-    """Return whether the store, in an era, has the last holder's record.
-
-    If its newest record is of an earlier era, it may have lost later ones.
-    """
-    if former is None:
-        return era == store_eras.UNNAMED_ERA
-    record = lease_holder.decode_record(former)
-    return record is not None and record.era == era
--- a/oatcrank/cluster/session.py
+++ b/oatcrank/cluster/session.py
@@ -26,7 +26,7 @@
     ) -> None:
         """Register this instance as described in members.own."""
         self._mirror = mirror
-        self._failing = False
+        self._watch_is_suspect = False
         self.lease_id: ids.LeaseId | None = None
         self._store = store_client
         self._members = members
@@ -50,10 +50,10 @@
                 await self._step()
             except errors.PlatformError as error:
                 logs.event('session_renewal_failed', error=error)
-                self._failing = True
+                self._watch_is_suspect = True
                 pause_s = RETRY_INTERVAL_S
             else:
-                self._restart_watch_after_failure()
+                self._restart_suspect_watch()
             await self._pause(pause_s)
 
     async def renew(self, timeout_s: float) -> None:
@@ -80,10 +80,10 @@
             # The lease then expires.
             logs.event('session_end_failed', error=error)
 
-    def _restart_watch_after_failure(self) -> None:
-        """Restart the watch when the store answers again."""
-        if self._failing:
-            self._failing = False
+    def _restart_suspect_watch(self) -> None:
+        """Restart a watch that may have lost its store."""
+        if self._watch_is_suspect:
+            self._watch_is_suspect = False
             self._mirror.restart_watch()
 
     async def _step(self) -> None:
@@ -102,8 +102,8 @@
     def _forget_lease(self) -> None:
         self.lease_id = None
         self._members.record_own_lease(boot_clock.now())
-        # The store may have been restored, and the watch may wait in vain.
-        self._failing = True
+        # A restored store may never answer a watch that began before.
+        self._watch_is_suspect = True
         self._wake.set()
 
     async def _register(self, lease_id: ids.LeaseId | None) -> None:
--- a/oatcrank/cluster/shared_stream_origins.py
+++ b/oatcrank/cluster/shared_stream_origins.py
@@ -75,16 +75,27 @@
         if request_id is None and await self._versions.catch_up():
             return _assumed_origin(service, [self.answer(query)])
         others = await self._ask_others(query)
-        answers = [answer for answer in others if answer is not None]
-        for answer in answers:
-            if answer.origin is not None:
+        for answer in others:
+            if answer is not None and answer.origin is not None:
                 return answer.origin
-        if request_id is not None and await self._versions.catch_up():
-            return _assumed_origin(service, [self.answer(query), *answers])
-        if answers and len(answers) == len(others):
-            # The store is probably away for all: no one learns of new servers.
-            return _assumed_origin(service, [own, *answers])
-        return None
+        return await self._assume_origin(query, others)
+
+    async def _assume_origin(
+        self,
+        query: stream_origin_messages.OriginQuery,
+        others: list[stream_origin_messages.OriginAnswer | None],
+    ) -> stream_origin.StreamOrigin | None:
+        """Return the origin if there has been a single version for certain."""
+        answers = [answer for answer in others if answer is not None]
+        is_caught_up = (
+            query.request_id is not None and await self._versions.catch_up()
+        )
+        # If the store is away for all, no instance learns of new servers. One
+        # that does not answer may be the only one that still reaches it.
+        all_answered = answers and len(answers) == len(others)
+        if not (is_caught_up or all_answered):
+            return None
+        return _assumed_origin(query.service, [self.answer(query), *answers])
 
     def answer(
         self, query: stream_origin_messages.OriginQuery
--- a/oatcrank/cluster/store.py
+++ b/oatcrank/cluster/store.py
@@ -13,7 +13,7 @@
 class HistoryLost(errors.PlatformError):
     """Raised when the changes since a revision are no longer available.
 
-    So it is for all revisions of an earlier era of the store.
+    Those since a revision of an earlier era never are.
     """
 
 
--- a/oatcrank/cluster/store_eras.py
+++ b/oatcrank/cluster/store_eras.py
@@ -9,12 +9,12 @@
 # Fences are revisions, and must fit into the 53 bits of a JSON number.
 REVISION_BITS = 40
 LEASE_BITS = 64
-# That of a store that names no era, and so has never been restored.
+# That of a store that names no era and is never restored.
 UNNAMED_ERA = ids.StoreEra(0)
 
 
 def revision(era: ids.StoreEra, number: int) -> ids.Revision:
-    """Return the revision for the store's number of it in an era."""
+    """Return the revision that has a number in an era of the store."""
     return ids.Revision((era << REVISION_BITS) + number)
 
 
@@ -24,12 +24,12 @@
 
 
 def revision_number(known: int) -> int:
-    """Return the store's number of a revision in its era."""
+    """Return the number that the store gives to a revision."""
     return known & ((1 << REVISION_BITS) - 1)
 
 
 def lease(era: ids.StoreEra, number: int) -> ids.LeaseId:
-    """Return the lease for the store's number of it in an era."""
+    """Return the lease that has a number in an era of the store."""
     return ids.LeaseId((era << LEASE_BITS) + number)
 
 
@@ -39,5 +39,5 @@
 
 
 def lease_number(known: ids.LeaseId) -> int:
-    """Return the store's number of a lease in its era."""
+    """Return the number that the store gives to a lease."""
     return known & ((1 << LEASE_BITS) - 1)
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -311,7 +311,7 @@
     def _set(
         self, item: store.Item, notify: Callable[[store.Item], None]
     ) -> None:
-        """Keep an item and pass it on; no item may keep others from that."""
+        """Keep an item and pass it on; log a failure, so that others follow."""
         self._item_by_key[item.key] = item
         self.change_count += 1
         try:
--- a/oatcrank/entry/upstream_connection.py
+++ b/oatcrank/entry/upstream_connection.py
@@ -122,7 +122,7 @@
                 timeout=rpc.CONNECT_TIMEOUT_S,
             )
         except (OSError, OverflowError, ValueError) as error:
-            # The last two: the address is none.
+            # The last two mean that the address is invalid.
             raise errors.NotStarted(f'{address}: {error}') from error
         self._stream.set_nodelay(True)
         return self._stream
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -89,9 +89,9 @@
     ) -> None:
         """Prepare a send to the chosen server.
 
-        The stream holds what earlier attempts have forwarded. The connections
-        that they used are avoided: on these, a late copy of an earlier answer
-        can't be told from the answer to this send, as both bear the same id.
+        The stream holds what earlier attempts have forwarded. This one uses
+        none of their connections: a late copy of an earlier answer bears the
+        same request id as the answer to this send.
         """
         self._dependencies = dependencies
         self._request = request
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -41,8 +41,8 @@
     ) -> None:
         """Close connections after their answers and limit waits.
 
-        Requests that are read after accepts_until_s are refused, since the
-        stop may cut off their answers.
+        Requests that are not handled before accepts_until_s are refused,
+        since the stop may cut off their answers.
         """
         self.leaving = True
         self._accepts_until_s = accepts_until_s
@@ -60,13 +60,14 @@
             out.answer(http.HTTPStatus.BAD_REQUEST, [], str(error).encode())
             return
         try:
-            configuration = self._accepting_configuration()
+            self._check_not_stopping()
+            configuration = self._configuration()
         except refusal.RequestRefused as refused:
             _refuse(decoded, refused, out)
             return
-        await self._route(request, decoded, configuration, out)
+        await self._forward(request, decoded, configuration, out)
 
-    async def _route(
+    async def _forward(
         self,
         raw: message.Request,
         request: caller_request.CallerRequest,
@@ -91,12 +92,15 @@
         if not await self._execute(request, found_route, out):
             await self._relay(raw, request, found_route, out)
 
-    def _accepting_configuration(self) -> route.Configuration:
-        """Return the configuration, or raise RequestRefused."""
+    def _check_not_stopping(self) -> None:
+        """Raise RequestRefused if the stop may cut off an answer."""
         if self._dependencies.now() >= self._accepts_until_s:
             raise refusal.RequestRefused(
                 'this instance is stopping', STOPPING_RETRY_S
             )
+
+    def _configuration(self) -> route.Configuration:
+        """Return the configuration, or raise RequestRefused."""
         configuration = self._dependencies.routes.configuration
         if configuration is None:
             raise refusal.RequestRefused(
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -17,11 +17,12 @@
     request_dependencies,
     request_log,
     request_metrics,
+    request_sends,
     resumable_stream,
     server_search,
 )
 from oatcrank.routing import need, route, server
-from oatcrank.transport import backend_connection, message, reply
+from oatcrank.transport import message, reply
 
 # Leaves time to forward an answer that a server sends at the deadline.
 DEADLINE_SLACK_S = 0.1
@@ -49,15 +50,10 @@
         self._request = request
         self._route = request_route
         self._out = out
-        self._history = attempt_state.AttemptHistory()
         self._slot_waiter = prompt_slot_waiter.PromptSlotWaiter(
             dependencies, request, request_route
         )
-        self._sent_to_ids: list[ids.ServerId] = []
-        self._sent_to_versions: list[ids.SoftwareVersion] = []
-        # The servers on which the request may have run.
-        self._tried_ids: list[ids.ServerId] = []
-        self._used_connections: list[backend_connection.BackendConnection] = []
+        self._sends = request_sends.RequestSends()
         self._last_end: answer_end.AnswerEnd | None = None
         self._failed_answer: attempt.BufferedAnswer | None = None
         self._stream = resumable_stream.ResumableStream(
@@ -77,10 +73,7 @@
     @property
     def has_not_run(self) -> bool:
         """Return whether no server can have run the request."""
-        return (
-            self._history.execution_status
-            is attempt_state.ExecutionStatus.not_run
-        )
+        return self._sends.has_not_run
 
     async def run(self) -> None:
         """Execute the request and log its outcome."""
@@ -137,7 +130,7 @@
         )
         while True:
             search.required_version = self._stream.required_version
-            chosen = await search.find(self._tried_ids)
+            chosen = await search.find(self._sends.tried_ids)
             # The permit comes first: a prompt slot that is reserved without one
             # is not used, and delays the prompts after it.
             if not await self._wait_for_permit(chosen, search):
@@ -148,11 +141,9 @@
             self._check_send_limits()
             # Only now: a server with a trial counts as unusable.
             chosen.begin_trial(self._dependencies.now())
-            self._sent_to_ids.append(chosen.server_id)
-            self._sent_to_versions.append(chosen.registration.software_version)
+            self._sends.record_begin(chosen)
             result = await self._attempt(chosen)
             self._last_end = result.end
-            self._record_tried(chosen.server_id, result.progress)
             if await self._settle(result, chosen, search):
                 return
 
@@ -197,22 +188,12 @@
             await asyncio.sleep(permit.wait_s)
         return chosen.is_usable(self._dependencies.now())
 
-    def _record_tried(
-        self,
-        server_id: ids.ServerId,
-        progress: attempt_state.Progress,
-    ) -> None:
-        """Record the servers on which the request may have run."""
-        if attempt_state.may_have_run(progress):
-            if server_id not in self._tried_ids:
-                self._tried_ids.append(server_id)
-
     def _check_send_limits(self) -> None:
         """Count the first send, or take a retry from the budget."""
         now_s = self._dependencies.now()
-        if len(self._sent_to_ids) >= MAX_SENDS:
+        if self._sends.count >= MAX_SENDS:
             raise refusal.RequestRefused('send limit reached', FAILURE_RETRY_S)
-        if not self._sent_to_ids:
+        if not self._sends.count:
             self._dependencies.retry_budgets.record_first_send(
                 self._wanted.service, now_s
             )
@@ -231,7 +212,7 @@
             chosen,
             self._out,
             self._stream,
-            self._used_connections,
+            self._sends.connections,
         )
         began_s = self._dependencies.now()
         self._dependencies.placement_requester.record_start(
@@ -245,10 +226,12 @@
                 self._wanted,
                 self._dependencies.now() - began_s,
             )
-            self._record_attempt(current.progress)
+            self._record_end(chosen, current.progress)
 
-    def _record_attempt(self, progress: attempt_state.Progress) -> None:
-        self._history.record(progress)
+    def _record_end(
+        self, chosen: server.Server, progress: attempt_state.Progress
+    ) -> None:
+        self._sends.record_end(chosen.server_id, progress)
         request_metrics.ATTEMPTS.labels(
             self._wanted.service,
             progress.name,
@@ -331,7 +314,7 @@
         retry_failure = (
             answer.status >= SERVER_ERROR
             and self._route.repeatable
-            and len(self._tried_ids) < self._route.max_servers
+            and len(self._sends.tried_ids) < self._route.max_servers
             and self._deadline_s - self._dependencies.now() > MIN_ATTEMPT_S
         )
         if retry_failure:
@@ -402,14 +385,12 @@
             organisation=self._request.organisation or '',
             model=self._wanted.model or '',
             adapter=self._wanted.adapter or '',
-            servers=','.join(self._sent_to_ids),
-            versions=','.join(self._sent_to_versions),
-            sends=len(self._sent_to_ids),
             prompt_wait_ms=round(self._slot_waiter.waited_s * 1000),
             outcome=self._outcome,
             ms=round(duration_s * 1000),
             first_byte_ms=self._first_byte_ms(),
             pause_ms=round(self._out.longest_pause_s * 1000),
+            **self._sends.log_fields(),
             **request_log.end_fields(self._last_end),
             **request_log.resumption_fields(self._request),
         )
--- a/oatcrank/rpc.py
+++ b/oatcrank/rpc.py
@@ -107,7 +107,7 @@
         try:
             return await self._client.fetch(request, raise_error=False)
         except (ConnectionRefusedError, OverflowError, ValueError) as error:
-            # The last two: the address is none.
+            # The last two mean that the address is invalid.
             raise errors.Unavailable(f'{request.url}: {error}') from error
         except simple_httpclient.HTTPTimeoutError as error:
             raise _timeout_error(request, error) from error
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -280,6 +280,6 @@
     except ConnectionRefusedError as error:
         raise errors.ConnectionRefused(f'{host}:{port}: {error!r}') from error
     except (OSError, OverflowError, ValueError) as error:
-        # The last two: the address is none.
+        # The last two mean that the address is invalid.
         raise errors.ConnectFailed(f'{host}:{port}: {error!r}') from error
     return connection
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -288,3 +288,46 @@
         known = self.published
         if known is None or new_plan.version > known.version:
             self.published = new_plan
+
+
+def check(world: World) -> None:
+    """Check that no memory was exceeded and no running work interrupted."""
+    for backend in world.engines.values():
+        assert not backend.memory_excesses
+        assert not backend.interrupted_models
+
+
+def heal(world: World) -> None:
+    """End all faults and check that the plan and the engines converge."""
+    for backend in world.engines.values():
+        backend.faults.clear()
+        backend.report_lag_s = 0
+        backend.is_down = False
+        backend.frozen_orders_released.set()
+    world.store.lose_answers = 0
+    world.store.lose_requests = 0
+    world.store.down = False
+    world.policy.moves.clear()
+    for process in world.processes:
+        process.frozen = False
+    world.run_tasks()
+    for process in world.processes:
+        process.lease.fence = None
+    world.lead(0)
+    while world.work:
+        world.end_work()
+    for _ in range(3):
+        world.rounds(0, 10, 0.3)
+        world.rounds(0, 1, SETTLED_S)
+    assert world.published is not None
+    planned = {
+        (replica.server, replica.model) for replica in world.published.replicas
+    }
+    held = {
+        (server, model)
+        for server, holder in world.engines.items()
+        for model in holder.models()
+    }
+    assert planned == held
+    states = {replica.state.value for replica in world.published.replicas}
+    assert states <= {'loaded'}
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -36,6 +36,9 @@
 )
 from oatcrank.transport import caller_connection, limits
 
+# What a stream of the stand-in holds.
+EVENTS = b''.join(b'id: %d\ndata: word%d\n\n' % (n, n) for n in range(1, 5))
+
 
 class Answer(msgspec.Struct):
     """Answer as read by a caller."""
--- a/tests/test_invalid_registrations.py
+++ b/tests/test_invalid_registrations.py
@@ -59,9 +59,9 @@
 
 
 @pytest.mark.parametrize('encoded', VALUES.values(), ids=VALUES)
-def test_an_odd_entry_names_no_server_to_use(encoded):
+def test_an_invalid_entry_names_no_server_to_use(encoded):
     item = store.Item(
-        key='servers/odd', value=encoded, revision=ids.Revision(7)
+        key='servers/invalid', value=encoded, revision=ids.Revision(7)
     )
     decoded = codec.PlatformCodec().decode(item)
     assert isinstance(decoded, codec_interface.ServerRemoval)
@@ -88,7 +88,7 @@
     asyncio.run(work())
 
 
-def test_processes_go_on_following_the_store_beside_odd_entries(tmp_path):
+def test_processes_go_on_following_the_store_beside_invalid_entries(tmp_path):
     """An entry that could not be read kept later ones from being seen."""
 
     async def work():
--- a/tests/test_order_turn.py
+++ b/tests/test_order_turn.py
@@ -5,7 +5,7 @@
 import virtual
 
 from emulator import memory_store
-from oatcrank.cluster import order_lease
+from oatcrank.cluster import holder_records
 
 FAULT = memory_store.StoreFault
 
@@ -94,7 +94,7 @@
 def test_revoked_lease_moves_without_overlap():
     async def scenario(fleet):
         first = await fleet.wait_for_holder(3)
-        fleet.shared.remove(order_lease.HOLDER_KEY)
+        fleet.shared.remove(holder_records.HOLDER_KEY)
         await fleet.observe(3.0)
         assert fleet.holder() is not None
         assert first is not None
--- a/tests/test_pool_controller.py
+++ b/tests/test_pool_controller.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings, stateful
-from hypothesis import strategies as st
 
 from emulator import memory_engine
 from oatcrank import clock, ids
@@ -55,13 +53,7 @@
         view.server: view for view in world.policy.observations[-1].servers
     }
     assert views['s0'].loaded == ('a',)
-    check(world)
-
-
-def check(world: control_world.World) -> None:
-    for backend in world.engines.values():
-        assert not backend.memory_excesses
-        assert not backend.interrupted_models
+    control_world.check(world)
 
 
 def swap(world: control_world.World, number: int = 0, rounds: int = 30) -> None:
@@ -86,7 +78,7 @@
     backend.faults.append(fault)
     swap(world, rounds=50)
     assert backend.models() == ('b',)
-    check(world)
+    control_world.check(world)
     world.close()
 
 
@@ -276,45 +268,9 @@
     case: Callable[[control_world.World], None],
 ) -> None:
     case(world)
-    check(world)
-    heal(world)
-    check(world)
-
-
-def heal(world: control_world.World) -> None:
-    """End all faults and check that the plan and the engines converge."""
-    for backend in world.engines.values():
-        backend.faults.clear()
-        backend.report_lag_s = 0
-        backend.is_down = False
-        backend.frozen_orders_released.set()
-    world.store.lose_answers = 0
-    world.store.lose_requests = 0
-    world.store.down = False
-    world.policy.moves.clear()
-    for process in world.processes:
-        process.frozen = False
-    world.run_tasks()
-    for process in world.processes:
-        process.lease.fence = None
-    world.lead(0)
-    while world.work:
-        world.end_work()
-    for _ in range(3):
-        world.rounds(0, 10, 0.3)
-        world.rounds(0, 1, control_world.SETTLED_S)
-    assert world.published is not None
-    planned = {
-        (replica.server, replica.model) for replica in world.published.replicas
-    }
-    held = {
-        (server, model)
-        for server, holder in world.engines.items()
-        for model in holder.models()
-    }
-    assert planned == held
-    states = {replica.state.value for replica in world.published.replicas}
-    assert states <= {'loaded'}
+    control_world.check(world)
+    control_world.heal(world)
+    control_world.check(world)
 
 
 def test_running_work_is_drained(world: control_world.World) -> None:
@@ -398,182 +354,6 @@
     assert budget.free_slots() == 0
 
 
-SERVER = 's0'
-FAULT = st.sampled_from([None, *FAULTS, Fault.double, Fault.freeze])
-EVENTS = ('', 'work', 'depose', 'freeze', 'restart_process', 'restart_engine')
-NOISE = (
-    *EVENTS,
-    'lag',
-    'no_lag',
-    'lose_answer',
-    'lose_request',
-    'other',
-    'wake',
-    'deliver',
-    'end_work',
-    'wait',
-)
-EVENT = st.sampled_from(EVENTS)
-OTHER = {'a': 'b', 'b': 'a'}
-
-
-class ControlMachine(stateful.RuleBasedStateMachine):
-    """Mix moves, work, takeovers, freezes, restarts and lost orders.
-
-    Models a and b do not fit beside each other on the one server.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.world = control_world.World((False,))
-        self.leader = 0
-        self.world.lead(0)
-        self.world.rounds(0, 1)
-
-    @stateful.rule(fault=FAULT, event=EVENT)
-    def load(self, fault: memory_engine.Fault | None, event: str) -> None:
-        """Load a or b, whichever fits."""
-        self.order(fault)
-        for _ in range(3):
-            self.world.move('load', SERVER, 'a')
-            self.world.move('load', SERVER, 'b')
-            self.lead_on()
-        self.happen(event)
-
-    @stateful.rule(
-        fault=FAULT,
-        reload=st.booleans(),
-        event=EVENT,
-        times=st.integers(4, 30),
-        ending=st.sampled_from(['', 'deliver', 'wake']),
-    )
-    def swap(
-        self,
-        fault: memory_engine.Fault | None,
-        reload: bool,
-        event: str,
-        times: int,
-        ending: str,
-    ) -> None:
-        """Unload a model; then ask for the other one, or for it again."""
-        found = self.world.engines[SERVER].models()
-        self.order(fault)
-        for model in found:
-            self.world.move('unload', SERVER, model)
-        self.lead_on()
-        self.happen(event)
-        for _ in range(times):
-            for model in found:
-                wanted = model if reload else OTHER[model]
-                self.world.move('load', SERVER, wanted)
-            self.lead_on()
-            self.world.see()
-        if reload:
-            self.start_work()
-        self.happen(ending)
-
-    @stateful.rule(event=st.sampled_from(NOISE))
-    def happen(self, event: str) -> None:
-        """Let one event happen by its name."""
-        if event:
-            getattr(self, event)()
-
-    def order(self, fault: memory_engine.Fault | None) -> None:
-        """Let the next order meet a fault."""
-        self.world.engines[SERVER].faults.clear()
-        if fault is not None:
-            self.world.engines[SERVER].faults.append(fault)
-
-    def lead_on(self) -> None:
-        self.world.clock.advance(0.3)
-        if not self.world.processes[self.leader].frozen:
-            self.world.processes[self.leader].round()
-
-    def other(self) -> None:
-        other = self.world.processes[1 - self.leader]
-        if not other.frozen:
-            other.round()
-
-    def wait(self) -> None:
-        self.world.clock.advance(2.1)
-
-    def work(self) -> None:
-        self.start_work()
-
-    def start_work(self) -> None:
-        for model in self.world.engines[SERVER].models():
-            self.world.start_work(SERVER, model)
-
-    def end_work(self) -> None:
-        self.world.see()
-        if self.world.work:
-            self.world.end_work()
-
-    def deliver(self) -> None:
-        backend = self.world.engines[SERVER]
-        while backend.late_orders:
-            backend.deliver_late_order(0)
-
-    def lag(self) -> None:
-        self.world.engines[SERVER].report_lag_s = control_world.LAG_S
-
-    def no_lag(self) -> None:
-        self.world.engines[SERVER].report_lag_s = 0
-
-    def restart_engine(self) -> None:
-        self.world.engines[SERVER].restart()
-        self.world.work.clear()
-
-    def depose(self) -> None:
-        """Pass the lease on, the former holder unaware."""
-        self.leader = 1 - self.leader
-        self.world.processes[self.leader].frozen = False
-        self.world.lead(self.leader)
-        self.lead_on()
-
-    def freeze(self) -> None:
-        """Pass the lease on, the former holder frozen."""
-        self.world.processes[self.leader].frozen = True
-        self.depose()
-
-    def wake(self) -> None:
-        for process in self.world.processes:
-            process.frozen = False
-        self.world.wake()
-
-    def restart_process(self) -> None:
-        self.world.restart(self.leader)
-        self.world.lead(self.leader)
-
-    def lose_answer(self) -> None:
-        self.world.store.lose_answers = 1
-
-    def lose_request(self) -> None:
-        self.world.store.lose_requests = 1
-
-    @stateful.invariant()
-    def nothing_is_lost(self) -> None:
-        check(self.world)
-
-    def teardown(self) -> None:
-        try:
-            heal(self.world)
-            check(self.world)
-        finally:
-            self.world.close()
-
-
-TestControl = ControlMachine.TestCase
-TestControl.settings = settings(
-    phases=(Phase.explicit, Phase.generate),
-    derandomize=True,
-    deadline=None,
-    max_examples=300,
-    stateful_step_count=20,
-    suppress_health_check=list(HealthCheck),
-)
-
-
 def test_orders_carry_the_fence(world: control_world.World) -> None:
     load(world, 'a')
     world.lead(1)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -5,18 +5,27 @@
 import random
 
 import cluster_parts
+import msgspec
 import pytest
 import virtual
 
 from emulator import memory_store, platform_store
-from oatcrank.cluster import order_lease, session, store, store_eras
+from oatcrank import errors
+from oatcrank.cluster import (
+    holder_records,
+    lease_holder,
+    session,
+    store,
+    store_eras,
+)
+from oatcrank.orders import lease_term
 from oatcrank.platform import store_client
 
 FAULT = memory_store.StoreFault
 SEEDS = range(12)
 
 
-class OrderWatch:
+class OrderChecker:
     """Check that one instance orders, under tokens that never fall."""
 
     def __init__(self, fleet: cluster_parts.Fleet) -> None:
@@ -33,28 +42,28 @@
             await asyncio.sleep(0.01)
 
 
-async def end(watching, fleet):
-    watching.cancel()
+async def end(checking, fleet):
+    checking.cancel()
     with contextlib.suppress(asyncio.CancelledError, AssertionError):
-        await watching
+        await checking
     await fleet.stop()
 
 
-async def watch_orders(fleet, scenario):
-    """Run a scenario while the orders of a fleet are watched."""
+async def check_orders(fleet, scenario):
+    """Run a scenario while the orders of a fleet are checked."""
     fleet.start()
-    watching = asyncio.ensure_future(OrderWatch(fleet).run())
+    checking = asyncio.ensure_future(OrderChecker(fleet).run())
     try:
         await fleet.wait_for_holder(5)
         await scenario(fleet)
-        assert not watching.done(), watching.exception()
+        assert not checking.done(), checking.exception()
     finally:
-        await end(watching, fleet)
+        await end(checking, fleet)
 
 
-def run_drill(scenario, count=3):
+def run_restored(scenario, count=3):
     """Run a scenario with a store in memory."""
-    virtual.run(watch_orders(cluster_parts.Fleet(count), scenario))
+    virtual.run(check_orders(cluster_parts.Fleet(count), scenario))
 
 
 async def restart(fleet, stopped):
@@ -70,8 +79,8 @@
     started.start()
 
 
-async def drill(fleet, older, away_s, longer_away=()):
-    """Let the store be away, and return from a copy."""
+async def restore(fleet, older, away_s, longer_away=()):
+    """Let the store be away, and return from an older copy."""
     for instance in fleet.members:
         instance.client.fault = FAULT.down
     await asyncio.sleep(away_s)
@@ -108,7 +117,7 @@
             await fleet.wait_for_holder(3)
 
         try:
-            await watch_orders(fleet, scenario)
+            await check_orders(fleet, scenario)
         finally:
             served.stop()
 
@@ -123,13 +132,71 @@
         older = fleet.shared.take_copy()
         empty = memory_store.MemoryStore().take_copy()
         assert older.item_by_key.keys() > empty.item_by_key.keys()
-        await drill(fleet, empty, away_s=0.5, longer_away=(first,))
+        await restore(fleet, empty, away_s=0.5, longer_away=(first,))
         await asyncio.sleep(1)
         first.client.fault = FAULT.none
         await asyncio.sleep(5)
         await fleet.wait_for_holder(1)
 
-    run_drill(scenario)
+    run_restored(scenario)
+
+
+def test_a_holder_whose_record_is_lost_is_not_confirmed():
+    """The instance that is asked is stopping, and will not hold the lease."""
+
+    async def scenario(fleet):
+        first = await fleet.wait_for_holder(3)
+        other = fleet.non_holder()
+        await other.order_lease.release()
+        empty = memory_store.MemoryStore().take_copy()
+        await restore(fleet, empty, away_s=0.2, longer_away=(first,))
+        await asyncio.sleep(lease_term.UNKNOWN_FORMER_STOPS_S)
+        assert other.mirror.era == fleet.shared.era
+        assert not first.may_order
+
+    run_restored(scenario, count=2)
+
+
+def test_the_holder_in_an_older_record_is_not_taken_for_the_last_one():
+    """It has ended, but one that the store does not know may still order."""
+
+    async def scenario(fleet):
+        first = await fleet.wait_for_holder(3)
+        await first.order_lease.release()
+        older = fleet.shared.take_copy()
+        second = await fleet.wait_for_holder(3, other_than=first)
+        await first.kill()
+        await restore(fleet, older, away_s=0.1, longer_away=(second,))
+        third = await fleet.wait_for_holder(8, other_than=second)
+        assert third is not first
+
+    run_restored(scenario)
+
+
+@pytest.mark.parametrize('number', [0, 1])
+def test_a_record_of_a_holder_that_does_not_know_it_is_removed(number):
+    """A write of unknown outcome was carried out after it was given up."""
+
+    async def run():
+        fleet = cluster_parts.Fleet(2)
+        own = fleet.members[number].members.own
+        fleet.shared.put(
+            holder_records.HOLDER_KEY,
+            msgspec.json.encode(
+                lease_holder.HolderRecord(
+                    instance_id=own.instance_id,
+                    started_ms=own.started_ms,
+                    peer_address=own.peer_address,
+                )
+            ),
+        )
+
+        async def scenario(fleet):
+            """Wait for nothing more than the first holder."""
+
+        await check_orders(fleet, scenario)
+
+    virtual.run(run())
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -147,7 +214,7 @@
             restarting = asyncio.ensure_future(restart(fleet, stopped))
             await asyncio.sleep(rng.uniform(0, 4))
             away = rng.sample(fleet.members, rng.randrange(2))
-            await drill(fleet, older, rng.uniform(0, 1.5), away)
+            await restore(fleet, older, rng.uniform(0, 1.5), away)
             await asyncio.sleep(rng.uniform(0, 3))
             for instance in fleet.members:
                 instance.client.fault = FAULT.none
@@ -156,7 +223,7 @@
         await asyncio.sleep(5)
         await fleet.wait_for_holder(1)
 
-    run_drill(scenario, count=3 + seed % 3)
+    run_restored(scenario, count=3 + seed % 3)
 
 
 def test_an_instance_registers_again_after_its_registration_was_lost():
@@ -167,7 +234,7 @@
         await asyncio.sleep(0.5)
         for instance in fleet.members:
             fleet.shared.put(instance.session.key, b'changed since')
-        await drill(fleet, older, away_s=0.2)
+        await restore(fleet, older, away_s=0.2)
         await asyncio.sleep(3)
         registered = {
             item.key
@@ -182,7 +249,7 @@
             era = store_eras.lease_era(instance.session.lease_id)
             assert era == fleet.shared.era
 
-    run_drill(scenario)
+    run_restored(scenario)
 
 
 def with_platform_store(work):
@@ -204,11 +271,11 @@
 def test_numbers_of_an_earlier_era_do_not_name_what_was_written_since(is_known):
     """The store gives out lost revisions and leases again."""
 
-    async def work(kept, client, other):
-        older = kept.take_copy()
+    async def work(served, client, other):
+        older = served.take_copy()
         lost = await client.write(store.Transaction(value_by_key={'a': b'1'}))
         lease = await client.grant_lease(5.0)
-        kept.return_from(older)
+        served.return_from(older)
         again = await other.write(store.Transaction(value_by_key={'a': b'2'}))
         assert store_eras.revision_number(again) == (
             store_eras.revision_number(lost)
@@ -224,7 +291,7 @@
                     expected_revision_by_key={'a': lost}, removed_keys=('a',)
                 )
             )
-        kept.lease_by_id[store_eras.lease(kept.era, lease)] = (
+        served.lease_by_id[store_eras.lease(served.era, lease)] = (
             memory_store.Lease(asyncio.get_running_loop().time() + 5, 5)
         )
         with pytest.raises(store.LeaseEnded):
@@ -235,22 +302,84 @@
     with_platform_store(work)
 
 
+def call_watch(client, revision, lease):
+    return client.watch(revision, 0.1)
+
+
+def call_renew(client, revision, lease):
+    return client.renew_lease(lease, 1.0)
+
+
+@pytest.mark.parametrize(
+    ('call', 'expected'),
+    [(call_watch, store.HistoryLost), (call_renew, store.LeaseEnded)],
+)
+def test_the_first_call_to_a_restored_store_shows_that_it_was(call, expected):
+    """The store answers it as if its numbers were those of this era."""
+
+    async def work(served, client, _):
+        revision = await client.write(
+            store.Transaction(value_by_key={'a': b'1'})
+        )
+        lease = await client.grant_lease(5.0)
+        served.return_from(served.take_copy())
+        served.discarded_revision = 0
+        with pytest.raises(expected):
+            await call(client, revision, lease)
+
+    with_platform_store(work)
+
+
+def test_a_late_answer_of_an_earlier_era_is_not_used():
+    async def work(served, client, _):
+        served.put('a', b'1')
+        served.return_from(served.take_copy())
+        await client.read('a')
+        served.era = store_eras.UNNAMED_ERA
+        with pytest.raises(errors.Unavailable):
+            await client.read('a')
+        with pytest.raises(errors.UnknownOutcome):
+            await client.write(store.Transaction(value_by_key={'a': b'2'}))
+
+    with_platform_store(work)
+
+
+def test_pages_of_two_eras_are_not_read_as_one():
+    async def work(served, client, _):
+        for number in range(2 * platform_store.PAGE_ITEMS):
+            served.put(f'key-{number:03}', b'x')
+        older = served.take_copy()
+        items = served.items
+
+        def restore_after_first_page():
+            served.items = items
+            first = items()
+            asyncio.get_running_loop().call_soon(served.return_from, older)
+            return first
+
+        served.items = restore_after_first_page
+        with pytest.raises(errors.Unavailable):
+            await client.read_all()
+
+    with_platform_store(work)
+
+
 def test_what_is_written_under_a_lease_of_another_one_does_not_count():
     """A lease of the new era may have the number of one that was lost."""
 
-    async def work(kept, client, other):
-        older = kept.take_copy()
+    async def work(served, client, other):
+        older = served.take_copy()
         lease = await client.grant_lease(5.0)
-        kept.return_from(older)
-        kept.lease_by_id[store_eras.lease(kept.era, lease)] = (
+        served.return_from(older)
+        served.lease_by_id[store_eras.lease(served.era, lease)] = (
             memory_store.Lease(asyncio.get_running_loop().time() + 5, 5)
         )
         with pytest.raises(store.LeaseEnded):
             await client.write(
                 store.Transaction(
-                    value_by_key={order_lease.HOLDER_KEY: b'me'},
+                    value_by_key={holder_records.HOLDER_KEY: b'me'},
                     lease_id=lease,
-                    leased_keys=frozenset((order_lease.HOLDER_KEY,)),
+                    leased_keys=frozenset((holder_records.HOLDER_KEY,)),
                 )
             )
 
