--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -109,3 +109,26 @@
         await instance.kill()
 
     virtual.run(scenario())
+
+
+def test_an_instance_registers_again_at_once_when_its_lease_has_ended():
+    """Until then the others leave it out; its next renewal may be far."""
+
+    async def scenario():
+        shared = memory_store.MemoryStore()
+        client = memory_store.MemoryClient(shared)
+        instance = cluster_parts.Member(
+            'instance-0', client, cluster_parts.PeerNetwork(), 0
+        )
+        instance.start()
+        await asyncio.sleep(1)
+        for pause_s in (0.1, 0.3, 0.5, 0.7):
+            await asyncio.sleep(pause_s)
+            shared.end_lease(instance.session.lease_id)
+            with pytest.raises(store.LeaseEnded):
+                await instance.session.renew(1)
+            await asyncio.sleep(0.05)
+            assert instance.session.key in shared.item_by_key
+        await instance.kill()
+
+    virtual.run(scenario())
--- a/tests/test_store_mirror.py
+++ b/tests/test_store_mirror.py
@@ -10,7 +10,14 @@
 
 from emulator import memory_store
 from oatcrank import bounded_writer
-from oatcrank.cluster import codec, member, members, store_mirror, table_updater
+from oatcrank.cluster import (
+    codec,
+    member,
+    members,
+    store_eras,
+    store_mirror,
+    table_updater,
+)
 from oatcrank.routing import route_table, server_table
 
 FAULT = memory_store.StoreFault
@@ -161,6 +168,94 @@
     run_mirror(scenario)
 
 
+def test_a_restored_store_is_noticed_without_an_outage():
+    async def scenario(shared, client, servers):
+        older = shared.take_copy()
+        shared.put(f'{PREFIX}two', b'x')
+        await asyncio.sleep(1)
+        shared.return_from(older)
+        await asyncio.sleep(1)
+        assert set(servers.by_id) == {'one', 'two'}
+        await asyncio.sleep(table_updater.REREGISTRATION_GRACE_S)
+        assert set(servers.by_id) == {'one'}
+
+    run_mirror(scenario)
+
+
+def test_a_second_outage_gives_servers_the_whole_time_again():
+    async def scenario(shared, client, servers):
+        await outage(client)
+        client.fault = FAULT.none
+        shared.put(f'{PREFIX}one', b'x')
+        await asyncio.sleep(table_updater.REREGISTRATION_GRACE_S - 0.6)
+        older = memory_store.MemoryStore().take_copy()
+        shared.return_from(older)
+        await asyncio.sleep(table_updater.REREGISTRATION_GRACE_S - 0.1)
+        assert set(servers.by_id) == {'one'}
+        await asyncio.sleep(0.5)
+        assert not servers.by_id
+
+    run_mirror(scenario)
+
+
+def test_a_copy_knows_no_changes_of_another_era():
+    """An instance that already follows the next era asks for them."""
+
+    async def scenario(shared, client, servers):
+        listener = table_updater.TableUpdater(
+            RegistrationCodec(),
+            route_table.RouteTable(),
+            servers,
+            members.Members(a_member(0, 'north')),
+            {},
+        )
+        mirror = store_mirror.StoreMirror(client, listener, random.Random(2))
+        following = asyncio.ensure_future(mirror.run())
+        await asyncio.sleep(1)
+        assert mirror.is_complete_after(mirror.revision)
+        later = store_eras.revision(shared.era + 1, 1)
+        assert not mirror.is_complete_after(later)
+        following.cancel()
+
+    run_mirror(scenario)
+
+
+class FailingCodec(RegistrationCodec):
+    """Fail to decode one key."""
+
+    def decode(self, item):
+        if item.key == f'{PREFIX}failing':
+            raise ArithmeticError(item.key)
+        return super().decode(item)
+
+
+@pytest.mark.parametrize('is_new', [False, True])
+def test_a_value_that_fails_to_be_applied_keeps_no_other_from_that(is_new):
+    async def run():
+        shared = memory_store.MemoryStore()
+        client = memory_store.MemoryClient(shared)
+        servers = server_table.ServerTable()
+        listener = table_updater.TableUpdater(
+            FailingCodec(),
+            route_table.RouteTable(),
+            servers,
+            members.Members(a_member(0, 'north')),
+            {},
+        )
+        mirror = store_mirror.StoreMirror(client, listener, random.Random(1))
+        following = asyncio.ensure_future(mirror.run())
+        if is_new:
+            await asyncio.sleep(1)
+        for name in ('failing', 'one'):
+            shared.put(f'{PREFIX}{name}', b'x')
+        await asyncio.sleep(1)
+        assert not following.done()
+        following.cancel()
+        assert set(servers.by_id) == {'one'}
+
+    virtual.run(run())
+
+
 @pytest.mark.parametrize(
     ('domain', 'ready', 'expected'),
     [
