Split the owner of quotas from the use of quotas

No behaviour changes; tests/test_distributed_quotas.py, test_organisation_gate.py and test_platform_adapter.py pass as before (134 tests).

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -21,6 +21,7 @@
     order_lease,
     peer_service,
     peers,
+    quota_owner,
     relay_follower,
     remote_placement_requester,
     session,
@@ -74,7 +75,7 @@
     order_lease_duration_s: float
     load_ceiling: store_load_limit.Ceiling
     stop_timeout_s: float
-    quota_tolerance: distributed_quotas.QuotaTolerance
+    quota_tolerance: quota_owner.QuotaTolerance
 
 
 class InstanceDependencies(msgspec.Struct, frozen=True, kw_only=True):
@@ -241,7 +242,7 @@
     def update_bounds(self, bounds: Bounds) -> None:
         """Apply changed bounds to the running instance."""
         self._bounds = bounds
-        self._quotas.tolerance = bounds.quota_tolerance
+        self._quotas.apply_tolerance(bounds.quota_tolerance)
         self._order_lease.lease_duration_s = bounds.order_lease_duration_s
         self._coordinator.apply_load_ceiling(bounds.load_ceiling)
         self._retries.set_limits(
--- a/oatcrank/platform/settings.py
+++ b/oatcrank/platform/settings.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.cluster import distributed_quotas, instance, member
+from oatcrank.cluster import instance, member, quota_owner
 from oatcrank.orders import store_load_limit
 
 SETTINGS_VARIABLE = 'OATCRANK_CONFIG'
@@ -79,7 +79,7 @@
                 overage=self.bounds.ceiling_overage,
             ),
             stop_timeout_s=self.bounds.grace_s,
-            quota_tolerance=distributed_quotas.QuotaTolerance(
+            quota_tolerance=quota_owner.QuotaTolerance(
                 overage=self.bounds.quota_overage,
                 slack=self.bounds.quota_slack,
             ),
--- a/tests/quota_fleet.py
+++ b/tests/quota_fleet.py
@@ -6,7 +6,7 @@
 
 from test_pace_keepers import a_member
 
-from oatcrank.cluster import distributed_quotas, members
+from oatcrank.cluster import distributed_quotas, members, quota_owner
 from oatcrank.forwarding import quotas
 from oatcrank.organisations import organisation
 from oatcrank.routing import route_table
@@ -16,7 +16,7 @@
     unit=organisation.QuotaUnit.tokens, per_s=20000, burst=20000
 )
 HOLDER = organisation.Organisation(name='clinic', quota=QUOTA)
-TOLERANCE = distributed_quotas.QuotaTolerance(overage=0.1, slack=2000)
+TOLERANCE = quota_owner.QuotaTolerance(overage=0.1, slack=2000)
 
 
 class Fault(enum.Enum):
