Answer requests that wait before a planned stop ends them

Callers saw their connection closed without an answer at the end of a planned stop, though nothing of an answer had been passed on: the request waited for a silent server, the first event of a stream, another instance, a permit, a prompt slot, a placement or a quota.

Cause: only the wait for a placement knew of the end of the stop. All others went on until the process ended, which cancels them, and a cancelled request aborts its connection as if its caller had left. The end of the process was handled as the end of the connection, and not as a deadline of the request.

Now the deadlines of all requests whose answers have not begun are kept together. Shortly before connections are closed they end: with 503 and Retry-After 0 if the request has not run, else with 502, which promises nothing. Streams that have begun go on.

--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -1,5 +1,6 @@
 """Handle callers' requests by forwarding them to backend servers."""
 
+import asyncio
 import http
 import math
 
@@ -16,8 +17,6 @@
 from oatcrank.transport import caller_connection, message, reply
 
 NOT_READY_RETRY_S = 0.5
-# Other instances can serve the request at once.
-STOPPING_RETRY_S = float(0)
 
 
 class Forwarder(caller_connection.Handler):
@@ -42,12 +41,16 @@
         """Close connections after their answers and limit waits.
 
         Requests that are not handled before accepts_until_s are refused,
-        since the stop may cut off their answers.
+        since the stop may cut off their answers.  Those whose answers have not
+        begun at stop_deadline_s are given up then.
         """
         self.leaving = True
         self._accepts_until_s = accepts_until_s
         self._dependencies.stop_deadline_s = stop_deadline_s
         self._dependencies.servers.notify_change()
+        asyncio.get_running_loop().call_at(
+            stop_deadline_s, self._dependencies.unanswered.give_up
+        )
 
     async def handle(self, request: message.Request, out: reply.Reply) -> None:
         """Answer one request."""
@@ -95,9 +98,7 @@
     def _check_not_stopping(self) -> None:
         """Raise RequestRefused if the stop may cut off an answer."""
         if self._dependencies.now() >= self._accepts_until_s:
-            raise refusal.RequestRefused(
-                'this instance is stopping', STOPPING_RETRY_S
-            )
+            raise refusal.InstanceStopping
 
     def _configuration(self) -> route.Configuration:
         """Return the configuration, or raise RequestRefused."""
@@ -137,7 +138,11 @@
             )
             return
         await self._dependencies.peer_relay.relay(
-            raw, request, request.deadline_s(request_route.timeout_s), out
+            raw,
+            request,
+            request.deadline_s(request_route.timeout_s),
+            out,
+            self._dependencies.unanswered,
         )
 
     async def _execute(
@@ -151,7 +156,11 @@
         Return False if it was not answered, since no server was reached.
         """
         try:
-            admission = await self._gate.admit(request, request_route)
+            async with self._dependencies.unanswered.limit(out, None):
+                admission = await self._gate.admit(request, request_route)
+        except refusal.InstanceStopping as stopping:
+            _refuse(request, stopping, out)
+            return True
         except organisation_gate.KeyRefused as refused:
             out.answer(
                 http.HTTPStatus.UNAUTHORIZED,
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -8,7 +8,13 @@
 from collections.abc import Callable
 
 from oatcrank import logs
-from oatcrank.forwarding import caller_request, request_metrics, wire_protocol
+from oatcrank.forwarding import (
+    caller_request,
+    refusal,
+    request_metrics,
+    unanswered_requests,
+    wire_protocol,
+)
 from oatcrank.transport import backend_connection, errors, message, reply
 
 CONNECT_TIMEOUT_S = 0.2
@@ -60,14 +66,17 @@
         request: caller_request.CallerRequest,
         deadline_s: float,
         out: reply.Reply,
+        unanswered: unanswered_requests.UnansweredRequests,
     ) -> None:
         """Answer a request that this instance has not sent to a server."""
         sending = _Relaying(raw, deadline_s, out)
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with unanswered.limit(out, deadline_s):
                 await self._ask_in_turn(sending)
         except TimeoutError:
             logs.event('relay_timeout', request=request.request_id)
+        except refusal.InstanceStopping:
+            logs.event('relay_given_up', request=request.request_id)
         finally:
             request_metrics.RELAYED_REQUESTS.labels(sending.outcome.name).inc()
             logs.event(
--- a/oatcrank/forwarding/request_dependencies.py
+++ b/oatcrank/forwarding/request_dependencies.py
@@ -14,6 +14,7 @@
     quotas,
     server_limiter,
     stream_origins,
+    unanswered_requests,
     wire_protocol,
 )
 from oatcrank.routing import (
@@ -42,6 +43,9 @@
     links: server_links.ServerLinks
     peer_relay: peer_relay.PeerRelay
     rng: random.Random
+    unanswered: unanswered_requests.UnansweredRequests = msgspec.field(
+        default_factory=unanswered_requests.UnansweredRequests
+    )
     # Monotonic time by which this instance stops, if it is shutting down.
     stop_deadline_s: float = math.inf
 
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -84,7 +84,9 @@
 
     async def _execute_with_timeout(self) -> None:
         try:
-            async with asyncio.timeout_at(self._deadline_s + DEADLINE_SLACK_S):
+            async with self._dependencies.unanswered.limit(
+                self._out, self._deadline_s + DEADLINE_SLACK_S
+            ):
                 await self._execute()
         except TimeoutError:
             self._outcome = 'timeout'
@@ -103,6 +105,8 @@
 
     def _is_unreached_by(self, refused: refusal.RequestRefused) -> bool:
         """Return whether a refusal is due to this instance's links alone."""
+        if isinstance(refused, refusal.InstanceStopping):
+            return False
         links = self._dependencies.links.of_service(self._wanted.service)
         if isinstance(refused, refusal.ServersUnreached):
             return self._may_relay()
