Use more of the time of a planned stop, and end it in time

With a store that does not answer, a planned stop took 8.6 s of its 8 s: the removal of the registration, which comes last, waits up to 1.5 s for the store. Without that, connections were closed 1 s before the timeout, and waiting requests given up 1.5 s before it, which is early for a server that is at work, and with a timeout under 6 s is earlier than its last sixth. An error while the order lease is released would have ended the process at once, with all requests. An instance that got its first configuration after the SIGTERM became ready.

Now `stop_schedule` holds the times of a stop, in proportion to short timeouts. The order lease is released in the background, which logs errors and goes on. A stopping instance doesn't become ready.

tests/test_planned_stop.py, real processes: before, 4 of 4 cases with requests that get no answer failed (closed without one; 8.64 and 8.66 s with the store away), and the instance became ready 0.54 s after the SIGTERM. All pass now.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -25,6 +25,7 @@
     remote_placement_requester,
     session,
     shared_stream_origins,
+    stop_schedule,
     store,
     store_mirror,
     table_updater,
@@ -52,15 +53,6 @@
 from oatcrank.transport import caller_connection, limits
 
 READY_POLL_INTERVAL_S = 0.05
-# Callers keep an address this long before they resolve it again.
-ADDRESS_TTL_S = 2.0
-# Callers that keep it longer find the port closed, and their requests on open
-# connections are refused, so that they resolve it again.
-ACCEPT_AFTER_STOP_S = 2.5
-# A stop ends this long before its timeout.
-STOP_MARGIN_S = 1.0
-# Requests stop waiting for a server this long before connections are closed.
-ANSWER_MARGIN_S = 0.5
 IDLE_POLL_INTERVAL_S = 0.05
 PRUNE_INTERVAL_S = 0.5
 
@@ -278,16 +270,23 @@
     async def stop(self) -> None:
         """Stop gracefully: requests in progress can finish."""
         loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        ends_s = started_s + self._bounds.stop_timeout_s - STOP_MARGIN_S
-        accepts_until_s = started_s + ACCEPT_AFTER_STOP_S
-        self._forwarder.leave(ends_s - ANSWER_MARGIN_S, accepts_until_s)
+        times = stop_schedule.schedule(loop.time(), self._bounds.stop_timeout_s)
+        self._forwarder.leave(times.give_up_s, times.accepts_until_s)
         self._set_ready(ready=False)
-        await self._order_lease.release()
-        await asyncio.sleep(accepts_until_s - loop.time())
+        self._background.start('order_lease_release', self._order_lease.release)
+        await asyncio.sleep(times.accepts_until_s - loop.time())
         if self._server is not None:
             self._server.close()
-        while self._open_connections and loop.time() < ends_s:
+        await self._finish_connections(times.connections_end_s)
+        self._coordinator.stop()
+        self._datagrams.close()
+        closing = asyncio.ensure_future(self._close())
+        await asyncio.wait((closing,), timeout=times.ends_s - loop.time())
+
+    async def _finish_connections(self, end_s: float) -> None:
+        """Close connections as they become idle, until a time."""
+        loop = asyncio.get_running_loop()
+        while self._open_connections and loop.time() < end_s:
             for connection in tuple(self._open_connections):
                 connection.close_if_idle()
             await asyncio.sleep(IDLE_POLL_INTERVAL_S)
@@ -296,8 +295,8 @@
                 'stop_closed_connections',
                 connections=len(self._open_connections),
             )
-        self._coordinator.stop()
-        self._datagrams.close()
+
+    async def _close(self) -> None:
         await self._session.close()
         await self._background.close()
 
@@ -316,7 +315,8 @@
     async def _become_ready(self) -> None:
         while self.routes.configuration is None:  # noqa: ASYNC110
             await asyncio.sleep(READY_POLL_INTERVAL_S)
-        self._set_ready(ready=True)
+        if not self._forwarder.leaving:
+            self._set_ready(ready=True)
 
     async def _hand_over_when_cut_off(self) -> None:
         """Leave the order lease to instances that reach the model servers."""
--- a/oatcrank/platform/directory.py
+++ b/oatcrank/platform/directory.py
@@ -2,7 +2,7 @@
 
 from tornado import web
 
-from oatcrank.cluster import instance, peer_handlers
+from oatcrank.cluster import instance, peer_handlers, stop_schedule
 
 UNAVAILABLE = 503
 
@@ -24,7 +24,7 @@
             self.set_status(UNAVAILABLE)
             return
         self.write(
-            {'addresses': addresses, 'ttl_s': instance.ADDRESS_TTL_S},
+            {'addresses': addresses, 'ttl_s': stop_schedule.ADDRESS_TTL_S},
         )
 
 
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -313,13 +313,13 @@
     def close(self) -> None:
         self.writer.close()
 
-    async def ask(self, text: bytes) -> Answer:
+    async def ask(self, text: bytes, wait_s: float = 5) -> Answer:
         self.writer.write(text)
-        return await self.read()
+        return await self.read(wait_s)
 
-    async def read(self) -> Answer:
+    async def read(self, wait_s: float = 5) -> Answer:
         try:
-            async with asyncio.timeout(5):
+            async with asyncio.timeout(wait_s):
                 return await self._read()
         except (asyncio.IncompleteReadError, ConnectionError):
             return Answer(0, {}, b'', whole=False)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -150,7 +150,7 @@
     async def start(self, processes: int) -> None:
         """Start everything and wait until all instances know the workers."""
         self.store.start()
-        self.store.store.put('op/config', json.dumps(self._config()).encode())
+        self.configure()
         for worker in self.workers:
             await worker.start()
             self.register(worker)
@@ -161,6 +161,10 @@
         await asyncio.gather(*(process.start() for process in self.processes))
         await asyncio.sleep(1.5)
 
+    def configure(self) -> None:
+        """Write the configuration."""
+        self.store.store.put('op/config', json.dumps(self._config()).encode())
+
     def new_process(self, name: str) -> Process:
         """Return an instance that has not started."""
         return Process(name, self._directory, self.store.address, self._bounds)
@@ -194,6 +198,7 @@
         prefix: str,
         request_id: str,
         caller_host: str | None = None,
+        wait_s: float = 5,
         **changes,
     ) -> forwarding_site.Answer:
         """Send one request on a new connection."""
@@ -214,6 +219,7 @@
                         **changes,
                     },
                 ),
+                wait_s,
             )
         finally:
             caller.close()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,6 +7,10 @@
 import platform_site
 import pytest
 
+from emulator import platform_store, platform_worker
+
+MODE = platform_worker.AnswerMode
+STORE = platform_store.StoreMode
 # Longer than a stop lasts after it has refused its first requests.
 ANSWER_S = 4.5
 
@@ -100,3 +104,110 @@
     return forwarding_site.request(
         target='/long/x', x_request_id=request_id, x_deadline_ms='15000'
     )
+
+
+GRACE_S = 8
+# A request that its server was at work on this late may be cut off.
+AT_WORK_S = GRACE_S * 5 / 6
+KINDS = ('once', 'read', 'talk', 'back')
+# When requests are sent, from the SIGTERM.
+SENT_S = (-0.5, -0.05, 0.3, 1.2, 2.2)
+
+
+def silent(worker):
+    worker.answer_mode = MODE.no_answer
+
+
+def without_events(worker):
+    worker.answer_mode = MODE.stream
+    worker.event_delay_s = 60.0
+
+
+@pytest.mark.parametrize('store_mode', [STORE.normal, STORE.no_answer])
+@pytest.mark.parametrize('be_slow', [silent, without_events])
+def test_a_stop_answers_all_requests_that_have_no_answer(
+    tmp_path, be_slow, store_mode
+):
+    """The end of the process closed their connections without an answer."""
+
+    async def work(site, process):
+        for worker in site.workers:
+            be_slow(worker)
+        asking = [
+            asyncio.ensure_future(ask_at(site, process, kind, at_s))
+            for kind in KINDS
+            for at_s in SENT_S
+        ]
+        await asyncio.sleep(-SENT_S[0])
+        site.store.mode = store_mode
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        await process.end(signal.SIGTERM)
+        took_s = loop.time() - began_s
+        answers = await asyncio.gather(*asking)
+        assert took_s < GRACE_S
+        assert {answer.status for answer, _ in answers} == {502}
+        assert all(answer.whole for answer, _ in answers)
+        # No answer was given up before the server had most of the time.
+        assert min(ended_s for _, ended_s in answers) - began_s > AT_WORK_S
+
+    run_process(tmp_path, work)
+
+
+async def ask_at(site, process, kind, at_s):
+    """Send a request at a time from the SIGTERM; return when it ended."""
+    await asyncio.sleep(at_s - SENT_S[0])
+    answer = await site.ask(
+        process, kind, f'{kind}{at_s}', x_deadline_ms='15000', wait_s=20
+    )
+    return answer, asyncio.get_running_loop().time()
+
+
+def run_process(directory, work):
+    """Run work with one process, and routes of all kinds to one worker."""
+    routes = [
+        platform_site.route(prefix, kind, timeout_ms=20000, **changes)
+        for prefix, kind, changes in (
+            ('once', 'non_idempotent', {}),
+            ('read', 'idempotent', {}),
+            ('talk', 'streaming', {}),
+            ('back', 'streaming', {'resumable': True}),
+        )
+    ]
+
+    async def run_work():
+        site = platform_site.PlatformSite(directory, workers=1, routes=routes)
+        await site.start(processes=1)
+        try:
+            await work(site, site.processes[0])
+        finally:
+            await site.stop()
+
+    asyncio.run(run_work())
+
+
+def test_an_instance_that_stops_before_its_configuration_is_never_ready(
+    tmp_path,
+):
+    """It became ready when the configuration came, and callers used it."""
+
+    async def work():
+        site = platform_site.PlatformSite(tmp_path, workers=0, routes=[])
+        site.store.start()
+        process = site.new_process('instance-0')
+        await process.start()
+        try:
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            # The second one changes nothing.
+            process.send_signal(signal.SIGTERM)
+            site.configure()
+            await process.end(signal.SIGTERM)
+        finally:
+            await process.end()
+            site.store.stop()
+        log = process.log_text()
+        assert 'event=stop ' in log, log
+        assert 'ready=True' not in log, log
+
+    asyncio.run(work())
