Finish the answer to a request before what follows it is refused

A caller that sent something unreadable, or too large, behind a request on the same connection lost the answer to that request, though it may have run.

Cause: the refusal ended the sending side of the connection at once, also while an answer was under way, which then could not be written.

Now requests that were read whole are answered first; then the connection closes.

tests/test_caller_connection.py: 6 of 6 cases failed before (connection closed without an answer), and pass now.

--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -210,13 +210,21 @@
             self._task = None
         if not out.complete:
             out.fail()
-        if not out.keep_alive:
+        self._go_on(keep_alive=out.keep_alive)
+
+    def _go_on(self, *, keep_alive: bool) -> None:
+        """Answer the next request, wait for one, or close the connection."""
+        if not keep_alive:
+            self._close_after_linger()
+        elif self._pending:
+            self._answer_next()
+        elif self._closing:
+            # What followed the request could not be read.
             self._close_after_linger()
         elif not self.transport.is_closing():
             self._set_timeout(
                 self._get_limits().idle_timeout_s, self._close_idle
             )
-            self._answer_next()
 
     def _close_after_linger(self) -> None:
         """Close the connection after a delay to read the answer."""
@@ -232,10 +240,11 @@
             return
         logs.event('message_refused', status=int(status), reason=reason)
         self._closing = True
-        if self._task is None and not self.transport.is_closing():
+        if self._task is not None:
+            # The connection closes after the answers to what came before.
+            return
+        if not self.transport.is_closing():
             self.transport.write(reply.encode_closing_reply(status, reason))
-        elif self._task is not None:
-            self._task.add_done_callback(lambda _: self.transport.close())
         self._close_after_linger()
 
     def _check_header_size(self) -> None:
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -241,3 +241,42 @@
         streaming=True,
         timeout_s=20,
     )
+
+
+@pytest.mark.parametrize(
+    'second',
+    [
+        b'no request at all\r\n\r\n',
+        forwarding_site.request(x_long='y' * 500),
+        forwarding_site.request(body=b'y' * 101),
+    ],
+)
+@pytest.mark.parametrize(
+    ('answer_mode', 'route_changes'),
+    [
+        (platform_worker.AnswerMode.whole, {}),
+        (platform_worker.AnswerMode.stream, {'streaming': True}),
+    ],
+)
+def test_bad_input_does_not_cut_off_the_answer_before_it(
+    second, answer_mode, route_changes
+):
+    """The connection was closed while the first request was answered."""
+
+    async def work(site):
+        site.limits = SMALL
+        for worker in site.workers:
+            worker.answer_mode = answer_mode
+            worker.answer_delay_s = 0.2
+            worker.event_delay_s = 0.1
+        caller = await forwarding_site.Caller.open(site.port)
+        caller.writer.write(forwarding_site.request())
+        await asyncio.sleep(0.1)
+        try:
+            answer = await caller.ask(second)
+            rest = await caller.reader.read()
+        finally:
+            caller.close()
+        assert (answer.status, answer.whole, rest) == (200, True, b'')
+
+    forwarding_site.run(work, **route_changes)
