Answer a request that arrived behind another during a planned stop

A caller that sent a request before it had the answer to the one before, on a connection of a stopping instance, lost it: the connection closed after the first answer, and the second request, read whole or in part, was dropped.

Cause: every answer that begins in a stop said that the connection closes, also if another request was waiting on it. Besides, a request whose first part came together with the end of the one before did not count as being read, so that its connection was closed as idle, and had no time limit.

Now an answer announces the close only if no other request has arrived. The last one is answered, or refused as not run if it comes late.

tests/test_planned_stop.py: 4 of 4 cases failed before (the second request had no answer), and pass now.

--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -55,7 +55,7 @@
     async def handle(self, request: message.Request, out: reply.Reply) -> None:
         """Answer one request."""
         if self.leaving:
-            out.keep_alive = False
+            out.close_if_last()
         try:
             decoded = self._dependencies.wire_protocol.decode_request(request)
         except wire_protocol.MalformedRequest as error:
--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -51,7 +51,7 @@
     @property
     def busy(self) -> bool:
         """Return whether a request is being read, queued or answered."""
-        return self._task is not None or self._reading or bool(self._pending)
+        return self._task is not None or self._has_next()
 
     # asyncio.Protocol
 
@@ -127,6 +127,7 @@
 
     def on_message_begin(self) -> None:
         """Start to read a request."""
+        self._reading = True
         self._start_message(parser=False)
 
     def on_url(self, url: bytes) -> None:
@@ -197,7 +198,9 @@
         self._task = asyncio.ensure_future(self._answer(request))
 
     async def _answer(self, request: message.Request) -> None:
-        out = reply.Reply(self.transport, self._writable, request)
+        out = reply.Reply(
+            self.transport, self._writable, request, self._has_next
+        )
         try:
             await self._handler.handle(request, out)
         except asyncio.CancelledError:
@@ -222,9 +225,18 @@
             # What followed the request could not be read.
             self._close_after_linger()
         elif not self.transport.is_closing():
-            self._set_timeout(
-                self._get_limits().idle_timeout_s, self._close_idle
-            )
+            self._wait_for_request()
+
+    def _wait_for_request(self) -> None:
+        """Limit the time until a request has arrived."""
+        if self._reading:
+            self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
+            return
+        self._set_timeout(self._get_limits().idle_timeout_s, self._close_idle)
+
+    def _has_next(self) -> bool:
+        """Return whether another request follows on this connection."""
+        return self._reading or bool(self._pending)
 
     def _close_after_linger(self) -> None:
         """Close the connection after a delay to read the answer."""
--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -3,6 +3,7 @@
 import asyncio
 import http
 import time
+from collections.abc import Callable
 
 from oatcrank.transport import message
 
@@ -17,12 +18,18 @@
         transport: asyncio.Transport,
         writable: asyncio.Event,
         request: message.Request,
+        has_next: Callable[[], bool],
     ) -> None:
-        """Create the writer for the answer to a request."""
+        """Create the writer for the answer to a request.
+
+        has_next() returns whether another one follows on the connection.
+        """
         self._transport = transport
         self._writable = writable
         self._is_head = request.method == b'HEAD'
         self._chunked = False
+        self._has_next = has_next
+        self._closes_if_last = False
         self.keep_alive = request.keep_alive
         self.started = False
         self.complete = False
@@ -31,6 +38,10 @@
         self.longest_pause_s = float(0)
         self._last_write_s = float(0)
 
+    def close_if_last(self) -> None:
+        """Close the connection after this answer if no request follows."""
+        self._closes_if_last = True
+
     def start(
         self,
         status: int,
@@ -41,6 +52,8 @@
     ) -> None:
         """Write the head; without a length the body is chunked."""
         self.started = True
+        if self._closes_if_last and not self._has_next():
+            self.keep_alive = False
         self._chunked = length is None
         lines = [b'HTTP/1.1 %d %s' % (status, reason or _reason_phrase(status))]
         lines.extend(b'%s: %s' % pair for pair in headers)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -64,6 +64,35 @@
     forwarding_site.run(work)
 
 
+@pytest.mark.parametrize(('accepts_for_s', 'status'), [(5.0, 200), (0.2, 503)])
+@pytest.mark.parametrize('pieces', [1, 2])
+def test_a_pipelined_request_is_answered_during_a_stop(
+    accepts_for_s, status, pieces
+):
+    """The connection closed after the answer to the request before it."""
+
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_delay_s = 0.4
+        now_s = asyncio.get_running_loop().time()
+        site.forwarder.leave(now_s + 9, now_s + accepts_for_s)
+        caller = await forwarding_site.Caller.open(site.port)
+        second = forwarding_site.request(x_request_id='request-2')
+        sent = len(second) // pieces
+        caller.writer.write(forwarding_site.request() + second[:sent])
+        try:
+            first = await caller.read()
+            caller.writer.write(second[sent:])
+            answer = await caller.read()
+        finally:
+            caller.close()
+        assert first.status == 200
+        assert answer.status == status
+        assert answer.header_by_name['connection'] == 'close'
+
+    forwarding_site.run(work)
+
+
 def test_a_stopping_process_cuts_off_no_late_request(tmp_path):
     """A caller that reuses its connection late in a stop lost its request."""
 
