Refuse the requests that the grace of the own interface's stop ends

At the end of `limits.stop_grace_s`, callers of `oatcrank serve` got a false answer: calls that were in progress were answered with 200 and an empty body, and streams ended without their last event and without an error event.

Cause: the end of the process cancels all handlers. A handler took that for a caller that has left, and returned without an answer, upon which tornado finishes the answer as it stands.

Now the instance gives up the requests in progress when the grace ends, and a handler whose caller is still there refuses with the code `stopping`: 503 if the request has not run, else 502; in a stream that has begun, by an error event. A handler that is cancelled otherwise does the same.

--- a/oatcrank/entry/caller_handler.py
+++ b/oatcrank/entry/caller_handler.py
@@ -11,6 +11,7 @@
 from oatcrank.configuration import profile
 from oatcrank.entry import (
     caller_response_writer,
+    dispatch_request,
     event_splitter,
     json_handler,
     request_head,
@@ -72,24 +73,32 @@
             )
         return requested
 
-    async def run(self, work: Awaitable[None]) -> None:
+    async def run(
+        self, request: dispatch_request.DispatchRequest, work: Awaitable[None]
+    ) -> None:
         """Run the request and finish the answer."""
-        self.dependencies.request_started()
-        self._task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore
+        self._task = task
+        self.dependencies.request_started(task)
+        try:
+            await self._run(request, task)
+        finally:
+            self.dependencies.request_ended(task)
+
+    async def _run(
+        self,
+        request: dispatch_request.DispatchRequest,
+        task: asyncio.Task[None],
+    ) -> None:
         try:
-            await self._task
+            await task
         except asyncio.CancelledError:
-            logs.event(
-                'caller_disconnected', request_id=self.request_head.request_id
-            )
-            return
+            self._finish_cancelled(request)
         except refusal.Refused as refused:
             self._finish_refused(refused.refusal)
-            return
-        finally:
-            self.dependencies.request_ended()
-        if not self.response_writer.disconnected:
-            await self._finish()
+        else:
+            if not self.response_writer.disconnected:
+                await self._finish()
 
     def refuse(self, refused: refusal.Refusal) -> None:
         """Log a refusal, add the request id and answer with it."""
@@ -115,6 +124,25 @@
         )
         self.dependencies.metrics.count(f'refused.{refused.code.value}')
 
+    def _finish_cancelled(
+        self, request: dispatch_request.DispatchRequest
+    ) -> None:
+        """Finish a request that its caller has left, or that a stop ends."""
+        if self.response_writer.disconnected:
+            logs.event(
+                'caller_disconnected', request_id=self.request_head.request_id
+            )
+            return
+        # At-most-once requests go on, or are another's run.
+        has_not_run = not request.attempts and not request.profile.at_most_once
+        self._finish_refused(
+            serving_dependencies.stopping(
+                refusal.RunState.did_not_run
+                if has_not_run
+                else refusal.RunState.may_have_run
+            )
+        )
+
     def _finish_refused(self, refused: refusal.Refusal) -> None:
         if self.response_writer.disconnected:
             self._log_refusal(refused)
--- a/oatcrank/entry/completion_handler.py
+++ b/oatcrank/entry/completion_handler.py
@@ -42,7 +42,7 @@
             arrived_at=self.dependencies.clock.now(),
         )
         self.dependencies.queue.arrivals_by_model[request.model] += 1
-        await self.run(self._serve(request))
+        await self.run(request, self._serve(request))
 
     async def _serve(self, request: dispatch_request.ModelRequest) -> None:
         if request.profile.at_most_once:
--- a/oatcrank/entry/entry_instance.py
+++ b/oatcrank/entry/entry_instance.py
@@ -1,6 +1,7 @@
 """Assemble and run one entry instance."""
 
 import asyncio
+import contextlib
 from typing import Any
 
 import msgspec
@@ -26,6 +27,8 @@
 MS_PER_S = 1000
 ASSIGN_PERIOD_S = 0.05
 LEAVE_PROPAGATION_S = 1.0
+# Time to write the refusals of the requests that a stop ends.
+REFUSAL_TIME_S = 0.5
 # When another instance is lost, its callers reconnect here all at once.
 LISTEN_BACKLOG = 4096
 
@@ -80,6 +83,14 @@
                 await self.serving.at_most_once_runner.drain()
         except TimeoutError:
             logs.event('stop_grace_exceeded', running=self.serving.running)
+            await self._refuse_running()
+
+    async def _refuse_running(self) -> None:
+        """Refuse the requests in progress, which the stop would cut off."""
+        self.serving.give_up()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFUSAL_TIME_S):
+                await self.serving.wait_until_idle()
 
     async def _poll_servers(self) -> None:
         period_s = self.settings.platform.list_period_ms / MS_PER_S
--- a/oatcrank/entry/service_handler.py
+++ b/oatcrank/entry/service_handler.py
@@ -47,7 +47,7 @@
             ),
             arrived_at=self.dependencies.clock.now(),
         )
-        await self.run(self._serve(request))
+        await self.run(request, self._serve(request))
 
     async def _serve(self, request: dispatch_request.ServiceRequest) -> None:
         if request.profile.at_most_once:
