Release the control lease beside the other steps of a stop

An error that the release of the control lease does not expect would have ended the stop of `oatcrank serve`, and the process with all its requests, and a slow store made the stop longer.

--- a/oatcrank/entry/entry_instance.py
+++ b/oatcrank/entry/entry_instance.py
@@ -63,7 +63,7 @@
         """Leave the membership, finish running requests, then stop."""
         logs.event('leaving')
         self.platform.membership.leave()
-        await self.control.lease.release()
+        self._background.start('lease_release', self.control.lease.release)
         await asyncio.sleep(
             self.settings.limits.address_keep_s + LEAVE_PROPAGATION_S,
         )
