Send nothing to a server after it has said in an answer that it leaves

Callers' requests reached servers seconds after instances had passed on answers of these servers that say they leave. The header was not read: only the registration in the store counted, and a registration that came back or was written again made the server usable.

Every answer of a server now takes its process out at once, also refusals, failures, invalid answers, heads of streams and answers to orders and reports; only 421 is the answer of another server. The table of servers keeps the process (id, start, address), whatever registrations say later. A request checks it again after it has waited for a connection, an order and a report before the write. An instance that passes on an answer relayed by another one learns it by an internal header, the others by a datagram, which two instances for each server pass on to all.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -76,7 +76,8 @@
 class ReceivedRequest(msgspec.Struct):
     """Request as a worker read it, at a monotonic time in seconds.
 
-    limit_per_s is the limit that the worker named then.
+    limit_per_s is the limit that the worker named then, leaving whether it
+    said that it leaves, retry_after what it turned the request away with.
     """
 
     method: str
@@ -85,6 +86,8 @@
     body: bytes
     received_s: float = msgspec.field(default_factory=time.monotonic)
     limit_per_s: float | None = None
+    leaving: bool = False
+    retry_after: str = ''
 
 
 class Worker:
@@ -97,6 +100,9 @@
     event_count: number of events in a stream.
     crashed: set once the worker has crashed of a request.
     limit_per_s: limit that all answers name, if it is set.
+    leaving: whether all answers say that the worker leaves.
+    retry_after: if it is set, all requests, orders and reports are turned away
+        with 503 and this Retry-After.
     endless_answer: what is sent until the caller closes, if it is set; the
         bytes are counted in endless_bytes.
     """
@@ -119,6 +125,8 @@
         self.crashing_path = ''
         self.crashed = asyncio.Event()
         self.limit_per_s: float | None = None
+        self.leaving = False
+        self.retry_after = ''
         self.endless_answer: endless_answer.EndlessAnswer | None = None
         self.endless_bytes = 0
         self.answer_delay_s = float(0)
@@ -181,23 +189,14 @@
         if request is None:
             return False
         request.limit_per_s = self.limit_per_s
+        request.leaving = self.leaving
+        request.retry_after = self.retry_after
         self.received_requests.append(request)
-        if request.target == '/order':
-            await asyncio.sleep(self.order_delay_s)
-            writer.write(
-                answers.encode_answer(
-                    self.order_status, self._limit_headers(), b'{}'
-                )
-            )
+        if self.retry_after:
+            writer.write(answers.full(self._answer_headers(request)))
             return True
-        if request.target == '/report':
-            writer.write(
-                answers.encode_answer(
-                    HTTPStatus.OK,
-                    self._limit_headers(),
-                    json.dumps(self.report).encode(),
-                )
-            )
+        if request.target in {'/order', '/report'}:
+            await self._answer_call(request.target, writer)
             return True
         if self.endless_answer is not None:
             await self._send_without_end(self.endless_answer, request, writer)
@@ -213,6 +212,18 @@
             return False
         return await self._send_answer(mode, request, writer)
 
+    async def _answer_call(
+        self, target: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer an order or a request for a report."""
+        status = int(HTTPStatus.OK)
+        body = json.dumps(self.report).encode()
+        if target == '/order':
+            await asyncio.sleep(self.order_delay_s)
+            status = self.order_status
+            body = b'{}'
+        writer.write(answers.encode_answer(status, self._state_headers(), body))
+
     def _next_mode(self, request: ReceivedRequest) -> AnswerMode:
         mode = (
             self.next_answer_modes.pop(0)
@@ -325,13 +336,18 @@
             'X-Response-Signature': f'signed-by-{self.worker_id}',
             'X-Server-Load': '3,1,64',
             'Keep-Alive': 'timeout=5',
-            **self._limit_headers(),
+            **self._state_headers(),
         }
 
-    def _limit_headers(self) -> Headers:
-        if self.limit_per_s is None:
-            return {}
-        return {'Server-Limit': f'{self.limit_per_s}'}
+    def _state_headers(self) -> Headers:
+        headers: Headers = {}
+        if self.limit_per_s is not None:
+            headers['Server-Limit'] = f'{self.limit_per_s}'
+        if self.leaving:
+            headers['Server-Leaving'] = '1'
+        if self.retry_after:
+            headers['Retry-After'] = self.retry_after
+        return headers
 
 
 def _accepted_mode(request: ReceivedRequest) -> AnswerMode:
--- a/oatcrank/cluster/datagram_messages.py
+++ b/oatcrank/cluster/datagram_messages.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.cluster import limit_messages, numbered_reply, quota_messages
+from oatcrank.cluster import (
+    leaving_messages,
+    limit_messages,
+    numbered_reply,
+    quota_messages,
+)
 from oatcrank.routing import prompt_schedule, stream_origin
 
 
@@ -32,6 +37,7 @@
     SlotQuery
     | SlotReply
     | OriginCopy
+    | leaving_messages.LeavingNotice
     | limit_messages.LimitNotice
     | limit_messages.PermitQuery
     | limit_messages.PermitReply
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -15,6 +15,7 @@
     distributed_prompt_scheduler,
     distributed_quotas,
     distributed_server_limiter,
+    leaving_notices,
     limited_order_sender,
     member,
     members,
@@ -131,6 +132,9 @@
                 self.members, self.servers, self._datagrams, rng
             )
         )
+        self._leaving_notices = leaving_notices.LeavingNotices(
+            self.members, self.servers, self._datagrams
+        )
         self._quotas = distributed_quotas.DistributedQuotas(
             self.members,
             self.routes,
@@ -225,6 +229,7 @@
                     dependencies.wire_protocol,
                     self.members.other_caller_addresses,
                     rng,
+                    self.servers,
                 ),
                 rng=rng,
             ),
--- a/oatcrank/cluster/limited_order_sender.py
+++ b/oatcrank/cluster/limited_order_sender.py
@@ -6,7 +6,7 @@
 from oatcrank import logs
 from oatcrank.forwarding import server_limiter
 from oatcrank.orders import order
-from oatcrank.routing import server_registration
+from oatcrank.routing import server_registration, server_table
 
 # Orders and reports wait longer for a permit than the requests of callers.
 MAX_WAIT_S = 1.0
@@ -29,6 +29,10 @@
         """Report each limit that an answer of a server names."""
         self._sender.listen_for_limits(listener)
 
+    def attach(self, servers: server_table.ServerTable) -> None:
+        """Report to a table what answers say; send only where it allows."""
+        self._sender.attach(servers)
+
     async def send(
         self,
         registration: server_registration.Registration,
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -15,7 +15,7 @@
     resumable_stream,
     wire_protocol,
 )
-from oatcrank.routing import route, server
+from oatcrank.routing import route, server, server_table
 from oatcrank.transport import (
     backend_connection,
     connection_pool,
@@ -106,6 +106,8 @@
         self._began_s = float(0)
         self._wait_recorded = False
         self._end: answer_end.AnswerEnd | None = None
+        # Added to the answer for an instance that has relayed the request.
+        self._relay_headers: message.Headers = []
         self.progress = attempt_state.Progress.unsent
 
     async def run(self, deadline_s: float) -> AttemptResult:
@@ -151,6 +153,8 @@
     ) -> AttemptResult:
         if not connection.reusable:
             return self._failure('connection lost before the send')
+        if not self._server.accepts_sends():
+            return self._failure('the server leaves or was removed')
         parameters = wire_protocol.SendParameters(
             registration=self._server.registration,
             left_s=deadline_s - self._dependencies.now(),
@@ -185,16 +189,7 @@
         self._server.end_suspension()
         answer = self._dependencies.wire_protocol.decode_answer_head(head)
         self._idle_timeout_s = answer.idle_timeout_s
-        if answer.load is not None:
-            self._server.record_load(
-                answer.load.running,
-                answer.load.waiting,
-                self._dependencies.now(),
-            )
-        if answer.tells_limit:
-            self._dependencies.server_limiter.record_answer(
-                self._server.registration, answer.limit_per_s, self._began_s
-            )
+        self._record_state(answer)
         if answer.request_id is None and connection.request_count > 1:
             # It may be a late answer to an earlier request.
             raise _InvalidAnswer('an answer without an id, maybe a late one')
@@ -214,6 +209,34 @@
             return await self._forward_stream(connection, head)
         return await self._buffer_answer(connection, head)
 
+    def _record_state(self, answer: wire_protocol.AnswerHead) -> None:
+        """Record what the server says of itself."""
+        if answer.leaving:
+            self._record_leaving()
+        if answer.load is not None:
+            self._server.record_load(
+                answer.load.running,
+                answer.load.waiting,
+                self._dependencies.now(),
+            )
+        if answer.tells_limit:
+            self._dependencies.server_limiter.record_answer(
+                self._server.registration, answer.limit_per_s, self._began_s
+            )
+
+    def _record_leaving(self) -> None:
+        leaving = self._server.registration.registered_process
+        self._dependencies.servers.record_leaving(
+            leaving, server_table.LeavingSource.answer
+        )
+        if self._request.relayed:
+            self._relay_headers = (
+                self._dependencies.wire_protocol.passed_leaving(leaving)
+            )
+
+    def _passed_headers(self, head: message.ResponseHead) -> message.Headers:
+        return [*message.end_to_end(head.headers), *self._relay_headers]
+
     async def _finish_declined(
         self,
         connection: backend_connection.BackendConnection,
@@ -288,7 +311,7 @@
             answer=BufferedAnswer(
                 status=head.status,
                 reason=head.reason,
-                headers=message.end_to_end(head.headers),
+                headers=self._passed_headers(head),
                 body=bytes(buffered),
             ),
         )
@@ -343,7 +366,7 @@
         ).observe(self._dependencies.now() - self._request.began_s)
         self._out.start(
             head.status,
-            message.end_to_end(head.headers),
+            self._passed_headers(head),
             reason=head.reason,
             length=length,
         )
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -9,6 +9,7 @@
 
 from oatcrank import logs
 from oatcrank.forwarding import caller_request, request_metrics, wire_protocol
+from oatcrank.routing import server_table
 from oatcrank.transport import backend_connection, errors, message, reply
 
 CONNECT_TIMEOUT_S = 0.2
@@ -47,9 +48,14 @@
         protocol: wire_protocol.WireProtocol,
         addresses: Callable[[], list[str]],
         rng: random.Random,
+        servers: server_table.ServerTable,
     ) -> None:
-        """Choose among the callers' addresses of the other instances."""
+        """Choose among the callers' addresses of the other instances.
+
+        The table learns which servers leave by answers that are passed on.
+        """
         self._protocol = protocol
+        self._servers = servers
         self._addresses = addresses
         self._rng = rng
         self._avoided_until_s: dict[str, float] = {}
@@ -128,6 +134,11 @@
         head = await connection.next_event()
         if not isinstance(head, message.ResponseHead):
             return _Outcome.broken
+        leaving = self._protocol.take_leaving(head)
+        if leaving is not None:
+            self._servers.record_leaving(
+                leaving, server_table.LeavingSource.instance
+            )
         if self._protocol.is_unreached(head):
             self._avoid(address)
             return _Outcome.not_sent
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -6,7 +6,7 @@
 
 from oatcrank import errors, ids
 from oatcrank.forwarding import caller_request
-from oatcrank.routing import server_registration
+from oatcrank.routing import server_process, server_registration
 from oatcrank.transport import message
 
 
@@ -31,6 +31,7 @@
     idle_timeout_s: how long the server keeps an idle connection open.
     limit_per_s: requests a second that the server takes from all instances
         together; None if it names no limit.
+    leaving: the server says that it leaves.
     """
 
     request_id: ids.RequestId | None
@@ -41,6 +42,7 @@
     load: ServerLoad | None
     idle_timeout_s: float | None
     limit_per_s: float | None = None
+    leaving: bool = False
 
     @property
     def tells_limit(self) -> bool:
@@ -92,6 +94,18 @@
     def is_unreached(self, head: message.ResponseHead) -> bool:
         """Return whether an instance has refused since it has no servers."""
 
+    @abc.abstractmethod
+    def passed_leaving(
+        self, leaving: server_process.RegisteredProcess
+    ) -> message.Headers:
+        """Return the headers that tell an instance which server leaves."""
+
+    @abc.abstractmethod
+    def take_leaving(
+        self, head: message.ResponseHead
+    ) -> server_process.RegisteredProcess | None:
+        """Remove these headers from an answer; return what they tell."""
+
     @abc.abstractmethod
     def challenge(self) -> message.Headers:
         """Return the headers that tell a caller how to present a key."""
--- a/oatcrank/orders/order.py
+++ b/oatcrank/orders/order.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.routing import server_registration
+from oatcrank.routing import server_registration, server_table
 
 
 class Action(enum.Enum):
@@ -62,6 +62,10 @@
     def listen_for_limits(self, listener: LimitListener) -> None:
         """Report each limit that an answer of a server names."""
 
+    @abc.abstractmethod
+    def attach(self, servers: server_table.ServerTable) -> None:
+        """Report to a table what answers say; send only where it allows."""
+
     @abc.abstractmethod
     async def send(
         self,
--- a/oatcrank/orders/order_coordinator.py
+++ b/oatcrank/orders/order_coordinator.py
@@ -38,6 +38,7 @@
         """Send orders to the servers of a table."""
         self.demand = demand.DemandWindow()
         self.runs = runs.Runs()
+        sender.attach(servers)
         self._dispatcher = order_dispatcher.OrderDispatcher(instance_id, sender)
         self._server_states = server_state_table.ServerStateTable(
             servers, sender
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -5,7 +5,8 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import caller_request, wire_protocol
-from oatcrank.platform import credentials, relay_headers
+from oatcrank.platform import credentials, relay_headers, server_headers
+from oatcrank.routing import server_process
 from oatcrank.transport import message
 
 REQUEST_ID = b'x-request-id'
@@ -109,6 +110,18 @@
         """Return whether an instance has refused since it has no servers."""
         return head.header(relay_headers.UNREACHED) is not None
 
+    def passed_leaving(
+        self, leaving: server_process.RegisteredProcess
+    ) -> message.Headers:
+        """Return the headers that tell an instance which server leaves."""
+        return relay_headers.passed_leaving(leaving)
+
+    def take_leaving(
+        self, head: message.ResponseHead
+    ) -> server_process.RegisteredProcess | None:
+        """Remove these headers from an answer; return what they tell."""
+        return relay_headers.take_leaving(head)
+
     def challenge(self) -> message.Headers:
         """Return the headers that tell a caller how to present a key."""
         return [(b'WWW-Authenticate', credentials.KEY_SCHEME)]
@@ -157,6 +170,7 @@
             load=_load(header_by_name.get(LOAD)),
             idle_timeout_s=_idle_timeout_s(header_by_name.get(b'keep-alive')),
             limit_per_s=limit_per_s(head.headers),
+            leaving=server_headers.is_leaving(head.status, head.headers),
         )
 
 
--- a/oatcrank/platform/relay_headers.py
+++ b/oatcrank/platform/relay_headers.py
@@ -1,11 +1,17 @@
 """Encode requests that one instance sends to another for a caller."""
 
+import msgspec
+
+from oatcrank import logs
+from oatcrank.routing import server_process
 from oatcrank.transport import message
 
 # A relayed request is not relayed again.
 RELAYED = b'x-oatcrank-relayed'
 # A refusal by an instance that does not reach the servers either.
 UNREACHED = b'x-oatcrank-unreached'
+# The server whose answer is passed on, if it says that it leaves.
+LEAVING_SERVER = b'x-oatcrank-leaving-server'
 DEADLINE_MS = b'x-deadline-ms'
 MS_PER_S = 1000
 
@@ -23,3 +29,29 @@
     lines.append(b'%s: 1' % RELAYED)
     lines.append(b'Content-Length: %d' % len(raw.body))
     return b'\r\n'.join((*lines, b'', b'')) + raw.body
+
+
+def passed_leaving(
+    leaving: server_process.RegisteredProcess,
+) -> message.Headers:
+    """Return the headers that tell an instance which server leaves."""
+    return [(LEAVING_SERVER, msgspec.json.encode(leaving))]
+
+
+def take_leaving(
+    head: message.ResponseHead,
+) -> server_process.RegisteredProcess | None:
+    """Remove these headers from an answer; return what they tell."""
+    encoded = head.header(LEAVING_SERVER)
+    if encoded is None:
+        return None
+    head.headers = [
+        pair for pair in head.headers if pair[0].lower() != LEAVING_SERVER
+    ]
+    try:
+        return msgspec.json.decode(
+            encoded, type=server_process.RegisteredProcess
+        )
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        logs.event('leaving_server_malformed', error=error)
+        return None
--- a/oatcrank/platform/worker_order_sender.py
+++ b/oatcrank/platform/worker_order_sender.py
@@ -8,8 +8,15 @@
 
 from oatcrank import decoding, errors, ids, logs
 from oatcrank.orders import order
-from oatcrank.platform import platform_protocol, registration_messages
-from oatcrank.routing import server_registration
+from oatcrank.platform import (
+    platform_protocol,
+    registration_messages,
+    server_headers,
+)
+from oatcrank.routing import (
+    server_registration,
+    server_table,
+)
 from oatcrank.transport import calls, connection_pool
 
 ORDER_TIMEOUT_S = 0.2
@@ -72,12 +79,17 @@
     def __init__(self) -> None:
         """Create a sender without connections."""
         self._limit_listener: order.LimitListener = _ignore_limit
+        self._servers = server_table.ServerTable()
         self._worker_pool_by_id: dict[ids.ServerId, _WorkerPool] = {}
 
     def listen_for_limits(self, listener: order.LimitListener) -> None:
         """Report each limit that an answer of a server names."""
         self._limit_listener = listener
 
+    def attach(self, servers: server_table.ServerTable) -> None:
+        """Report to a table what answers say; send only where it allows."""
+        self._servers = servers
+
     async def send(
         self,
         registration: server_registration.Registration,
@@ -173,11 +185,16 @@
 
         Raises the same errors as calls.call.
         """
+        self._check_accepts(registration)
         pool = self._pool(registration)
         connection = await pool.acquire()
-        if not may_send():
+        try:
+            self._check_accepts(registration)
+            if not may_send():
+                raise errors.NotStarted('no longer allowed to send')
+        except errors.NotStarted:
             pool.release(connection)
-            raise errors.NotStarted('no longer allowed to send')
+            raise
         sent_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
@@ -191,8 +208,19 @@
         finally:
             pool.release(connection)
         self._report_limit(registration, response, sent_s)
+        if server_headers.is_leaving(response.status, response.headers):
+            self._servers.record_leaving(
+                registration.registered_process,
+                server_table.LeavingSource.answer,
+            )
         return response
 
+    def _check_accepts(
+        self, registration: server_registration.Registration
+    ) -> None:
+        if not self._servers.accepts_sends(registration):
+            raise errors.NotStarted('the server takes no more')
+
     def _report_limit(
         self,
         registration: server_registration.Registration,
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -72,6 +72,12 @@
                 self._adapters_by_model[model] |= adapters
         self.registration = registration
 
+    def record_leaving(self) -> None:
+        """Send no more requests; this holds as long as the process lives."""
+        self.registration = msgspec.structs.replace(
+            self.registration, leaving=True
+        )
+
     def has_version(self, required: ids.SoftwareVersion | None) -> bool:
         """Return whether a stream of the required version may continue here.
 
@@ -186,11 +192,11 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether requests may be sent to the server."""
-        return not (
-            self.is_removed
-            or self.registration.leaving
-            or now_s < self._suspended_until_s
-        )
+        return self.accepts_sends() and now_s >= self._suspended_until_s
+
+    def accepts_sends(self) -> bool:
+        """Return whether a request that is on its way may still be sent."""
+        return not (self.is_removed or self.registration.leaving)
 
     def _decay(self, now_s: float) -> None:
         decayed = math.exp((self._outcome_s - now_s) / FAILURE_DECAY_S)
--- a/oatcrank/routing/server_process.py
+++ b/oatcrank/routing/server_process.py
@@ -13,3 +13,10 @@
 
     server_id: ids.ServerId
     started_ms: int
+
+
+class RegisteredProcess(msgspec.Struct, frozen=True):
+    """Process of a server with its address as `host:port`."""
+
+    process: ServerProcess
+    address: str
--- a/oatcrank/routing/server_registration.py
+++ b/oatcrank/routing/server_registration.py
@@ -30,6 +30,13 @@
         """Return the process that has registered."""
         return server_process.ServerProcess(self.server_id, self.started_ms)
 
+    @property
+    def registered_process(self) -> server_process.RegisteredProcess:
+        """Return the process with its address, as is_same_process compares."""
+        return server_process.RegisteredProcess(
+            self.process, f'{self.host}:{self.port}'
+        )
+
     def is_same_process(self, other: 'Registration') -> bool:
         """Return whether both registrations come from the same process."""
         return (self.server_id, self.started_ms, self.host, self.port) == (
--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -1,17 +1,35 @@
 """Table of the registered backend servers."""
 
 import asyncio
+import enum
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+
+import msgspec
 
 from oatcrank import ids, logs
 from oatcrank.routing import (
+    leaving_processes,
     server,
+    server_process,
     server_registration,
     version_history,
 )
 
 
+class LeavingSource(enum.Enum):
+    """Where this instance has learnt that a server leaves."""
+
+    registration = 'registration'
+    answer = 'answer'
+    instance = 'instance'
+
+
+LeavingListener = Callable[
+    [server_process.RegisteredProcess, LeavingSource], None
+]
+
+
 class ServerTable:
     """Registered servers by id and by service."""
 
@@ -23,6 +41,8 @@
             dict[ids.ServerId, server.Server],
         ] = {}
         self._changed = asyncio.Event()
+        self._leaving = leaving_processes.LeavingProcesses()
+        self._leaving_listener: LeavingListener = _ignore_leaving
         self._versions = version_history.VersionHistory()
         # Monotonic time in seconds; servers that ended before are unknown.
         self.created_s = time.monotonic()
@@ -64,6 +84,8 @@
     ) -> server.Server:
         """Add a server, update it, or replace its earlier process."""
         existing = self.by_id.get(registration.server_id)
+        if self._leaving.contains(registration):
+            registration = msgspec.structs.replace(registration, leaving=True)
         self._record_version(registration)
         if (
             existing is not None
@@ -75,7 +97,7 @@
             registration
         ):
             if registration.leaving and not existing.registration.leaving:
-                logs.event('server_leaving', server=registration.server_id)
+                _log_leaving(registration.server_id, LeavingSource.registration)
             existing.update_registration(registration)
             self.notify_change()
             return existing
@@ -95,6 +117,33 @@
         )
         return added
 
+    def listen_for_leaving(self, listener: LeavingListener) -> None:
+        """Report each process that is recorded as leaving."""
+        self._leaving_listener = listener
+
+    def record_leaving(
+        self,
+        leaving: server_process.RegisteredProcess,
+        source: LeavingSource,
+    ) -> None:
+        """Send no more requests to a process of a server."""
+        if not self._leaving.add(leaving):
+            return
+        _log_leaving(leaving.process.server_id, source)
+        registered = self.by_id.get(leaving.process.server_id)
+        if registered is not None and self._leaving.contains(
+            registered.registration
+        ):
+            registered.record_leaving()
+            self.notify_change()
+        self._leaving_listener(leaving, source)
+
+    def accepts_sends(
+        self, registration: server_registration.Registration
+    ) -> bool:
+        """Return whether anything may be sent to a process of a server."""
+        return not self._leaving.contains(registration)
+
     def remove(self, server_id: ids.ServerId, reason: str) -> None:
         """Remove a server and close its connections."""
         existing = self.by_id.pop(server_id, None)
@@ -114,3 +163,13 @@
             registration.software_version,
             time.monotonic(),
         )
+
+
+def _log_leaving(server_id: ids.ServerId, source: LeavingSource) -> None:
+    logs.event('server_leaving', server=server_id, source=source.value)
+
+
+def _ignore_leaving(
+    leaving: server_process.RegisteredProcess, source: LeavingSource
+) -> None:
+    """Ignore a process, as long as no listener is set."""
--- a/tests/cluster_parts.py
+++ b/tests/cluster_parts.py
@@ -33,6 +33,9 @@
     def listen_for_limits(self, listener) -> None:
         """Ignore limits."""
 
+    def attach(self, servers) -> None:
+        """Report nothing of servers."""
+
     async def send(self, registration, new_order, may_send):
         return order.Outcome.unsent
 
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -221,6 +221,7 @@
                 platform_protocol.PlatformProtocol(),
                 lambda: self.peer_addresses,
                 random.Random(7),
+                self.servers,
             ),
             rng=random.Random(5),
         )
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -172,7 +172,9 @@
             await worker.stop()
         self.store.stop()
 
-    def register(self, worker: platform_worker.Worker) -> None:
+    def register(
+        self, worker: platform_worker.Worker, **changes: object
+    ) -> None:
         """Write a worker's registration."""
         entry = {
             'backend': SERVICE,
@@ -183,6 +185,7 @@
             'state': 'ready',
             'seq': 0,
             'born': 1000,
+            **changes,
         }
         self.store.store.put(
             f'servers/{worker.worker_id}', json.dumps(entry).encode()
--- a/tests/worker_fleet.py
+++ b/tests/worker_fleet.py
@@ -199,6 +199,9 @@
     def listen_for_limits(self, listener) -> None:
         """Ignore limits."""
 
+    def attach(self, servers) -> None:
+        """Report nothing of servers."""
+
     def __init__(self, count: int, seed: int) -> None:
         self.rng = random.Random(seed)
         self.table = server_table.ServerTable()
