Send nothing to a server for the time that its 503 names

A server that turned a request away with 503 and Retry-After went on getting requests from the same instance: the header was not read. Plain requests only put the server last for that one request, requests for models passed it over for 0.1 s.

An instance now keeps a pause for each server process, on the monotonic clock: the longest time that was asked for, 60 s at most. It outlives a registration, and no answer ends it, unlike a suspension. It is checked when a server is chosen, after each wait and before the write, for requests, retries, resumed streams, orders and reports. Placement counts a paused server as unusable. A request waits for the end of a pause if that comes within half of its latency target; otherwise it is refused at once with the end of the shortest pause, spread over the callers. After a pause one request at a time waits for its answer to begin, then two, four and so on. Values that can't be decoded count as no pause and are logged once for each process.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -7,6 +7,7 @@
 
 from oatcrank.forwarding import (
     answer_end,
+    answer_state,
     attempt_state,
     caller_request,
     event_splitter,
@@ -15,7 +16,7 @@
     resumable_stream,
     wire_protocol,
 )
-from oatcrank.routing import route, server, server_table
+from oatcrank.routing import route, server
 from oatcrank.transport import (
     backend_connection,
     connection_pool,
@@ -113,13 +114,18 @@
     async def run(self, deadline_s: float) -> AttemptResult:
         """Run the attempt; closes the connection if cancelled."""
         self._server.in_flight += 1
+        self._server.pauses.begin_send(self)
         self._began_s = self._dependencies.now()
         try:
             return await self._connect_and_send(deadline_s)
         finally:
-            self._server.in_flight -= 1
-            if not self._wait_recorded:
-                self._record_wait()
+            self._end_send()
+
+    def _end_send(self) -> None:
+        self._server.in_flight -= 1
+        self._server.pauses.end_send(self)
+        if not self._wait_recorded:
+            self._record_wait()
 
     async def _connect_and_send(self, deadline_s: float) -> AttemptResult:
         try:
@@ -153,8 +159,8 @@
     ) -> AttemptResult:
         if not connection.reusable:
             return self._failure('connection lost before the send')
-        if not self._server.accepts_sends():
-            return self._failure('the server leaves or was removed')
+        if not self._server.accepts_sends(self._dependencies.now()):
+            return self._failure('the server takes no more requests')
         parameters = wire_protocol.SendParameters(
             registration=self._server.registration,
             left_s=deadline_s - self._dependencies.now(),
@@ -189,7 +195,19 @@
         self._server.end_suspension()
         answer = self._dependencies.wire_protocol.decode_answer_head(head)
         self._idle_timeout_s = answer.idle_timeout_s
-        self._record_state(answer)
+        answer_state.record(
+            self._dependencies,
+            self._server,
+            answer,
+            send=self,
+            sent_s=self._began_s,
+        )
+        if answer.leaving and self._request.relayed:
+            self._relay_headers = (
+                self._dependencies.wire_protocol.passed_leaving(
+                    self._server.registration.registered_process
+                )
+            )
         if answer.request_id is None and connection.request_count > 1:
             # It may be a late answer to an earlier request.
             raise _InvalidAnswer('an answer without an id, maybe a late one')
@@ -209,31 +227,6 @@
             return await self._forward_stream(connection, head)
         return await self._buffer_answer(connection, head)
 
-    def _record_state(self, answer: wire_protocol.AnswerHead) -> None:
-        """Record what the server says of itself."""
-        if answer.leaving:
-            self._record_leaving()
-        if answer.load is not None:
-            self._server.record_load(
-                answer.load.running,
-                answer.load.waiting,
-                self._dependencies.now(),
-            )
-        if answer.tells_limit:
-            self._dependencies.server_limiter.record_answer(
-                self._server.registration, answer.limit_per_s, self._began_s
-            )
-
-    def _record_leaving(self) -> None:
-        leaving = self._server.registration.registered_process
-        self._dependencies.servers.record_leaving(
-            leaving, server_table.LeavingSource.answer
-        )
-        if self._request.relayed:
-            self._relay_headers = (
-                self._dependencies.wire_protocol.passed_leaving(leaving)
-            )
-
     def _passed_headers(self, head: message.ResponseHead) -> message.Headers:
         return [*message.end_to_end(head.headers), *self._relay_headers]
 
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -170,7 +170,7 @@
         if delay_s is not None:
             search.exclude_delayed(chosen.server_id, delay_s)
             return False
-        return chosen.is_usable(self._dependencies.now())
+        return chosen.has_place(self._dependencies.now())
 
     async def _wait_for_permit(
         self,
@@ -186,7 +186,7 @@
             return False
         if permit.wait_s:
             await asyncio.sleep(permit.wait_s)
-        return chosen.is_usable(self._dependencies.now())
+        return chosen.has_place(self._dependencies.now())
 
     def _check_send_limits(self) -> None:
         """Count the first send, or take a retry from the budget."""
--- a/oatcrank/forwarding/request_metrics.py
+++ b/oatcrank/forwarding/request_metrics.py
@@ -34,6 +34,11 @@
     'Permits asked for at backend servers that have named a limit.',
     ('service', 'granted'),
 )
+TURNED_AWAY = prometheus_client.Counter(
+    'oatcrank_turned_away',
+    'Sends that backend servers turned away for a time that they named.',
+    ('service',),
+)
 REQUEST_SECONDS = prometheus_client.Histogram(
     'oatcrank_request_seconds',
     'Seconds from the first byte read to the end of the answer.',
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -4,6 +4,7 @@
 from oatcrank.forwarding import (
     caller_request,
     limited_servers,
+    paused_servers,
     placement_requester,
     refusal,
     request_dependencies,
@@ -47,6 +48,9 @@
         self._limited = limited_servers.LimitedServers(
             dependencies.server_limiter, request_route
         )
+        self._paused = paused_servers.PausedServers(
+            request_route, request.began_s
+        )
         # Software version that the server must have; None allows any.
         self.required_version: ids.SoftwareVersion | None = None
         self._refused_wait_s = float(0)
@@ -87,6 +91,7 @@
         if from_s > self._request.began_s:
             self._target_by_s = self._deadline_s
             self._limited.require()
+            self._paused.require(from_s)
         if self._route.patience_s is not None:
             patience_deadline_s = from_s + self._route.patience_s
             self._start_by_s = min(self._deadline_s, patience_deadline_s)
@@ -106,8 +111,11 @@
                 return chosen
             if self._limited.allow_wait():
                 continue
+            if await self._wait_for_paused(allowed_ids):
+                continue
             self._check_delayed()
             self._check_limited()
+            self._check_paused(allowed_ids)
             await self._request_placement(allowed_ids)
 
     def _check_delayed(self) -> None:
@@ -137,14 +145,59 @@
             retry_after_s,
         )
 
-    def _choose(
+    def _paused_s(self, allowed_ids: frozenset[ids.ServerId]) -> float | None:
+        """Return the time until a server that is paused has a place."""
+        excluded_ids = self._unavailable_ids()
+        servers = self._dependencies.servers.of_service(self._wanted.service)
+        return paused_servers.soonest_s(
+            (
+                candidate
+                for candidate in servers
+                if candidate.server_id not in excluded_ids
+                and (not allowed_ids or candidate.server_id in allowed_ids)
+                and candidate.may_serve(self._wanted, self.required_version)
+            ),
+            self._dependencies.now(),
+        )
+
+    async def _wait_for_paused(
         self, allowed_ids: frozenset[ids.ServerId]
-    ) -> server.Server | None:
-        excluded_ids = (
+    ) -> bool:
+        """Wait for a server that is paused; return whether that is in time."""
+        wait_s = self._paused_s(allowed_ids)
+        now_s = self._dependencies.now()
+        ends_s = min(self._start_by_s, self._dependencies.stop_deadline_s)
+        if wait_s is None or now_s + wait_s > ends_s:
+            return False
+        if not self._paused.may_wait(wait_s, now_s):
+            return False
+        await self._dependencies.servers.wait_for_change(wait_s)
+        return True
+
+    def _check_paused(self, allowed_ids: frozenset[ids.ServerId]) -> None:
+        """Refuse the request if all servers that could take it are paused.
+
+        A model is requested at other servers instead.
+        """
+        wait_s = self._paused_s(allowed_ids)
+        if wait_s is None or self._wanted.model is not None:
+            return
+        raise refusal.RequestRefused(
+            'servers want no requests for now',
+            admission.jittered_s(wait_s, self._dependencies.rng.random()),
+        )
+
+    def _unavailable_ids(self) -> set[ids.ServerId]:
+        return (
             self._excluded_ids
             | self._wait_s_by_delayed_id.keys()
             | self._limited.excluded_ids
         )
+
+    def _choose(
+        self, allowed_ids: frozenset[ids.ServerId]
+    ) -> server.Server | None:
+        excluded_ids = self._unavailable_ids()
         for excluded in (excluded_ids | self._deprioritized_ids, excluded_ids):
             chosen = self._dependencies.server_selector.choose(
                 self._dependencies.servers.of_service(self._wanted.service),
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -6,7 +6,11 @@
 
 from oatcrank import errors, ids
 from oatcrank.forwarding import caller_request
-from oatcrank.routing import server_process, server_registration
+from oatcrank.routing import (
+    server_pause,
+    server_process,
+    server_registration,
+)
 from oatcrank.transport import message
 
 
@@ -32,6 +36,7 @@
     limit_per_s: requests a second that the server takes from all instances
         together; None if it names no limit.
     leaving: the server says that it leaves.
+    pause: for how long the server wants nothing from this instance.
     """
 
     request_id: ids.RequestId | None
@@ -43,6 +48,7 @@
     idle_timeout_s: float | None
     limit_per_s: float | None = None
     leaving: bool = False
+    pause: server_pause.RequestedPause | None = None
 
     @property
     def tells_limit(self) -> bool:
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -171,6 +171,7 @@
             idle_timeout_s=_idle_timeout_s(header_by_name.get(b'keep-alive')),
             limit_per_s=limit_per_s(head.headers),
             leaving=server_headers.is_leaving(head.status, head.headers),
+            pause=server_headers.requested_pause(head.status, head.headers),
         )
 
 
--- a/oatcrank/platform/worker_order_sender.py
+++ b/oatcrank/platform/worker_order_sender.py
@@ -213,6 +213,11 @@
                 registration.registered_process,
                 server_table.LeavingSource.answer,
             )
+        pause = server_headers.requested_pause(
+            response.status, response.headers
+        )
+        if pause is not None:
+            self._servers.pause(registration, pause)
         return response
 
     def _check_accepts(
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.routing import need, server_registration
+from oatcrank.routing import need, server_pause, server_registration
 from oatcrank.transport import connection_pool
 
 # The reported load of other instances decays with this time constant.
@@ -27,9 +27,14 @@
 class Server:
     """Track the contents, load, failures and suspension of a server."""
 
-    def __init__(self, registration: server_registration.Registration) -> None:
-        """Start with what the server has registered."""
+    def __init__(
+        self,
+        registration: server_registration.Registration,
+        pauses: server_pause.ServerPause | None = None,
+    ) -> None:
+        """Start with what the server has registered, and its known pause."""
         self.registration = registration
+        self.pauses = pauses or server_pause.ServerPause()
         self.pool = connection_pool.ConnectionPool(
             registration.host, registration.port
         )
@@ -94,6 +99,16 @@
             return False
         return wanted.adapter is None or wanted.adapter in adapters
 
+    def may_serve(
+        self, wanted: need.Need, required: ids.SoftwareVersion | None
+    ) -> bool:
+        """Return whether the server serves a need unless it is paused."""
+        return (
+            not self.registration.leaving
+            and self.holds(wanted)
+            and self.has_version(required)
+        )
+
     def add_held(self, wanted: need.Need) -> None:
         """Record that the server holds a model or adapter."""
         if wanted.model is None:
@@ -185,6 +200,10 @@
         self._suspensions = 0
         self._suspended_until_s = -math.inf
 
+    def pause(self, until_s: float, now_s: float) -> bool:
+        """Send nothing until a time; return whether that begins a pause."""
+        return self.pauses.extend(until_s, now_s)
+
     def begin_trial(self, now_s: float) -> None:
         """Let a single request test a server that was suspended."""
         if self._suspensions:
@@ -192,11 +211,19 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether requests may be sent to the server."""
-        return self.accepts_sends() and now_s >= self._suspended_until_s
+        return self.accepts_sends(now_s) and now_s >= self._suspended_until_s
+
+    def has_place(self, now_s: float) -> bool:
+        """Return whether one more request may be sent to the server."""
+        return self.is_usable(now_s) and self.pauses.has_place(now_s)
 
-    def accepts_sends(self) -> bool:
+    def accepts_sends(self, now_s: float) -> bool:
         """Return whether a request that is on its way may still be sent."""
-        return not (self.is_removed or self.registration.leaving)
+        return not (
+            self.is_removed
+            or self.registration.leaving
+            or self.pauses.is_active(now_s)
+        )
 
     def _decay(self, now_s: float) -> None:
         decayed = math.exp((self._outcome_s - now_s) / FAILURE_DECAY_S)
--- a/oatcrank/routing/server_selection.py
+++ b/oatcrank/routing/server_selection.py
@@ -65,7 +65,7 @@
         candidates = [
             candidate
             for candidate in servers
-            if candidate.is_usable(now_s)
+            if candidate.has_place(now_s)
             and candidate.holds(criteria.wanted)
             and candidate.has_version(criteria.required_version)
             and not candidate.is_skipped(criteria.wanted, now_s)
--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -11,6 +11,7 @@
 from oatcrank.routing import (
     leaving_processes,
     server,
+    server_pause,
     server_process,
     server_registration,
     version_history,
@@ -42,6 +43,7 @@
         ] = {}
         self._changed = asyncio.Event()
         self._leaving = leaving_processes.LeavingProcesses()
+        self._pauses = server_pause.ServerPauses()
         self._leaving_listener: LeavingListener = _ignore_leaving
         self._versions = version_history.VersionHistory()
         # Monotonic time in seconds; servers that ended before are unknown.
@@ -103,7 +105,10 @@
             return existing
         if existing is not None:
             self.remove(registration.server_id, 'replaced')
-        added = server.Server(registration)
+        added = server.Server(
+            registration,
+            self._pauses.of(registration.registered_process, time.monotonic()),
+        )
         self.by_id[registration.server_id] = added
         by_id = self._by_id_by_service.setdefault(registration.service, {})
         by_id[registration.server_id] = added
@@ -142,7 +147,34 @@
         self, registration: server_registration.Registration
     ) -> bool:
         """Return whether anything may be sent to a process of a server."""
-        return not self._leaving.contains(registration)
+        now_s = time.monotonic()
+        process = registration.registered_process
+        return not (
+            self._leaving.contains(registration)
+            or self._pauses.of(process, now_s).is_active(now_s)
+        )
+
+    def pause(
+        self,
+        registration: server_registration.Registration,
+        requested: server_pause.RequestedPause,
+    ) -> None:
+        """Send nothing to a process of a server for a time."""
+        now_s = time.monotonic()
+        known = self._pauses.of(registration.registered_process, now_s)
+        if requested.fault and known.report_fault():
+            logs.event(
+                'server_pause_malformed',
+                server=registration.server_id,
+                error=requested.fault,
+                pause_s=requested.seconds,
+            )
+        if known.extend(now_s + requested.seconds, now_s):
+            logs.event(
+                'server_paused',
+                server=registration.server_id,
+                pause_s=round(requested.seconds, 3),
+            )
 
     def remove(self, server_id: ids.ServerId, reason: str) -> None:
         """Remove a server and close its connections."""
