Charge a repeat that goes through another instance to the retry budget

An instance that is cut off from some servers passes a request on to another instance if no server has run it. A server may have declined it before, so the send of the other instance is a repeat. It counted that send as the first one: it took nothing from the retry budget and added to what later retries may use.

The mark of a relayed request now says how many sends have reached servers, and so does the refusal of an instance that reaches none either. The other instance takes a repeat from its budget, and counts the earlier sends towards the limit of sends. Older instances write and read the mark as before; to them it says nothing about sends.

The test has a server decline a request, then relays it to an instance without retries left. Before, that instance sent it (1 run instead of 0); now it refuses it. A request that no server had got before is still served there.

--- a/oatcrank/forwarding/caller_request.py
+++ b/oatcrank/forwarding/caller_request.py
@@ -14,7 +14,8 @@
     are shared_parts, from the first one on.
     key is the key that the caller presents, or None if it presents none or a
     malformed one; organisation is the one that holds it, once it was checked.
-    relayed: another instance sends it for a caller.
+    relayed: another instance sends it for a caller; earlier_sends counts the
+        sends of it that have reached servers before.
     tokens counts the prompt and the longest answer, if the caller states them.
     last_event_id is the last event that the caller has of a stream that it
     takes up again; resumed_id is the caller's request that brought the first.
@@ -37,6 +38,7 @@
     prompt_tokens: int = 0
     tokens: int | None = None
     relayed: bool = False
+    earlier_sends: int = 0
     key: bytes | None = None
     organisation: ids.OrganisationName | None = None
     last_event_id: int | None = None
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -87,10 +87,12 @@
             out.answer(http.HTTPStatus.NOT_FOUND, [], b'')
             return
         if self._is_down(found_route):
-            await self._relay(raw, request, found_route, out)
+            sends_before = request.earlier_sends
+            await self._relay(raw, request, found_route, out, sends_before)
             return
-        if not await self._execute(request, found_route, out):
-            await self._relay(raw, request, found_route, out)
+        sends = await self._execute(request, found_route, out)
+        if sends is not None:
+            await self._relay(raw, request, found_route, out, sends)
 
     def _check_not_stopping(self) -> None:
         """Raise RequestRefused if the stop may cut off an answer."""
@@ -122,8 +124,12 @@
         request: caller_request.CallerRequest,
         request_route: route.Route,
         out: reply.Reply,
+        sends: int,
     ) -> None:
-        """Send a request through another instance, but only once."""
+        """Send a request through another instance, but only once.
+
+        So many sends of it have reached servers, which declined it.
+        """
         if request.relayed:
             logs.event(
                 'request_refused',
@@ -132,12 +138,16 @@
             )
             out.answer(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
-                self._dependencies.wire_protocol.unreached(),
+                self._dependencies.wire_protocol.unreached(sends),
                 b'',
             )
             return
         await self._dependencies.peer_relay.relay(
-            raw, request, request.deadline_s(request_route.timeout_s), out
+            raw,
+            request,
+            request.deadline_s(request_route.timeout_s),
+            out,
+            sends=sends,
         )
 
     async def _execute(
@@ -145,10 +155,11 @@
         request: caller_request.CallerRequest,
         request_route: route.Route,
         out: reply.Reply,
-    ) -> bool:
+    ) -> int | None:
         """Execute a request that is within its organisation's quota.
 
-        Return False if it was not answered, since no server was reached.
+        If it was not answered, since no server was reached, return how many
+        sends of it have reached servers, which declined it.
         """
         try:
             admission = await self._gate.admit(request, request_route)
@@ -158,7 +169,7 @@
                 self._dependencies.wire_protocol.challenge(),
                 f'key {refused}'.encode(),
             )
-            return True
+            return None
         except organisation_gate.QuotaExceeded as exceeded:
             out.answer(
                 http.HTTPStatus.TOO_MANY_REQUESTS,
@@ -167,7 +178,7 @@
                 else [],
                 str(exceeded).encode(),
             )
-            return True
+            return None
         execution = request_execution.RequestExecution(
             self._dependencies, request, admission.route, out
         )
@@ -176,7 +187,7 @@
         finally:
             if execution.has_not_run:
                 admission.give_back()
-        return not execution.is_unreached
+        return execution.sends_that_reached if execution.is_unreached else None
 
 
 def _refuse(
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -31,9 +31,15 @@
     """One request on its way through other instances."""
 
     def __init__(
-        self, raw: message.Request, deadline_s: float, out: reply.Reply
+        self,
+        raw: message.Request,
+        deadline_s: float,
+        out: reply.Reply,
+        sends: int,
     ) -> None:
         self.raw = raw
+        # How many sends have reached servers.
+        self.sends = sends
         self.deadline_s = deadline_s
         self.out = out
         self.asked: list[str] = []
@@ -66,9 +72,14 @@
         request: caller_request.CallerRequest,
         deadline_s: float,
         out: reply.Reply,
+        *,
+        sends: int = 0,
     ) -> None:
-        """Answer a request that this instance has not sent to a server."""
-        sending = _Relaying(raw, deadline_s, out)
+        """Answer a request that no server has run.
+
+        So many sends of it have reached servers, which declined it.
+        """
+        sending = _Relaying(raw, deadline_s, out, sends)
         try:
             async with asyncio.timeout_at(deadline_s):
                 await self._ask_in_turn(sending)
@@ -118,10 +129,12 @@
         left_s = sending.deadline_s - asyncio.get_running_loop().time()
         try:
             connection.send(
-                self._protocol.encode_relayed(sending.raw, left_s),
+                self._protocol.encode_relayed(
+                    sending.raw, left_s, sending.sends
+                ),
                 _accept_any_head,
             )
-            return await self._pass_on(connection, address, sending.out)
+            return await self._pass_on(connection, address, sending)
         finally:
             connection.close()
 
@@ -129,7 +142,7 @@
         self,
         connection: backend_connection.BackendConnection,
         address: str,
-        out: reply.Reply,
+        sending: _Relaying,
     ) -> _Outcome:
         head = await connection.next_event()
         if not isinstance(head, message.ResponseHead):
@@ -141,10 +154,13 @@
             )
         if self._protocol.is_unreached(head):
             self._avoid(address)
+            sending.sends = max(
+                sending.sends, self._protocol.unreached_sends(head)
+            )
             return _Outcome.not_sent
         if head.framing is message.Framing.length:
-            return await _pass_whole(connection, head, out)
-        return await _pass_chunks(connection, head, out, None, b'')
+            return await _pass_whole(connection, head, sending.out)
+        return await _pass_chunks(connection, head, sending.out, None, b'')
 
     def _avoid(self, address: str) -> None:
         self._avoided_until_s[address] = time.monotonic() + AVOID_S
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -75,6 +75,11 @@
         """Return whether no server can have run the request."""
         return self._sends.has_not_run
 
+    @property
+    def sends_that_reached(self) -> int:
+        """Return how many sends have reached servers, also by others."""
+        return self._request.earlier_sends + self._sends.arrivals
+
     async def run(self) -> None:
         """Execute the request and log its outcome."""
         try:
@@ -191,9 +196,10 @@
     def _check_send_limits(self) -> None:
         """Count the first send, or take a retry from the budget."""
         now_s = self._dependencies.now()
-        if self._sends.count >= MAX_SENDS:
+        sends = self._request.earlier_sends + self._sends.count
+        if sends >= MAX_SENDS:
             raise refusal.RequestRefused('send limit reached', FAILURE_RETRY_S)
-        if not self._sends.count:
+        if not sends:
             self._dependencies.retry_budgets.record_first_send(
                 self._wanted.service, now_s
             )
--- a/oatcrank/forwarding/request_sends.py
+++ b/oatcrank/forwarding/request_sends.py
@@ -13,6 +13,8 @@
         """Start without sends."""
         self._history = attempt_state.AttemptHistory()
         self._server_ids: list[ids.ServerId] = []
+        # The number of sends that have reached servers.
+        self.arrivals = 0
         self._versions: list[ids.SoftwareVersion] = []
         # The servers on which the request may have run.
         self.tried_ids: list[ids.ServerId] = []
@@ -41,6 +43,8 @@
     ) -> None:
         """Record how far a send got."""
         self._history.record(progress)
+        if progress is not attempt_state.Progress.unsent:
+            self.arrivals += 1
         if attempt_state.may_have_run(progress):
             if server_id not in self.tried_ids:
                 self.tried_ids.append(server_id)
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -89,17 +89,29 @@
         """Return headers without keys and without names of organisations."""
 
     @abc.abstractmethod
-    def encode_relayed(self, raw: message.Request, left_s: float) -> bytes:
-        """Encode a request for another instance; left_s is the time left."""
+    def encode_relayed(
+        self, raw: message.Request, left_s: float, sends: int
+    ) -> bytes:
+        """Encode a request for another instance.
+
+        left_s is the time left; so many sends of it have reached servers.
+        """
 
     @abc.abstractmethod
-    def unreached(self) -> message.Headers:
-        """Return the headers of a refusal by an instance without servers."""
+    def unreached(self, sends: int) -> message.Headers:
+        """Return the headers of a refusal by an instance without servers.
+
+        So many sends of the request have reached servers before.
+        """
 
     @abc.abstractmethod
     def is_unreached(self, head: message.ResponseHead) -> bool:
         """Return whether an instance has refused since it has no servers."""
 
+    @abc.abstractmethod
+    def unreached_sends(self, head: message.ResponseHead) -> int:
+        """Return how many sends had reached servers before such a refusal."""
+
     @abc.abstractmethod
     def passed_leaving(
         self, leaving: server_process.RegisteredProcess
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -85,6 +85,9 @@
             shared_parts=_part_ids(prefix),
             tokens=_stated_tokens(_text(raw, TOKENS)),
             relayed=bool(_text(raw, relay_headers.RELAYED)),
+            earlier_sends=relay_headers.decode_sends(
+                raw.header(relay_headers.RELAYED)
+            ),
             key=credentials.decode_key(raw.headers),
             prompt_tokens=_own_tokens(
                 _text(raw, PREFIX),
@@ -98,18 +101,24 @@
         """Return headers without keys and without names of organisations."""
         return credentials.remove(headers)
 
-    def encode_relayed(self, raw: message.Request, left_s: float) -> bytes:
-        """Encode a request for another instance; left_s is the time left."""
-        return relay_headers.encode(raw, left_s)
+    def encode_relayed(
+        self, raw: message.Request, left_s: float, sends: int
+    ) -> bytes:
+        """Encode a request for another instance."""
+        return relay_headers.encode(raw, left_s, sends)
 
-    def unreached(self) -> message.Headers:
+    def unreached(self, sends: int) -> message.Headers:
         """Return the headers of a refusal by an instance without servers."""
-        return [(relay_headers.UNREACHED, b'1')]
+        return [(relay_headers.UNREACHED, relay_headers.encode_sends(sends))]
 
     def is_unreached(self, head: message.ResponseHead) -> bool:
         """Return whether an instance has refused since it has no servers."""
         return head.header(relay_headers.UNREACHED) is not None
 
+    def unreached_sends(self, head: message.ResponseHead) -> int:
+        """Return how many sends had reached servers before such a refusal."""
+        return relay_headers.decode_sends(head.header(relay_headers.UNREACHED))
+
     def passed_leaving(
         self, leaving: server_process.RegisteredProcess
     ) -> message.Headers:
--- a/oatcrank/platform/relay_headers.py
+++ b/oatcrank/platform/relay_headers.py
@@ -6,7 +6,8 @@
 from oatcrank.routing import server_process
 from oatcrank.transport import message
 
-# A relayed request is not relayed again.
+# A relayed request is not relayed again.  Both marks hold one more than the
+# number of sends that have reached servers; older instances write 1.
 RELAYED = b'x-oatcrank-relayed'
 # A refusal by an instance that does not reach the servers either.
 UNREACHED = b'x-oatcrank-unreached'
@@ -14,9 +15,23 @@
 LEAVING_SERVER = b'x-oatcrank-leaving-server'
 DEADLINE_MS = b'x-deadline-ms'
 MS_PER_S = 1000
+# Larger numbers count as this many sends.
+MAX_SENDS = 100
 
 
-def encode(raw: message.Request, left_s: float) -> bytes:
+def encode_sends(sends: int) -> bytes:
+    """Encode how many sends have reached servers."""
+    return b'%d' % (sends + 1)
+
+
+def decode_sends(mark: bytes | None) -> int:
+    """Return how many sends have reached servers; 0 if it is malformed."""
+    if mark is None or not mark.isdigit():
+        return 0
+    return min(MAX_SENDS, max(0, int(mark[:9]) - 1))
+
+
+def encode(raw: message.Request, left_s: float, sends: int) -> bytes:
     """Encode a caller's request with the time that is left."""
     left_ms = max(1, int(left_s * MS_PER_S))
     lines = [b'%s %s HTTP/1.1' % (raw.method, raw.target)]
@@ -26,7 +41,7 @@
         if pair[0].lower() not in {RELAYED, DEADLINE_MS}
     )
     lines.append(b'X-Deadline-Ms: %d' % left_ms)
-    lines.append(b'%s: 1' % RELAYED)
+    lines.append(b'%s: %s' % (RELAYED, encode_sends(sends)))
     lines.append(b'Content-Length: %d' % len(raw.body))
     return b'\r\n'.join((*lines, b'', b'')) + raw.body
 
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -9,6 +9,7 @@
 
 from emulator import platform_worker
 from oatcrank.forwarding import link_prober
+from oatcrank.platform import relay_headers
 
 STREAM = {'streaming': True}
 ONCE = {'repeatable': False}
@@ -104,6 +105,40 @@
     relay(work, **STREAM, **ONCE)
 
 
+def test_sends_of_instances_that_reach_no_server_are_not_counted():
+    async def work(cut, peer):
+        cut_off(cut)
+        cut_off(peer)
+        links = peer.links.of_service(routing_parts.SERVICE)
+        links.record_heard(peer.dependencies.now())
+        await peer.workers[1].stop()
+        peer.servers.by_id['server-1'].in_flight = 9
+        peer.workers[0].answer_mode = platform_worker.AnswerMode.full
+        answer = await peer.ask(x_oatcrank_relayed='2')
+        assert answer.status == 503
+        assert answer.header_by_name['x-oatcrank-unreached'] == '3'
+        assert len(peer.workers[0].received_requests) == 1
+
+    relay(work)
+
+
+@pytest.mark.parametrize(
+    ('mark', 'sends'),
+    [
+        (None, 0),
+        (b'1', 0),
+        (b'3', 2),
+        (b'0', 0),
+        (b'-4', 0),
+        (b'x', 0),
+        (b'9' * 5000, relay_headers.MAX_SENDS),
+    ],
+)
+def test_a_mark_of_earlier_sends_is_decoded_wrongly(mark, sends):
+    assert relay_headers.decode_sends(mark) == sends
+    assert relay_headers.decode_sends(relay_headers.encode_sends(7)) == 7
+
+
 def test_two_instances_that_are_cut_off_do_not_send_to_each_other():
     async def work(cut, peer):
         cut_off(cut)
@@ -201,3 +236,30 @@
         assert links.is_suspect
 
     forwarding_site.run(work, **STREAM)
+
+
+@pytest.mark.parametrize(
+    ('declined', 'runs', 'status'), [(True, 0, 503), (False, 1, 200)]
+)
+def test_a_repeat_through_another_instance_is_charged_to_nobody(
+    declined, runs, status
+):
+    async def work(cut, peer):
+        cut_off(cut)
+        # Connections that were open live on.
+        links = cut.links.of_service(routing_parts.SERVICE)
+        links.record_heard(cut.dependencies.now())
+        if declined:
+            cut.workers[0].answer_mode = platform_worker.AnswerMode.full
+            await cut.workers[0].start(cut.workers[0].port)
+            cut.servers.by_id['server-1'].in_flight = 9
+        # The other instance has no retries left.
+        peer.dependencies.retry_budgets.set_limits(
+            ratio=0, allowance=0, window_s=10
+        )
+        answer = await cut.ask()
+        assert len(cut.workers[0].received_requests) == int(declined)
+        assert peer.runs() == runs
+        assert answer.status == status
+
+    relay(work)
