Keep a draining process out after its registration has ended

A process that had registered as draining was used again once its registration had ended and came back as ready, for example by a store that was restored from a copy: only the entry of the live registration remembered it. The table now keeps such a process beside those that have said in an answer that they leave. The test puts the registration back after its end: the server was usable before, and is not now.

--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -86,7 +86,9 @@
     ) -> server.Server:
         """Add a server, update it, or replace its earlier process."""
         existing = self.by_id.get(registration.server_id)
-        if self._leaving.contains(registration):
+        if registration.leaving:
+            self._leaving.add(registration.registered_process)
+        elif self._leaving.contains(registration):
             registration = msgspec.structs.replace(registration, leaving=True)
         self._record_version(registration)
         if (
--- a/tests/test_leaving_paths.py
+++ b/tests/test_leaving_paths.py
@@ -4,6 +4,7 @@
 import random
 import socket
 
+import cluster_parts
 import forwarding_site
 import msgspec
 import ports
@@ -15,8 +16,8 @@
 
 from emulator import platform_worker
 from oatcrank.cluster import datagram_endpoint, leaving_notices, members
-from oatcrank.orders import order
-from oatcrank.routing import leaving_processes, server_table
+from oatcrank.orders import order, server_state_table
+from oatcrank.routing import leaving_processes, need, server_table
 
 MODE = platform_worker.AnswerMode
 ANSWER = server_table.LeavingSource.answer
@@ -134,6 +135,33 @@
     assert servers.accepts_sends(again.registration) is not leaving
 
 
+@pytest.mark.parametrize('ended', [True, False])
+def test_a_registration_brings_a_draining_process_back(ended):
+    registered = routing_parts.registration(0)
+    servers = routing_parts.table(registered)
+    servers.put(msgspec.structs.replace(registered, leaving=True))
+    if ended:
+        servers.remove(registered.server_id, 'registration ended')
+    assert not servers.put(registered).is_usable(0)
+
+
+def test_a_leaving_server_counts_as_a_replica():
+    registered = routing_parts.registration(0, **MODEL)
+    servers = routing_parts.table(registered)
+    states = server_state_table.ServerStateTable(
+        servers, cluster_parts.NoSender()
+    )
+    wanted = need.Need(routing_parts.SERVICE, 'm')
+    states.sync(wanted.service)
+    (state,) = states.of_service(wanted.service)
+    state.adapters_by_model = {'m': set()}
+    assert states.find_replica(wanted, ()).server_id == 'server-0'
+    leave(servers, registered)
+    states.sync(wanted.service)
+    assert states.find_replica(wanted, ()) is None
+    assert not state.ready(0)
+
+
 def test_leaving_processes_are_kept_without_bound():
     leaving = leaving_processes.LeavingProcesses()
     for number in range(leaving_processes.MAX_PROCESSES + 1):
