Request no model elsewhere while a server that holds it returns

After a pause a server takes one request at a time at first. If that one hangs, requests for its models found no place there after their wait and asked the holder of the order lease for a placement, which named the same server; they asked again every 10 ms until their deadline. They are now refused with a short time to return. The test lets the first request hang: one placement or more was requested before, none is now.

--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -9,7 +9,14 @@
     refusal,
     request_dependencies,
 )
-from oatcrank.routing import admission, need, route, server, server_selection
+from oatcrank.routing import (
+    admission,
+    need,
+    route,
+    server,
+    server_pause,
+    server_selection,
+)
 
 NO_SERVER_RETRY_S = 0.5
 MIN_CHANGE_WAIT_S = 0.01
@@ -177,10 +184,14 @@
     def _check_paused(self, allowed_ids: frozenset[ids.ServerId]) -> None:
         """Refuse the request if all servers that could take it are paused.
 
-        A model is requested at other servers instead.
+        A model is requested at other servers instead, unless one that holds
+        it returns already.
         """
         wait_s = self._paused_s(allowed_ids)
-        if wait_s is None or self._wanted.model is not None:
+        if wait_s is None:
+            return
+        is_returning = wait_s <= server_pause.PLACE_POLL_S
+        if self._wanted.model is not None and not is_returning:
             return
         raise refusal.RequestRefused(
             'servers want no requests for now',
--- a/tests/test_paused_paths.py
+++ b/tests/test_paused_paths.py
@@ -215,6 +215,26 @@
     forwarding_site.run(work, workers=2, streaming=True)
 
 
+def test_a_model_is_requested_though_its_server_returns():
+    async def work(site):
+        (worker,) = site.workers
+        worker.next_answer_modes = [MODE.no_answer]
+        (listed,) = site.servers.by_id.values()
+        pause(site.servers, listed.registration, 0.05)
+        await asyncio.sleep(0.06)
+        trial = asyncio.ensure_future(
+            site.ask(x_request_id='trial', x_model='m')
+        )
+        await asyncio.sleep(0.02)
+        answer = await site.ask(x_model='m', x_deadline_ms='600')
+        assert answer.status == 503
+        assert not site.placement_requester.requested
+        assert [at.target for at in worker.received_requests] == ['/words/x']
+        await trial
+
+    forwarding_site.run(work, workers=1, registration=MODEL, timeout_s=1.0)
+
+
 def test_requests_that_wait_for_the_end_of_a_pause_arrive_at_once():
     async def work(site):
         (worker,) = site.workers
