--- a/oatcrank/forwarding/answer_state.py
+++ b/oatcrank/forwarding/answer_state.py
@@ -51,7 +51,7 @@
         dependencies.servers.pause(answering.registration, answer.pause)
         request_metrics.TURNED_AWAY.labels(answering.registration.service).inc()
         return
-    if answer.not_executed:
+    if answer.not_executed or answer.misdirected:
         return
     if answering.pauses.record_answer(send):
         logs.event('server_pause_ended', server=answering.server_id)
