--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -7,6 +7,7 @@
 
 from oatcrank.forwarding import (
     answer_end,
+    answer_state,
     attempt_state,
     caller_request,
     event_splitter,
@@ -106,18 +107,25 @@
         self._began_s = float(0)
         self._wait_recorded = False
         self._end: answer_end.AnswerEnd | None = None
+        # Added to the answer for an instance that has relayed the request.
+        self._relay_headers: message.Headers = []
         self.progress = attempt_state.Progress.unsent
 
     async def run(self, deadline_s: float) -> AttemptResult:
         """Run the attempt; closes the connection if cancelled."""
         self._server.in_flight += 1
+        self._server.pauses.begin_send(self)
         self._began_s = self._dependencies.now()
         try:
             return await self._connect_and_send(deadline_s)
         finally:
-            self._server.in_flight -= 1
-            if not self._wait_recorded:
-                self._record_wait()
+            self._end_send()
+
+    def _end_send(self) -> None:
+        self._server.in_flight -= 1
+        self._server.pauses.end_send(self)
+        if not self._wait_recorded:
+            self._record_wait()
 
     async def _connect_and_send(self, deadline_s: float) -> AttemptResult:
         try:
@@ -151,6 +159,8 @@
     ) -> AttemptResult:
         if not connection.reusable:
             return self._failure('connection lost before the send')
+        if not self._server.accepts_sends(self._dependencies.now()):
+            return self._failure('the server takes no more requests')
         parameters = wire_protocol.SendParameters(
             registration=self._server.registration,
             left_s=deadline_s - self._dependencies.now(),
@@ -185,15 +195,18 @@
         self._server.end_suspension()
         answer = self._dependencies.wire_protocol.decode_answer_head(head)
         self._idle_timeout_s = answer.idle_timeout_s
-        if answer.load is not None:
-            self._server.record_load(
-                answer.load.running,
-                answer.load.waiting,
-                self._dependencies.now(),
-            )
-        if answer.tells_limit:
-            self._dependencies.server_limiter.record_answer(
-                self._server.registration, answer.limit_per_s, self._began_s
+        answer_state.record(
+            self._dependencies,
+            self._server,
+            answer,
+            send=self,
+            sent_s=self._began_s,
+        )
+        if answer.leaving and self._request.relayed:
+            self._relay_headers = (
+                self._dependencies.wire_protocol.passed_leaving(
+                    self._server.registration.registered_process
+                )
             )
         if answer.request_id is None and connection.request_count > 1:
             # It may be a late answer to an earlier request.
@@ -214,6 +227,9 @@
             return await self._forward_stream(connection, head)
         return await self._buffer_answer(connection, head)
 
+    def _passed_headers(self, head: message.ResponseHead) -> message.Headers:
+        return [*message.end_to_end(head.headers), *self._relay_headers]
+
     async def _finish_declined(
         self,
         connection: backend_connection.BackendConnection,
@@ -288,7 +304,7 @@
             answer=BufferedAnswer(
                 status=head.status,
                 reason=head.reason,
-                headers=message.end_to_end(head.headers),
+                headers=self._passed_headers(head),
                 body=bytes(buffered),
             ),
         )
@@ -343,7 +359,7 @@
         ).observe(self._dependencies.now() - self._request.began_s)
         self._out.start(
             head.status,
-            message.end_to_end(head.headers),
+            self._passed_headers(head),
             reason=head.reason,
             length=length,
         )
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -6,7 +6,11 @@
 
 from oatcrank import errors, ids
 from oatcrank.forwarding import caller_request
-from oatcrank.routing import server_registration
+from oatcrank.routing import (
+    server_pause,
+    server_process,
+    server_registration,
+)
 from oatcrank.transport import message
 
 
@@ -31,6 +35,8 @@
     idle_timeout_s: how long the server keeps an idle connection open.
     limit_per_s: requests a second that the server takes from all instances
         together; None if it names no limit.
+    leaving: the server says that it leaves.
+    pause: for how long the server wants nothing from this instance.
     """
 
     request_id: ids.RequestId | None
@@ -41,6 +47,8 @@
     load: ServerLoad | None
     idle_timeout_s: float | None
     limit_per_s: float | None = None
+    leaving: bool = False
+    pause: server_pause.RequestedPause | None = None
 
     @property
     def tells_limit(self) -> bool:
@@ -81,17 +89,41 @@
         """Return headers without keys and without names of organisations."""
 
     @abc.abstractmethod
-    def encode_relayed(self, raw: message.Request, left_s: float) -> bytes:
-        """Encode a request for another instance; left_s is the time left."""
+    def encode_relayed(
+        self, raw: message.Request, left_s: float, sends: int
+    ) -> bytes:
+        """Encode a request for another instance.
+
+        left_s is the time left; so many sends of it have reached servers.
+        """
 
     @abc.abstractmethod
-    def unreached(self) -> message.Headers:
-        """Return the headers of a refusal by an instance without servers."""
+    def unreached(self, sends: int) -> message.Headers:
+        """Return the headers of a refusal by an instance without servers.
+
+        So many sends of the request have reached servers before.
+        """
 
     @abc.abstractmethod
     def is_unreached(self, head: message.ResponseHead) -> bool:
         """Return whether an instance has refused since it has no servers."""
 
+    @abc.abstractmethod
+    def unreached_sends(self, head: message.ResponseHead) -> int:
+        """Return how many sends had reached servers before such a refusal."""
+
+    @abc.abstractmethod
+    def passed_leaving(
+        self, leaving: server_process.RegisteredProcess
+    ) -> message.Headers:
+        """Return the headers that tell an instance which server leaves."""
+
+    @abc.abstractmethod
+    def take_leaving(
+        self, head: message.ResponseHead
+    ) -> server_process.RegisteredProcess | None:
+        """Remove these headers from an answer; return what they tell."""
+
     @abc.abstractmethod
     def challenge(self) -> message.Headers:
         """Return the headers that tell a caller how to present a key."""
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -5,7 +5,8 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import caller_request, wire_protocol
-from oatcrank.platform import credentials, relay_headers
+from oatcrank.platform import credentials, relay_headers, server_headers
+from oatcrank.routing import server_process
 from oatcrank.transport import message
 
 REQUEST_ID = b'x-request-id'
@@ -84,6 +85,9 @@
             shared_parts=_part_ids(prefix),
             tokens=_stated_tokens(_text(raw, TOKENS)),
             relayed=bool(_text(raw, relay_headers.RELAYED)),
+            earlier_sends=relay_headers.decode_sends(
+                raw.header(relay_headers.RELAYED)
+            ),
             key=credentials.decode_key(raw.headers),
             prompt_tokens=_own_tokens(
                 _text(raw, PREFIX),
@@ -97,18 +101,36 @@
         """Return headers without keys and without names of organisations."""
         return credentials.remove(headers)
 
-    def encode_relayed(self, raw: message.Request, left_s: float) -> bytes:
-        """Encode a request for another instance; left_s is the time left."""
-        return relay_headers.encode(raw, left_s)
+    def encode_relayed(
+        self, raw: message.Request, left_s: float, sends: int
+    ) -> bytes:
+        """Encode a request for another instance."""
+        return relay_headers.encode(raw, left_s, sends)
 
-    def unreached(self) -> message.Headers:
+    def unreached(self, sends: int) -> message.Headers:
         """Return the headers of a refusal by an instance without servers."""
-        return [(relay_headers.UNREACHED, b'1')]
+        return [(relay_headers.UNREACHED, relay_headers.encode_sends(sends))]
 
     def is_unreached(self, head: message.ResponseHead) -> bool:
         """Return whether an instance has refused since it has no servers."""
         return head.header(relay_headers.UNREACHED) is not None
 
+    def unreached_sends(self, head: message.ResponseHead) -> int:
+        """Return how many sends had reached servers before such a refusal."""
+        return relay_headers.decode_sends(head.header(relay_headers.UNREACHED))
+
+    def passed_leaving(
+        self, leaving: server_process.RegisteredProcess
+    ) -> message.Headers:
+        """Return the headers that tell an instance which server leaves."""
+        return relay_headers.passed_leaving(leaving)
+
+    def take_leaving(
+        self, head: message.ResponseHead
+    ) -> server_process.RegisteredProcess | None:
+        """Remove these headers from an answer; return what they tell."""
+        return relay_headers.take_leaving(head)
+
     def challenge(self) -> message.Headers:
         """Return the headers that tell a caller how to present a key."""
         return [(b'WWW-Authenticate', credentials.KEY_SCHEME)]
@@ -157,6 +179,8 @@
             load=_load(header_by_name.get(LOAD)),
             idle_timeout_s=_idle_timeout_s(header_by_name.get(b'keep-alive')),
             limit_per_s=limit_per_s(head.headers),
+            leaving=server_headers.is_leaving(head.status, head.headers),
+            pause=server_headers.requested_pause(head.status, head.headers),
         )
 
 
