Write no framing of a body after an answer that has none

What callers saw: a 204 of a server on a streaming route came with 'Transfer-Encoding: chunked' and the bytes of an empty chunk, which a caller takes for the beginning of the next answer on its connection. A 204 or 304 on other routes came with a Content-Length that its server had not sent.

Cause: the writer of answers chose the framing by whether it was told a length, and not by whether the status has a body.

Change: the writer writes neither a length, chunks nor a body for a status without one. The stand-in worker can now send answers byte for byte.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from emulator import endless_answer
+from emulator import endless_answer, scripted_answer
 from emulator import platform_worker_answers as answers
 
 OK = b'HTTP/1.1 200 OK'
@@ -99,6 +99,7 @@
     limit_per_s: limit that all answers name, if it is set.
     endless_answer: what is sent until the caller closes, if it is set; the
         bytes are counted in endless_bytes.
+    scripted_answers: answers of the next requests, before any mode applies.
     """
 
     def __init__(self, worker_id: str = 'worker-1') -> None:
@@ -121,6 +122,7 @@
         self.limit_per_s: float | None = None
         self.endless_answer: endless_answer.EndlessAnswer | None = None
         self.endless_bytes = 0
+        self.scripted_answers: list[scripted_answer.ScriptedAnswer] = []
         self.answer_delay_s = float(0)
         self.order_status = int(HTTPStatus.ACCEPTED)
         self.order_delay_s = float(0)
@@ -242,6 +244,10 @@
         request: ReceivedRequest,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        if self.scripted_answers:
+            return await self.scripted_answers.pop(0).send(
+                request.header_by_name['x-request-id'], writer
+            )
         mode = self._possible_mode(mode, request, writer)
         build = BUILDER_BY_MODE.get(mode)
         if build is not None:
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -21,9 +21,6 @@
 TCP_USER_TIMEOUT_MS = 1000
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-BODYLESS_STATUSES = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
-)
 
 
 class Ending(enum.Enum):
@@ -243,7 +240,7 @@
     if message.find_header(headers, b'transfer-encoding') is not None:
         return message.Framing.chunks
     if (
-        status in BODYLESS_STATUSES
+        not message.has_body(status)
         or message.find_header(headers, b'content-length') is not None
     ):
         return message.Framing.length
--- a/oatcrank/transport/message.py
+++ b/oatcrank/transport/message.py
@@ -1,11 +1,16 @@
 """Define parsed HTTP messages."""
 
 import enum
+import http
 
 import msgspec
 
 Headers = list[tuple[bytes, bytes]]
 
+BODYLESS_STATUSES = frozenset(
+    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
+)
+
 
 class Request(msgspec.Struct):
     """Complete request; began_s is a monotonic time in seconds."""
@@ -50,6 +55,11 @@
         return find_header(self.headers, name)
 
 
+def has_body(status: int) -> bool:
+    """Return whether answers with this status have a body."""
+    return status not in BODYLESS_STATUSES
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header by its name in lower case."""
     for key, text in headers:
--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -21,7 +21,7 @@
         """Create the writer for the answer to a request."""
         self._transport = transport
         self._writable = writable
-        self._is_head = request.method == b'HEAD'
+        self._has_body = request.method != b'HEAD'
         self._chunked = False
         self.keep_alive = request.keep_alive
         self.started = False
@@ -42,9 +42,13 @@
         """Write the head; without a length the body is chunked."""
         self.started = True
         self._chunked = length is None
+        if not message.has_body(status):
+            self._has_body = False
         lines = [b'HTTP/1.1 %d %s' % (status, reason or _reason_phrase(status))]
         lines.extend(b'%s: %s' % pair for pair in headers)
-        if self._chunked:
+        if not message.has_body(status):
+            self._chunked = False
+        elif self._chunked:
             lines.append(b'Transfer-Encoding: chunked')
         else:
             lines.append(b'Content-Length: %d' % (length or 0))
@@ -54,7 +58,7 @@
 
     def write(self, body: bytes) -> None:
         """Write part of the body."""
-        if not body or self._is_head:
+        if not body or not self._has_body:
             return
         self.bytes_written += len(body)
         self._record_write(time.monotonic())
@@ -77,7 +81,7 @@
 
     def end(self) -> None:
         """Write the end of the body."""
-        if self._chunked and not self._is_head:
+        if self._chunked and self._has_body:
             self._transport.write(LAST_CHUNK)
         self.complete = True
 
