Continue a stream only with an answer that goes on with it

What callers saw: a stream broke off after its first events, and the next server answered with something else: an error with a long body, a 200 with JSON or text, a 201 or 206, an event without id. Its text came in the middle of the stream, or the stream ended as complete. After an event without id, or a long answer that was no stream and broke off, a second run was joined from its start.

Cause: an answer that was read while the caller's answer had begun took its way by its status alone. What it could not be buffered for, or looked like a success, was written after what had been sent; only a short answer without success was refused, after it was read. That what had been sent was a stream, and that an id showed where it goes on, was not asked.

Change: before any byte of an answer is used, ResumableStream decides whether it continues the stream that has begun: the same status, a body of events. The events themselves must begin with one that has an id. Anything else counts as an interrupted attempt, so that another server may go on within the limits of retries, or else the answer ends as broken. A stream whose last event has no id isn't resumed. Events without id between repeated ones are dropped too.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -13,6 +13,7 @@
     request_dependencies,
     request_metrics,
     resumable_stream,
+    stream_head,
     wire_protocol,
 )
 from oatcrank.routing import route, server
@@ -26,10 +27,6 @@
 
 # Longer answers are forwarded as they arrive.
 MAX_BUFFERED_ANSWER_BYTES = 262144
-SUCCESS_STATUSES = range(
-    http.HTTPStatus.OK,
-    http.HTTPStatus.MULTIPLE_CHOICES,
-)
 SERVER_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR
 # To callers these mean that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset(
@@ -200,6 +197,18 @@
             raise _InvalidAnswer('an answer without an id, maybe a late one')
         if answer.not_executed or answer.misdirected:
             return await self._finish_declined(connection, head, answer)
+        self._check_answer(head, answer)
+        if (
+            self._route.streaming
+            and head.status in stream_head.SUCCESS_STATUSES
+        ):
+            return await self._forward_stream(connection, head)
+        return await self._buffer_answer(connection, head)
+
+    def _check_answer(
+        self, head: message.ResponseHead, answer: wire_protocol.AnswerHead
+    ) -> None:
+        """Raise _InvalidAnswer unless the answer may be forwarded."""
         if (
             answer.request_id is None
             or not answer.signed
@@ -210,9 +219,9 @@
             raise _InvalidAnswer(
                 f'{head.status} without a statement that it has not run'
             )
-        if self._route.streaming and head.status in SUCCESS_STATUSES:
-            return await self._forward_stream(connection, head)
-        return await self._buffer_answer(connection, head)
+        fault = self._stream.begin_answer(head)
+        if fault is not None:
+            raise _InvalidAnswer(fault)
 
     async def _finish_declined(
         self,
@@ -234,14 +243,13 @@
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
     ) -> AttemptResult:
-        self._splitter.discard_partial()
         events_before = self._splitter.event_count
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
             complete_events = self._feed(event.body)
             if complete_events:
                 self._record_first_event()
-                self._stream.record_begin(self._server.registration)
+                self._stream.record_begin(head, self._server.registration)
                 self._start_answer(head, None)
                 self._out.write(complete_events)
                 await self._out.drain()
@@ -262,7 +270,7 @@
     def _feed(self, chunk: bytes) -> bytes:
         try:
             return self._splitter.feed(chunk)
-        except event_splitter.EventTooLong as error:
+        except event_splitter.InvalidEvent as error:
             raise _InvalidAnswer(str(error)) from error
 
     async def _buffer_answer(
--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -10,12 +10,22 @@
 # Limit of one event.
 MAX_EVENT_BYTES = 1_048_576
 EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
+# A line that is neither empty nor a comment.
+FIELD = re.compile(rb'(?:^|\n)[^:\r\n]')
 
 
-class EventTooLong(errors.OatcrankError):
+class InvalidEvent(errors.OatcrankError):
+    """Raised for bytes that can't go on with a stream."""
+
+
+class EventTooLong(InvalidEvent):
     """Raised for an event that has no end within MAX_EVENT_BYTES."""
 
 
+class EventWithoutId(InvalidEvent):
+    """Raised if a run does not show where it takes a stream up."""
+
+
 class EventSplitter:
     """Return complete events, without duplicates across several runs."""
 
@@ -23,6 +33,10 @@
         """Start after the last event that the caller received."""
         self.last_id = last_id
         self.event_count = 0
+        # Whether the last event with fields had an id.
+        self.ends_with_id = False
+        self._shows_place = True
+        self._repeats = False
         self._partial = b''
 
     @property
@@ -30,14 +44,19 @@
         """Return the size of the incomplete event, without line ends."""
         return len(self._partial.strip(LINE_ENDS))
 
-    def discard_partial(self) -> None:
-        """Drop the incomplete event of an interrupted run."""
+    def begin_run(self, *, continues: bool) -> None:
+        """Drop the incomplete event of an interrupted run.
+
+        A run that continues a stream must begin with an event that has an id.
+        """
         self._partial = b''
+        self._shows_place = not continues
+        self._repeats = False
 
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that this chunk completes.
 
-        Raises EventTooLong if one has no end within MAX_EVENT_BYTES.
+        Raises InvalidEvent if they can't go on with the stream.
         """
         buffered = self._partial + chunk
         events = []
@@ -60,9 +79,23 @@
         self.event_count += 1
         match = EVENT_ID.search(event)
         if match is None:
-            return True
+            return self._is_new_without_id(event)
+        self._shows_place = True
+        self.ends_with_id = True
         event_id = int(match[1])
+        # Events without id repeat what the one before them repeats.
+        self._repeats = self.last_id is not None and event_id < self.last_id
         if self.last_id is not None and event_id <= self.last_id:
             return False
         self.last_id = event_id
         return True
+
+    def _is_new_without_id(self, event: bytes) -> bool:
+        if self._repeats:
+            return False
+        if FIELD.search(event) is None:
+            return True
+        if not self._shows_place:
+            raise EventWithoutId('the stream goes on with an event without id')
+        self.ends_with_id = False
+        return True
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -248,7 +248,7 @@
             result.progress,
             repeatable=self._route.repeatable,
             delivered=self._out.started,
-            resumable=self._route.resumable,
+            resumable=self._route.resumable and self._stream.can_continue,
         )
         if step is attempt_state.Step.deliver:
             return self._deliver(result, chosen, search)
@@ -308,9 +308,6 @@
         if answer is None:
             self._outcome = 'streamed'
             return True
-        if self._out.started:
-            self._give_up('the resumed stream failed', FAILURE_RETRY_S)
-            return True
         retry_failure = (
             answer.status >= SERVER_ERROR
             and self._route.repeatable
--- a/oatcrank/forwarding/resumable_stream.py
+++ b/oatcrank/forwarding/resumable_stream.py
@@ -7,8 +7,10 @@
     refusal,
     request_dependencies,
     request_metrics,
+    stream_head,
 )
 from oatcrank.routing import route, server_registration, stream_origin
+from oatcrank.transport import message
 
 UNKNOWN_ORIGIN_RETRY_S = 0.5
 
@@ -28,12 +30,31 @@
         self._route = request_route
         self.splitter = event_splitter.EventSplitter(request.last_event_id)
         self.origin: stream_origin.StreamOrigin | None = None
+        self._begun_status: int | None = None
 
     @property
     def required_version(self) -> ids.SoftwareVersion | None:
         """Return the only allowed software version, or None if any is."""
         return None if self.origin is None else self.origin.software_version
 
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another run can follow what the caller has."""
+        return self._begun_status is not None and self.splitter.ends_with_id
+
+    def begin_answer(self, head: message.ResponseHead) -> str | None:
+        """Prepare to read the answer of another server.
+
+        Return why it can't continue the stream that has begun, or None.
+        """
+        begun = self._begun_status is not None
+        self.splitter.begin_run(continues=begun)
+        if not begun or (
+            head.status == self._begun_status and stream_head.is_stream(head)
+        ):
+            return None
+        return f'an answer with {head.status} that is not the same stream'
+
     async def find_origin(self, service: ids.ServiceName) -> None:
         """Find the origin if the caller takes the stream up again.
 
@@ -61,9 +82,13 @@
             )
 
     def record_begin(
-        self, registration: server_registration.Registration
+        self,
+        head: message.ResponseHead,
+        registration: server_registration.Registration,
     ) -> None:
         """Record the server whose event is forwarded first."""
+        if self._begun_status is None:
+            self._begun_status = head.status
         if self.origin is not None:
             return
         self.origin = stream_origin.StreamOrigin(
--- a/tests/test_event_cutter.py
+++ b/tests/test_event_cutter.py
@@ -21,6 +21,13 @@
         # A server that does not resume at the last event sends events twice.
         (2, [event(1) + event(2) + event(3)], event(3), 3),
         (None, [b'data: no id\n\n'], b'data: no id\n\n', None),
+        (2, [event(1) + b'data: x\n\n' + event(2)], b'', 2),
+        (
+            2,
+            [event(2) + b'data: x\n\n' + event(3)],
+            b'data: x\n\n' + event(3),
+            3,
+        ),
         (
             1,
             [b'id: 2\r\ndata: x\r\n\r', b'\n', b'id: 3\r\n'],
@@ -44,7 +51,7 @@
 def test_a_partial_event_of_an_interrupted_run_is_dropped():
     splitter = event_splitter.EventSplitter(None)
     got = splitter.feed(event(1) + event(2)[:6])
-    splitter.discard_partial()
+    splitter.begin_run(continues=True)
     got += splitter.feed(event(2) + event(3))
     assert got == event(1) + event(2) + event(3)
 
