Forward an answer that is no stream of events unchanged

What callers saw: on a streaming route a 2xx answer of another content type, such as JSON, was cut as if it were events: lines after the last empty line made it a failure (502 or a broken answer), and parts that looked like an event that had come before were left out.

Cause: each 2xx answer of a streaming route was taken for a stream.

Change: only an answer whose content type is that of event streams, or is missing, is read as a stream. Others are forwarded like those of other routes.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -198,10 +198,7 @@
         if answer.not_executed or answer.misdirected:
             return await self._finish_declined(connection, head, answer)
         self._check_answer(head, answer)
-        if (
-            self._route.streaming
-            and head.status in stream_head.SUCCESS_STATUSES
-        ):
+        if self._route.streaming and stream_head.is_stream(head):
             return await self._forward_stream(connection, head)
         return await self._buffer_answer(connection, head)
 
