Treat an answer with a transfer coding besides chunks as broken

What callers saw: a 200 of a server with 'Transfer-Encoding: gzip, chunked' as a complete answer, whose body was still compressed and whose head did not say so.

Cause: the parser removes the chunks alone, and the header that names the other codings is dropped with those of one connection.

Change: an answer with another transfer coding than chunks counts as broken, for answers of servers, of other instances and of the store.

--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -144,6 +144,9 @@
             self._unusable = True
             self._head_done = False
             return
+        if _is_encoded(self._headers):
+            self._abort_response()
+            return
         self._head_bytes = 0
         self._until_close = head.framing is message.Framing.connection_end
         if not head.keep_alive:
@@ -236,6 +239,15 @@
     return event if isinstance(event, Ending) else Ending.broken
 
 
+def _is_encoded(headers: message.Headers) -> bool:
+    """Return whether the body has a transfer coding besides chunks."""
+    return any(
+        name.lower() == b'transfer-encoding'
+        and text.strip().lower() != b'chunked'
+        for name, text in headers
+    )
+
+
 def _framing(status: int, headers: message.Headers) -> message.Framing:
     if message.find_header(headers, b'transfer-encoding') is not None:
         return message.Framing.chunks
