Take a relayed answer without a length or chunks for broken

What callers saw: an answer through another instance that had neither a length nor chunks and broke off was passed on in chunks and ended as complete, also with no body at all.

Cause: what ends with its connection was taken for whole, as from a server. An instance always states a length or sends chunks, so that such an answer comes from another process at that address, or lost a part of its head.

Change: the relay takes it for broken: 502, as the request may have run.

--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -131,6 +131,9 @@
         if self._protocol.is_unreached(head):
             self._avoid(address)
             return _Outcome.not_sent
+        if head.framing is message.Framing.connection_end:
+            # An instance states a length or sends chunks.
+            return _Outcome.broken
         if head.framing is message.Framing.length:
             return await _pass_whole(connection, head, out)
         return await _pass_chunks(connection, head, out, None, b'')
