Answer HEAD requests without waiting for a body

What callers saw: each HEAD request that a server answered was held until its deadline and answered 504.

Cause: the parser of answers does not know the request, and waits for the body that the head describes.

Change: the connection to a server ends the answer to a HEAD request at its head, and is not used again if bytes follow. The answer to the caller has neither a length nor chunks, as the length of the body is not known.

--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -21,6 +21,7 @@
 TCP_USER_TIMEOUT_MS = 1000
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+HEAD_REQUEST = b'HEAD '
 
 
 class Ending(enum.Enum):
@@ -53,6 +54,7 @@
         self._unusable = False
         self._lost = False
         self._accepts_head: HeadFilter = _accept_any_head
+        self._asks_for_head = False
         self.idle_since_s = time.monotonic()
         self.request_count = 0
         self._reset_response()
@@ -136,7 +138,7 @@
             reason=self._reason,
             headers=self._headers,
             keep_alive=self._parser.should_keep_alive(),
-            framing=_framing(status, self._headers),
+            framing=self._framing(status),
         )
         if not self._accepts_head(head):
             # This is a late answer to an earlier request; the answer to the
@@ -152,11 +154,16 @@
         if not head.keep_alive:
             self._unusable = True
         self._put(head)
+        if self._asks_for_head:
+            # The parser expects the body that the head describes.
+            self._finish(Ending.complete)
 
     def on_body(self, body: bytes) -> None:
         """Report a chunk of the body."""
         self._head_bytes = 0
-        if self._in_use and self._head_done:
+        if not self._in_use:
+            self._unusable = True
+        elif self._head_done:
             self._buffered += len(body)
             self._put(BodyChunk(body))
 
@@ -170,6 +177,7 @@
     def send(self, request: bytes, accepts_head: HeadFilter) -> None:
         """Write a request; skip response heads that accepts_head rejects."""
         self._accepts_head = accepts_head
+        self._asks_for_head = request.startswith(HEAD_REQUEST)
         self._in_use = True
         self.request_count += 1
         self._reset_response()
@@ -209,6 +217,11 @@
             if not self._lost:
                 self.transport.resume_reading()
 
+    def _framing(self, status: int) -> message.Framing:
+        if self._asks_for_head:
+            return message.Framing.length
+        return _framing(status, self._headers)
+
     def _reset_response(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -6,6 +6,7 @@
 
 from oatcrank.transport import message
 
+HEAD = b'HEAD'
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -21,7 +22,7 @@
         """Create the writer for the answer to a request."""
         self._transport = transport
         self._writable = writable
-        self._has_body = request.method != b'HEAD'
+        self._has_body = request.method != HEAD
         self._chunked = False
         self.keep_alive = request.keep_alive
         self.started = False
@@ -46,7 +47,7 @@
             self._has_body = False
         lines = [b'HTTP/1.1 %d %s' % (status, reason or _reason_phrase(status))]
         lines.extend(b'%s: %s' % pair for pair in headers)
-        if not message.has_body(status):
+        if not self._has_body:
             self._chunked = False
         elif self._chunked:
             lines.append(b'Transfer-Encoding: chunked')
