Continue an engine's stream only with events of another engine

What callers saw on the own interface: after the first events of a stream whose engine broke off, the error of the next engine (400, 404, 422), a 201 or 204, or a JSON body, in the middle of the stream, which then ended as complete. An answer with a status that the standard library does not list failed with 500.

Cause: an answer that was no stream was written to the caller whether or not a stream had begun, and each 200 was read as events, whatever its content type.

Change: once a stream has begun, only an answer with status 200 and a content type of event streams goes on with it; all others count as interrupted attempts.

--- a/oatcrank/entry/dispatch_request.py
+++ b/oatcrank/entry/dispatch_request.py
@@ -58,6 +58,8 @@
         self.adapter = ids.AdapterName(payload.get('adapter') or '')
         self.prefix = str(payload.get('prefix_id') or '')
         self.streams = bool(payload.get('stream'))
+        # Whether the caller has a part of a stream.
+        self.begun = False
         self.sent_tokens = 0
 
 
--- a/oatcrank/entry/model_dispatcher.py
+++ b/oatcrank/entry/model_dispatcher.py
@@ -26,7 +26,7 @@
 LOAD_FIELD_COUNT = 3
 # Limit of an answer that is not a stream; it is forwarded as a whole.
 MAX_BODY_BYTES = 33_554_432
-ERROR_BY_STATUS = {
+ERROR_BY_STATUS: dict[int, type[errors.BackendError]] = {
     HTTPStatus.CONFLICT: errors.NotLoaded,
     HTTPStatus.TOO_MANY_REQUESTS: errors.Busy,
     HTTPStatus.SERVICE_UNAVAILABLE: errors.NotStarted,
@@ -163,6 +163,7 @@
         self._body = bytearray()
         self._status = 0
         self._content_type = ''
+        self._has_events = False
 
     async def run(
         self,
@@ -195,12 +196,14 @@
     def _on_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         self._status = status
         self._content_type = headers.get('Content-Type', rpc.JSON_TYPE)
+        media_type = headers.get('Content-Type', EVENT_STREAM).partition(';')[0]
+        self._has_events = media_type.strip().lower() == EVENT_STREAM
         load = headers.get('X-Load', '').split(',')
         if len(load) == LOAD_FIELD_COUNT:
             self._server.record_load(*(int(part) for part in load))
 
     def _on_chunk(self, chunk: bytes) -> Any:
-        if not self._is_stream():
+        if not (self._is_stream() and self._has_events):
             self._body += chunk
             if len(self._body) > MAX_BODY_BYTES:
                 raise errors.Interrupted('the answer has no end')
@@ -210,6 +213,7 @@
         if not events:
             return None
         self._request.sent_tokens += self._splitter.tokens - before
+        self._request.begun = True
         self._writer.write_head(self._status, self._content_type)
         return self._writer.write(events)
 
@@ -221,10 +225,14 @@
             if not self._splitter.done:
                 self.failure = errors.Interrupted('the stream ended early')
             return
-        error_type = ERROR_BY_STATUS.get(HTTPStatus(self._status))
+        error_type = ERROR_BY_STATUS.get(self._status)
         if error_type is not None:
             self.failure = error_type(f'status {self._status}')
-        elif self._status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        elif (
+            self._request.begun
+            or self._status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        ):
+            # It can't go on with a stream that has begun.
             self.failure = errors.Interrupted(f'status {self._status}')
         else:
             self._writer.write_head(self._status, self._content_type)
