Drop the fields of trailers, and limit those of requests

What callers saw: fields in the trailer of a chunked body counted as headers. A caller could name a model, a prompt or a key to a server a second time, or take the request's id out with Connection, and send a trailer of any size. A server's trailer could say that a request that had run had not, which was then sent once more; or sign an answer, or show an encoding of the body.

Cause: the parsers report trailer fields like headers, and both connections appended them to the headers of the message, for answers to those of a head that had been handed on.

Change: after the end of a head its connection drops further fields. What a caller sends without a part of the body counts towards the limit of headers.

--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -124,8 +124,9 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Append one header."""
-        self._headers.append((name, value))
+        """Append one header; drop a field of the trailer."""
+        if not self._head_done:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Report the head, except of an interim (1xx) response."""
--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -92,8 +92,7 @@
                     self._get_limits().header_timeout_s,
                     self._refuse_timeout,
                 )
-        if not self._headers_done:
-            self._header_bytes += len(data)
+        self._header_bytes += len(data)
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
@@ -103,7 +102,7 @@
             self._ignore_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             self._refuse(http.HTTPStatus.BAD_REQUEST, str(error))
-        if not self._headers_done:
+        if self._reading or not self._headers_done:
             self._check_header_size()
 
     def _ignore_upgrade(self, rest: bytes) -> None:
@@ -134,8 +133,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Append one header."""
-        self._headers.append((name, value))
+        """Append one header; drop a field of the trailer."""
+        if not self._headers_done:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the header size; answer 100 Continue if expected."""
@@ -148,6 +148,7 @@
         if size > self._get_limits().max_header_bytes:
             self._refuse_too_large()
             return
+        self._header_bytes = 0
         if self._task is None:
             self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
         expected = message.find_header(self._headers, b'expect')
@@ -156,6 +157,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its size."""
+        self._header_bytes = 0
         self._body.append(body)
         self._body_bytes += len(body)
         if self._body_bytes > self._get_limits().max_body_bytes:
