--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -167,6 +167,9 @@
                 sending.sends, self._protocol.unreached_sends(head)
             )
             return _Outcome.not_sent
+        if head.framing is message.Framing.connection_end:
+            # An instance states a length or sends chunks.
+            return _Outcome.broken
         if head.framing is message.Framing.length:
             return await _pass_whole(connection, head, sending.out)
         return await _pass_chunks(connection, head, sending.out, None, b'')
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -21,9 +21,7 @@
 TCP_USER_TIMEOUT_MS = 1000
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-BODYLESS_STATUSES = frozenset(
-    (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
-)
+HEAD_REQUEST = b'HEAD '
 
 
 class Ending(enum.Enum):
@@ -56,6 +54,7 @@
         self._unusable = False
         self._lost = False
         self._accepts_head: HeadFilter = _accept_any_head
+        self._asks_for_head = False
         self.idle_since_s = time.monotonic()
         self.request_count = 0
         self._reset_response()
@@ -125,8 +124,9 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Append one header."""
-        self._headers.append((name, value))
+        """Append one header; drop a field of the trailer."""
+        if not self._head_done:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Report the head, except of an interim (1xx) response."""
@@ -139,7 +139,7 @@
             reason=self._reason,
             headers=self._headers,
             keep_alive=self._parser.should_keep_alive(),
-            framing=_framing(status, self._headers),
+            framing=self._framing(status),
         )
         if not self._accepts_head(head):
             # This is a late answer to an earlier request; the answer to the
@@ -147,16 +147,24 @@
             self._unusable = True
             self._head_done = False
             return
+        if _is_encoded(self._headers):
+            self._abort_response()
+            return
         self._head_bytes = 0
         self._until_close = head.framing is message.Framing.connection_end
         if not head.keep_alive:
             self._unusable = True
         self._put(head)
+        if self._asks_for_head:
+            # The parser expects the body that the head describes.
+            self._finish(Ending.complete)
 
     def on_body(self, body: bytes) -> None:
         """Report a chunk of the body."""
         self._head_bytes = 0
-        if self._in_use and self._head_done:
+        if not self._in_use:
+            self._unusable = True
+        elif self._head_done:
             self._buffered += len(body)
             self._put(BodyChunk(body))
 
@@ -170,6 +178,7 @@
     def send(self, request: bytes, accepts_head: HeadFilter) -> None:
         """Write a request; skip response heads that accepts_head rejects."""
         self._accepts_head = accepts_head
+        self._asks_for_head = request.startswith(HEAD_REQUEST)
         self._in_use = True
         self.request_count += 1
         self._reset_response()
@@ -209,6 +218,11 @@
             if not self._lost:
                 self.transport.resume_reading()
 
+    def _framing(self, status: int) -> message.Framing:
+        if self._asks_for_head:
+            return message.Framing.length
+        return _framing(status, self._headers)
+
     def _reset_response(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
@@ -239,11 +253,20 @@
     return event if isinstance(event, Ending) else Ending.broken
 
 
+def _is_encoded(headers: message.Headers) -> bool:
+    """Return whether the body has a transfer coding besides chunks."""
+    return any(
+        name.lower() == b'transfer-encoding'
+        and text.strip().lower() != b'chunked'
+        for name, text in headers
+    )
+
+
 def _framing(status: int, headers: message.Headers) -> message.Framing:
     if message.find_header(headers, b'transfer-encoding') is not None:
         return message.Framing.chunks
     if (
-        status in BODYLESS_STATUSES
+        not message.has_body(status)
         or message.find_header(headers, b'content-length') is not None
     ):
         return message.Framing.length
--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -7,6 +7,7 @@
 
 from oatcrank.transport import message
 
+HEAD = b'HEAD'
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -26,7 +27,7 @@
         """
         self._transport = transport
         self._writable = writable
-        self._is_head = request.method == b'HEAD'
+        self._has_body = request.method != HEAD
         self._chunked = False
         self._has_next = has_next
         self._closes_if_last = False
@@ -55,9 +56,13 @@
         if self._closes_if_last and not self._has_next():
             self.keep_alive = False
         self._chunked = length is None
+        if not message.has_body(status):
+            self._has_body = False
         lines = [b'HTTP/1.1 %d %s' % (status, reason or _reason_phrase(status))]
         lines.extend(b'%s: %s' % pair for pair in headers)
-        if self._chunked:
+        if not self._has_body:
+            self._chunked = False
+        elif self._chunked:
             lines.append(b'Transfer-Encoding: chunked')
         else:
             lines.append(b'Content-Length: %d' % (length or 0))
@@ -67,7 +72,7 @@
 
     def write(self, body: bytes) -> None:
         """Write part of the body."""
-        if not body or self._is_head:
+        if not body or not self._has_body:
             return
         self.bytes_written += len(body)
         self._record_write(time.monotonic())
@@ -90,7 +95,7 @@
 
     def end(self) -> None:
         """Write the end of the body."""
-        if self._chunked and not self._is_head:
+        if self._chunked and self._has_body:
             self._transport.write(LAST_CHUNK)
         self.complete = True
 
