--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -9,12 +9,13 @@
 from oatcrank import background, ids, logs, metrics
 from oatcrank.cluster import (
     change_relay,
-    codec,
+    cluster_bounds,
     crash_cause_records,
     datagram_endpoint,
     distributed_prompt_scheduler,
     distributed_quotas,
     distributed_server_limiter,
+    instance_dependencies,
     leaving_notices,
     limited_order_sender,
     member,
@@ -22,13 +23,11 @@
     order_lease,
     peer_service,
     peers,
-    quota_owner,
     relay_follower,
     remote_placement_requester,
     session,
     shared_stream_origins,
     stop_schedule,
-    store,
     store_mirror,
     table_updater,
     version_records,
@@ -39,9 +38,8 @@
     link_prober,
     peer_relay,
     request_dependencies,
-    wire_protocol,
 )
-from oatcrank.orders import order, order_coordinator, store_load_limit
+from oatcrank.orders import order_coordinator
 from oatcrank.routing import (
     crash_causes,
     crashing_parts,
@@ -59,35 +57,14 @@
 PRUNE_INTERVAL_S = 0.5
 
 
-class Bounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits and durations that all instances of a cluster share."""
-
-    retry_ratio: float
-    retry_allowance: float
-    retry_window_s: float
-    order_lease_duration_s: float
-    load_ceiling: store_load_limit.Ceiling
-    stop_timeout_s: float
-    quota_tolerance: quota_owner.QuotaTolerance
-
-
-class InstanceDependencies(msgspec.Struct, frozen=True, kw_only=True):
-    """Implementations of the interfaces that an instance depends on."""
-
-    store: store.Store
-    codec: codec.Codec
-    wire_protocol: wire_protocol.WireProtocol
-    sender: order.OrderSender
-
-
 class Instance:
     """Serve callers, stay registered, and send orders under the order lease."""
 
     def __init__(
         self,
         own: member.Member,
-        bounds: Bounds,
-        dependencies: InstanceDependencies,
+        bounds: cluster_bounds.Bounds,
+        dependencies: instance_dependencies.InstanceDependencies,
         read_tokens_per_s: float,
     ) -> None:
         """Build all components without starting them."""
@@ -236,7 +213,7 @@
         """Return whether callers should use this instance."""
         return self.members.own.ready
 
-    def update_bounds(self, bounds: Bounds) -> None:
+    def update_bounds(self, bounds: cluster_bounds.Bounds) -> None:
         """Apply changed bounds to the running instance."""
         self._bounds = bounds
         self._quotas.apply_tolerance(bounds.quota_tolerance)
--- a/oatcrank/platform/serve.py
+++ b/oatcrank/platform/serve.py
@@ -9,7 +9,7 @@
 from tornado import httpserver, web
 
 from oatcrank import logs
-from oatcrank.cluster import instance, peer_handlers
+from oatcrank.cluster import instance, instance_dependencies, peer_handlers
 from oatcrank.platform import (
     codec,
     directory,
@@ -71,7 +71,7 @@
     return instance.Instance(
         current_settings.member(int(time.time() * 1000)),
         current_settings.shared_bounds(),
-        instance.InstanceDependencies(
+        instance_dependencies.InstanceDependencies(
             store=store_client.PlatformStore(current_settings.platform.address),
             codec=codec.PlatformCodec(),
             wire_protocol=platform_protocol.PlatformProtocol(),
--- a/oatcrank/platform/settings.py
+++ b/oatcrank/platform/settings.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from oatcrank import errors, ids
-from oatcrank.cluster import instance, member, quota_owner
+from oatcrank.cluster import cluster_bounds, member, quota_owner
 from oatcrank.orders import store_load_limit
 
 SETTINGS_VARIABLE = 'OATCRANK_CONFIG'
@@ -67,9 +67,9 @@
             datagram_address=f'{self.ip}:{self.internal_ports[0]}',
         )
 
-    def shared_bounds(self) -> instance.Bounds:
+    def shared_bounds(self) -> cluster_bounds.Bounds:
         """Return the limits that all instances share."""
-        return instance.Bounds(
+        return cluster_bounds.Bounds(
             retry_ratio=self.bounds.retry_budget_ratio,
             retry_allowance=self.bounds.retry_budget_slack,
             retry_window_s=self.bounds.budget_window_s,
