Outlast servers that are silent for two seconds

Callers lost streams and got 502 for requests that run once when a server sent and acknowledged nothing for little over a second, and requests that may be repeated were sent again though they ran.

Cause: connections to servers had a TCP_USER_TIMEOUT of 1 s. On Linux it ends a connection whose data or closed window has waited so long, and also one whose keep-alive probe is unanswered while nothing was heard for so long, whatever the count of probes. Data is sent again after twice the time each time, so that a limit near the length of the silence ends the connection before the next copy is sent.

tests/test_silent_server.py reads the options back from a socket and applies Linux's rules, and has a server that does not read a long request for 2 s.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -122,6 +122,8 @@
         self.endless_answer: endless_answer.EndlessAnswer | None = None
         self.endless_bytes = 0
         self.answer_delay_s = float(0)
+        # Time for which nothing of a request is read.
+        self.read_delay_s = float(0)
         self.order_status = int(HTTPStatus.ACCEPTED)
         self.order_delay_s = float(0)
         self.report: dict[str, object] = {'busy': False, 'seq': 0}
@@ -177,6 +179,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        await asyncio.sleep(self.read_delay_s)
         request = await _read_request(reader)
         if request is None:
             return False
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -4,23 +4,18 @@
 import collections
 import enum
 import http
-import socket
 import time
 from collections.abc import Callable
 
 import httptools
 import msgspec
 
-from oatcrank.transport import errors, message
+from oatcrank.transport import errors, message, tcp_timeouts
 
 MAX_BUFFERED_BYTES = 262144
 # Limit of heads, interim (1xx) responses and trailers: of all that brings
 # neither the awaited head nor a part of a body.
 MAX_HEAD_BYTES = 65536
-# Limit for unacknowledged data.
-TCP_USER_TIMEOUT_MS = 1000
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 BODYLESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
 )
@@ -77,7 +72,7 @@
         self.transport: asyncio.Transport = transport  # type: ignore
         sock = transport.get_extra_info('socket')
         if sock is not None:
-            _set_tcp_timeouts(sock)
+            tcp_timeouts.set_options(sock)
 
     def data_received(self, data: bytes) -> None:
         """Parse data; close the connection if no request is in progress."""
@@ -250,19 +245,6 @@
     return message.Framing.connection_end
 
 
-def _set_tcp_timeouts(sock: socket.socket) -> None:
-    """Detect a peer that disappeared without closing the connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp_options = (
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    )
-    for option, amount in tcp_options:
-        sock.setsockopt(socket.IPPROTO_TCP, option, amount)
-
-
 def _accept_any_head(_: message.ResponseHead) -> bool:
     return True
 
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -299,6 +299,7 @@
     def __init__(self, reader, writer) -> None:
         self.reader = reader
         self.writer = writer
+        self.read_timeout_s = float(5)
 
     @classmethod
     async def open(cls, port: int, host: str | None = None) -> 'Caller':
@@ -319,7 +320,7 @@
 
     async def read(self) -> Answer:
         try:
-            async with asyncio.timeout(5):
+            async with asyncio.timeout(self.read_timeout_s):
                 return await self._read()
         except (asyncio.IncompleteReadError, ConnectionError):
             return Answer(0, {}, b'', whole=False)
