Ask instances that are known to reach servers

Callers of an instance that was cut off from servers were refused if most other instances were cut off too: of three that were drawn, all refused. An instance that reached the servers of one service only was asked for no other service for a second after it had refused.

Cause: instances were drawn without regard to which had answered, and a refusal was remembered for all routes. Change: the choice is a module of its own. The first instance is drawn, the next are those that have answered on the route lately; a refusal holds for its route.

--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -137,7 +137,7 @@
             )
             return
         await self._dependencies.peer_relay.relay(
-            raw, request, request.deadline_s(request_route.timeout_s), out
+            raw, request, request_route, out
         )
 
     async def _execute(
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -9,12 +9,10 @@
 
 from oatcrank import logs
 from oatcrank.forwarding import caller_request, request_metrics, wire_protocol
+from oatcrank.routing import peer_choice, route
 from oatcrank.transport import backend_connection, errors, message, reply
 
 CONNECT_TIMEOUT_S = 0.2
-MAX_PEERS = 3
-# An instance that does not reach the servers itself is not asked for this time.
-AVOID_S = 1.0
 UNREACHED_RETRY_S = 0.5
 # Longer answers are passed on before their end.
 MAX_BUFFERED_BYTES = 262144
@@ -30,9 +28,14 @@
     """One request on its way through other instances."""
 
     def __init__(
-        self, raw: message.Request, deadline_s: float, out: reply.Reply
+        self,
+        raw: message.Request,
+        route_name: str,
+        deadline_s: float,
+        out: reply.Reply,
     ) -> None:
         self.raw = raw
+        self.route_name = route_name
         self.deadline_s = deadline_s
         self.out = out
         self.asked: list[str] = []
@@ -51,18 +54,18 @@
         """Choose among the callers' addresses of the other instances."""
         self._protocol = protocol
         self._addresses = addresses
-        self._rng = rng
-        self._avoided_until_s: dict[str, float] = {}
+        self._choice = peer_choice.PeerChoice(rng)
 
     async def relay(
         self,
         raw: message.Request,
         request: caller_request.CallerRequest,
-        deadline_s: float,
+        request_route: route.Route,
         out: reply.Reply,
     ) -> None:
         """Answer a request that this instance has not sent to a server."""
-        sending = _Relaying(raw, deadline_s, out)
+        deadline_s = request.deadline_s(request_route.timeout_s)
+        sending = _Relaying(raw, request_route.name, deadline_s, out)
         try:
             async with asyncio.timeout_at(deadline_s):
                 await self._ask_in_turn(sending)
@@ -79,7 +82,9 @@
         _finish(sending.outcome, out)
 
     async def _ask_in_turn(self, sending: _Relaying) -> None:
-        for address in self._choose():
+        for address in self._choice.choose(
+            sending.route_name, self._addresses(), time.monotonic()
+        ):
             sending.asked.append(address)
             # Holds if the time runs out meanwhile.
             sending.outcome = _Outcome.broken
@@ -87,15 +92,6 @@
             if sending.outcome is not _Outcome.not_sent:
                 return
 
-    def _choose(self) -> list[str]:
-        now_s = time.monotonic()
-        addresses = [
-            address
-            for address in self._addresses()
-            if self._avoided_until_s.get(address, 0) <= now_s
-        ]
-        return self._rng.sample(addresses, min(MAX_PEERS, len(addresses)))
-
     async def _ask(
         self,
         address: str,
@@ -107,7 +103,7 @@
                 host, int(port), CONNECT_TIMEOUT_S
             )
         except errors.ConnectFailed:
-            self._avoid(address)
+            self._choice.record_failed(address, time.monotonic())
             return _Outcome.not_sent
         left_s = sending.deadline_s - asyncio.get_running_loop().time()
         try:
@@ -115,7 +111,7 @@
                 self._protocol.encode_relayed(sending.raw, left_s),
                 _accept_any_head,
             )
-            return await self._pass_on(connection, address, sending.out)
+            return await self._pass_on(connection, address, sending)
         finally:
             connection.close()
 
@@ -123,20 +119,19 @@
         self,
         connection: backend_connection.BackendConnection,
         address: str,
-        out: reply.Reply,
+        sending: _Relaying,
     ) -> _Outcome:
         head = await connection.next_event()
         if not isinstance(head, message.ResponseHead):
             return _Outcome.broken
+        now_s = time.monotonic()
         if self._protocol.is_unreached(head):
-            self._avoid(address)
+            self._choice.record_refused(sending.route_name, address, now_s)
             return _Outcome.not_sent
+        self._choice.record_answered(sending.route_name, address, now_s)
         if head.framing is message.Framing.length:
-            return await _pass_whole(connection, head, out)
-        return await _pass_chunks(connection, head, out, None, b'')
-
-    def _avoid(self, address: str) -> None:
-        self._avoided_until_s[address] = time.monotonic() + AVOID_S
+            return await _pass_whole(connection, head, sending.out)
+        return await _pass_chunks(connection, head, sending.out, None, b'')
 
 
 async def _pass_whole(
