Ask the next instance if one takes no requests

Callers of an instance that was cut off from servers got 503 if the instance that was asked for them was stopping, or had no configuration yet, though others served.

Cause: only a refusal of an instance without servers bore the mark that lets the next one be asked. Change: refusals of a request that another instance has sent on, since this instance takes none, bear it too.

tests/test_peer_relay.py: two cases; before, two of six requests got 503, now none.

--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -63,7 +63,7 @@
             self._check_not_stopping()
             configuration = self._configuration()
         except refusal.RequestRefused as refused:
-            _refuse(decoded, refused, out)
+            self._refuse(decoded, refused, out)
             return
         await self._forward(request, decoded, configuration, out)
 
@@ -92,6 +92,21 @@
         if not await self._execute(request, found_route, out):
             await self._relay(raw, request, found_route, out)
 
+    def _refuse(
+        self,
+        request: caller_request.CallerRequest,
+        refused: refusal.RequestRefused,
+        out: reply.Reply,
+    ) -> None:
+        """Refuse a request; an instance that sent it on asks the next."""
+        logs.event(
+            'request_refused', request=request.request_id, reason=refused.reason
+        )
+        headers = request_execution.retry_after_headers(refused.retry_after_s)
+        if request.relayed:
+            headers.extend(self._dependencies.wire_protocol.unreached())
+        out.answer(http.HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
+
     def _check_not_stopping(self) -> None:
         """Raise RequestRefused if the stop may cut off an answer."""
         if self._dependencies.now() >= self._accepts_until_s:
@@ -177,18 +192,3 @@
             if execution.has_not_run:
                 admission.give_back()
         return not execution.is_unreached
-
-
-def _refuse(
-    request: caller_request.CallerRequest,
-    refused: refusal.RequestRefused,
-    out: reply.Reply,
-) -> None:
-    logs.event(
-        'request_refused', request=request.request_id, reason=refused.reason
-    )
-    out.answer(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        request_execution.retry_after_headers(refused.retry_after_s),
-        b'',
-    )
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -1,6 +1,7 @@
 """Test requests of an instance that reaches no server, with two forwarders."""
 
 import asyncio
+import math
 
 import forwarding_site
 import msgspec
@@ -201,3 +202,21 @@
         assert links.is_suspect
 
     forwarding_site.run(work, **STREAM)
+
+
+@pytest.mark.parametrize('unready', ['stopping', 'without configuration'])
+def test_an_instance_that_takes_no_requests_leaves_them_to_the_next(unready):
+    async def work(cut, peer):
+        cut_off(cut)
+        if unready == 'stopping':
+            peer.forwarder.leave(math.inf, 0)
+        else:
+            peer.routes.configuration = None
+        other = forwarding_site.Site(workers=2)
+        await other.start()
+        cut.peer_addresses.append(f'127.0.0.1:{other.port}')
+        answers = [await cut.ask() for _ in range(6)]
+        await other.stop()
+        assert {answer.status for answer in answers} == {200}
+
+    relay(work)
