Keep brittle servers from turning requests away

Servers of a service that say that they are brittle fell over again and again under more load than they had room for: callers got 502, and 503 from those that were left.

Cause: nothing read what they say, and each instance sent until a server turned its request away. Change: the header is decoded once. While a service says it, an instance uses its own part of each server's slots, and more if the server's reported load leaves room for one more request of each other instance; it leaves a server that has turned a request away alone for a time that grows with the instances over what the server allows, and takes the service to have no more room than that server reported.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from emulator import endless_answer
+from emulator import brittle_room, endless_answer
 from emulator import platform_worker_answers as answers
 
 OK = b'HTTP/1.1 200 OK'
@@ -97,6 +97,7 @@
     event_count: number of events in a stream.
     crashed: set once the worker has crashed of a request.
     limit_per_s: limit that all answers name, if it is set.
+    room: for how many requests there is room, if that is limited.
     endless_answer: what is sent until the caller closes, if it is set; the
         bytes are counted in endless_bytes.
     """
@@ -119,6 +120,7 @@
         self.crashing_path = ''
         self.crashed = asyncio.Event()
         self.limit_per_s: float | None = None
+        self.room: brittle_room.BrittleRoom | None = None
         self.endless_answer: endless_answer.EndlessAnswer | None = None
         self.endless_bytes = 0
         self.answer_delay_s = float(0)
@@ -204,6 +206,27 @@
             return True
         if self.endless_answer is not None:
             await self._send_without_end(self.endless_answer, request, writer)
+        return await self._take(request, writer)
+
+    async def _take(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run a request if there is room for it."""
+        if self.room is None:
+            return await self._run(request, writer)
+        if not self.room.enter():
+            if self.room.has_fallen:
+                await self._crash()
+                return False
+            return await self._send_answer(AnswerMode.full, request, writer)
+        try:
+            return await self._run(request, writer)
+        finally:
+            self.room.leave()
+
+    async def _run(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
         mode = self._next_mode(request)
         if mode not in NOT_RUN_MODES:
             self.executed_request_ids.append(
@@ -329,6 +352,7 @@
             'X-Server-Load': '3,1,64',
             'Keep-Alive': 'timeout=5',
             **self._limit_headers(),
+            **({} if self.room is None else self.room.headers()),
         }
 
     def _limit_headers(self) -> Headers:
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -40,6 +40,7 @@
 )
 from oatcrank.orders import order, order_coordinator, store_load_limit
 from oatcrank.routing import (
+    brittle_servers,
     crash_causes,
     crashing_parts,
     crashing_requests,
@@ -219,6 +220,9 @@
                 stream_origins=origins,
                 crash_guard=crash_guard.CrashGuard(requests, parts, self.peer),
                 server_limiter=self._server_limiter,
+                brittle_servers=brittle_servers.BrittleServers(
+                    self.members.ready_count, self.members.is_ranked, rng
+                ),
                 quotas=self._quotas,
                 links=self._links,
                 peer_relay=peer_relay.PeerRelay(
--- a/oatcrank/cluster/members.py
+++ b/oatcrank/cluster/members.py
@@ -96,6 +96,17 @@
             self._ranked_by_key[key] = ranked
         return ranked[:count]
 
+    def ready_count(self) -> int:
+        """Return how many instances send requests to servers."""
+        return sum(each.ready for each in (self.own, *self.others()))
+
+    def is_ranked(self, key: str, count: int) -> bool:
+        """Return whether this instance is among the first ones for a key."""
+        return any(
+            each.instance_id == self.own.instance_id
+            for each in self.ranked(key, count)
+        )
+
     def caller_addresses(self, failure_domain: str, region: str) -> list[str]:
         """Return the addresses for a caller, near ones only if enough."""
         ready = [other for other in self.others() if other.ready]
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -195,6 +195,12 @@
             self._dependencies.server_limiter.record_answer(
                 self._server.registration, answer.limit_per_s, self._began_s
             )
+        self._dependencies.brittle_servers.record_answer(
+            self._server,
+            answer.max_rejections_per_s,
+            self._began_s,
+            self._dependencies.now(),
+        )
         if answer.request_id is None and connection.request_count > 1:
             # It may be a late answer to an earlier request.
             raise _InvalidAnswer('an answer without an id, maybe a late one')
@@ -221,6 +227,10 @@
         answer: wire_protocol.AnswerHead,
     ) -> AttemptResult:
         self.progress = attempt_state.Progress.declined
+        if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            self._dependencies.brittle_servers.record_rejected(
+                self._server, self._dependencies.now()
+            )
         reason = f'declined with {head.status}'
         if not answer.request_id:
             reason = f'{reason} without an id'
--- a/oatcrank/forwarding/request_dependencies.py
+++ b/oatcrank/forwarding/request_dependencies.py
@@ -17,6 +17,7 @@
     wire_protocol,
 )
 from oatcrank.routing import (
+    brittle_servers,
     retry_budgets,
     route_table,
     server_links,
@@ -38,6 +39,7 @@
     stream_origins: stream_origins.StreamOrigins
     crash_guard: crash_guard.CrashGuard
     server_limiter: server_limiter.ServerLimiter
+    brittle_servers: brittle_servers.BrittleServers
     quotas: quotas.Quotas
     links: server_links.ServerLinks
     peer_relay: peer_relay.PeerRelay
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -137,6 +137,8 @@
                 continue
             if not await self._wait_for_slot(chosen, search):
                 continue
+            if not self._has_room(chosen):
+                continue
             self._check_crashes()
             self._check_send_limits()
             # Only now: a server with a trial counts as unusable.
@@ -188,6 +190,12 @@
             await asyncio.sleep(permit.wait_s)
         return chosen.is_usable(self._dependencies.now())
 
+    def _has_room(self, chosen: server.Server) -> bool:
+        """Return whether a brittle server still has room after the waits."""
+        return self._dependencies.brittle_servers.has_room(
+            chosen, self._dependencies.now()
+        )
+
     def _check_send_limits(self) -> None:
         """Count the first send, or take a retry from the budget."""
         now_s = self._dependencies.now()
--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -108,6 +108,7 @@
                 continue
             self._check_delayed()
             self._check_limited()
+            self._check_brittle()
             await self._request_placement(allowed_ids)
 
     def _check_delayed(self) -> None:
@@ -137,6 +138,32 @@
             retry_after_s,
         )
 
+    def _check_brittle(self) -> None:
+        """Refuse the request if only brittle servers without room are left."""
+        now_s = self._dependencies.now()
+        if any(
+            server_id not in self._excluded_ids
+            and self._dependencies.servers.by_id[server_id].is_usable(now_s)
+            for server_id in self._without_room_ids()
+        ):
+            raise refusal.RequestRefused(
+                'brittle servers have no room',
+                self._dependencies.brittle_servers.return_s(),
+            )
+
+    def _without_room_ids(self) -> frozenset[ids.ServerId]:
+        now_s = self._dependencies.now()
+        return frozenset(
+            candidate.server_id
+            for candidate in self._dependencies.servers.of_service(
+                self._wanted.service
+            )
+            if candidate.holds(self._wanted)
+            and not self._dependencies.brittle_servers.has_room(
+                candidate, now_s
+            )
+        )
+
     def _choose(
         self, allowed_ids: frozenset[ids.ServerId]
     ) -> server.Server | None:
@@ -144,6 +171,7 @@
             self._excluded_ids
             | self._wait_s_by_delayed_id.keys()
             | self._limited.excluded_ids
+            | self._without_room_ids()
         )
         for excluded in (excluded_ids | self._deprioritized_ids, excluded_ids):
             chosen = self._dependencies.server_selector.choose(
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -31,6 +31,8 @@
     idle_timeout_s: how long the server keeps an idle connection open.
     limit_per_s: requests a second that the server takes from all instances
         together; None if it names no limit.
+    max_rejections_per_s: requests that the server can turn away in a second
+        for want of room without ending; None if it does not say so.
     """
 
     request_id: ids.RequestId | None
@@ -41,6 +43,7 @@
     load: ServerLoad | None
     idle_timeout_s: float | None
     limit_per_s: float | None = None
+    max_rejections_per_s: float | None = None
 
     @property
     def tells_limit(self) -> bool:
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -5,7 +5,7 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import caller_request, wire_protocol
-from oatcrank.platform import credentials, relay_headers
+from oatcrank.platform import brittle_statement, credentials, relay_headers
 from oatcrank.transport import message
 
 REQUEST_ID = b'x-request-id'
@@ -157,6 +157,9 @@
             load=_load(header_by_name.get(LOAD)),
             idle_timeout_s=_idle_timeout_s(header_by_name.get(b'keep-alive')),
             limit_per_s=limit_per_s(head.headers),
+            max_rejections_per_s=brittle_statement.max_rejections_per_s(
+                header_by_name.get(brittle_statement.BRITTLE)
+            ),
         )
 
 
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -38,6 +38,7 @@
         self.is_removed = False
         self._adapters_by_model = _adapters(registration)
         self._other_requests = float(0)
+        self._reported = 0
         self._reported_s = -math.inf
         self._wait_s = float(0)
         self._wait_recorded_s = float(0)
@@ -125,6 +126,7 @@
     def record_load(self, running: int, waiting: int, now_s: float) -> None:
         """Record the load that the server reports."""
         self._other_requests = max(0, running + waiting - self.in_flight)
+        self._reported = running + waiting
         self._reported_s = now_s
 
     def load(self, now_s: float) -> float:
@@ -137,6 +139,12 @@
             1, self.registration.slots
         )
 
+    def reported_load(self, now_s: float) -> int | None:
+        """Return the requests that the server has just reported, if any."""
+        if now_s - self._reported_s > REPORT_DECAY_S:
+            return None
+        return self._reported
+
     def record_wait(self, waited_s: float, now_s: float) -> None:
         """Record how long a request has waited for its answer to begin."""
         decayed = self.recent_wait_s(now_s)
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -21,6 +21,7 @@
 )
 from oatcrank.platform import platform_protocol
 from oatcrank.routing import (
+    brittle_servers,
     crash,
     crashing_parts,
     crashing_requests,
@@ -215,6 +216,9 @@
                 self.crashes, self.parts, self.publisher
             ),
             server_limiter=self.server_limiter,
+            brittle_servers=brittle_servers.BrittleServers(
+                lambda: self.instances, lambda *_: True, random.Random(9)
+            ),
             quotas=self.quotas,
             links=self.links,
             peer_relay=peer_relay.PeerRelay(
@@ -226,6 +230,7 @@
         )
         self.forwarder = forwarder.Forwarder(self.dependencies)
         self.port = 0
+        self.instances = 1
 
     async def start(self, versions: Sequence[str] = (), **changes) -> None:
         """Start the workers, with their software versions in turn."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -14,7 +14,7 @@
 import forwarding_site
 import ports
 
-from emulator import platform_store, platform_worker
+from emulator import brittle_room, platform_store, platform_worker
 
 HOST = 'words.example'
 SERVICE = 'words'
@@ -179,7 +179,7 @@
             'address': f'127.0.0.1:{worker.port}',
             'zone': 'north',
             'version': 'v1',
-            'slots': 64,
+            'slots': 64 if worker.room is None else worker.room.slots,
             'state': 'ready',
             'seq': 0,
             'born': 1000,
@@ -243,6 +243,10 @@
             worker.answer_delay_s = former.answer_delay_s
             worker.event_delay_s = former.event_delay_s
             worker.limit_per_s = former.limit_per_s
+            if former.room is not None:
+                worker.room = brittle_room.BrittleRoom(
+                    former.room.slots, former.room.rejections_per_s
+                )
             self.workers.append(worker)
             await worker.start()
             self.register(worker)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -464,3 +464,25 @@
         codec.PlatformCodec().decode(item('op/config', content)).routes
     )
     assert decoded_route.patience_s == expected
+
+
+@pytest.mark.parametrize(
+    ('headers', 'expected', 'malformed'),
+    [
+        ({'Server-Brittle': '4'}, 4.0, False),
+        ({'server-brittle': ' 0.5 '}, 0.5, False),
+        ({'Server-Brittle': '-1'}, None, True),
+        ({'Server-Brittle': 'nan'}, None, True),
+        ({'Server-Brittle': 'yes'}, None, True),
+        ({}, None, False),
+    ],
+)
+def test_a_server_says_that_it_is_brittle(
+    headers, expected, malformed, messages
+):
+    answer = platform_protocol.PlatformProtocol().decode_answer_head(
+        answer_head(headers)
+    )
+    assert answer.max_rejections_per_s == expected
+    events = [message['message_type'] for message in messages]
+    assert events.count('server_brittle_malformed') == int(malformed)
