--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from emulator import endless_answer, scripted_answer
+from emulator import brittle_room, endless_answer, scripted_answer
 from emulator import platform_worker_answers as answers
 
 OK = b'HTTP/1.1 200 OK'
@@ -103,6 +103,7 @@
     leaving: whether all answers say that the worker leaves.
     retry_after: if it is set, all requests, orders and reports are turned away
         with 503 and this Retry-After.
+    room: for how many requests there is room, if that is limited.
     endless_answer: what is sent until the caller closes, if it is set; the
         bytes are counted in endless_bytes.
     scripted_answers: answers of the next requests, before any mode applies.
@@ -128,10 +129,13 @@
         self.limit_per_s: float | None = None
         self.leaving = False
         self.retry_after = ''
+        self.room: brittle_room.BrittleRoom | None = None
         self.endless_answer: endless_answer.EndlessAnswer | None = None
         self.endless_bytes = 0
         self.scripted_answers: list[scripted_answer.ScriptedAnswer] = []
         self.answer_delay_s = float(0)
+        # Time for which nothing of a request is read.
+        self.read_delay_s = float(0)
         self.order_status = int(HTTPStatus.ACCEPTED)
         self.order_delay_s = float(0)
         self.report: dict[str, object] = {'busy': False, 'seq': 0}
@@ -187,6 +191,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
+        await asyncio.sleep(self.read_delay_s)
         request = await _read_request(reader)
         if request is None:
             return False
@@ -202,6 +207,27 @@
             return True
         if self.endless_answer is not None:
             await self._send_without_end(self.endless_answer, request, writer)
+        return await self._take(request, writer)
+
+    async def _take(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Run a request if there is room for it."""
+        if self.room is None:
+            return await self._run(request, writer)
+        if not self.room.enter():
+            if self.room.has_fallen:
+                await self._crash()
+                return False
+            return await self._send_answer(AnswerMode.full, request, writer)
+        try:
+            return await self._run(request, writer)
+        finally:
+            self.room.leave()
+
+    async def _run(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> bool:
         mode = self._next_mode(request)
         if mode not in NOT_RUN_MODES:
             self.executed_request_ids.append(
@@ -343,6 +369,7 @@
             'X-Server-Load': '3,1,64',
             'Keep-Alive': 'timeout=5',
             **self._state_headers(),
+            **({} if self.room is None else self.room.headers()),
         }
 
     def _state_headers(self) -> Headers:
--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -41,6 +41,7 @@
 )
 from oatcrank.orders import order_coordinator
 from oatcrank.routing import (
+    brittle_servers,
     crash_causes,
     crashing_parts,
     crashing_requests,
@@ -193,6 +194,9 @@
                 stream_origins=origins,
                 crash_guard=crash_guard.CrashGuard(requests, parts, self.peer),
                 server_limiter=self._server_limiter,
+                brittle_servers=brittle_servers.BrittleServers(
+                    self.members.ready_count, self.members.is_ranked, rng
+                ),
                 quotas=self._quotas,
                 links=self._links,
                 peer_relay=peer_relay.PeerRelay(
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -205,6 +205,12 @@
                     self._server.registration.registered_process
                 )
             )
+        self._dependencies.brittle_servers.record_answer(
+            self._server,
+            answer.max_rejections_per_s,
+            self._began_s,
+            self._dependencies.now(),
+        )
         if answer.request_id is None and connection.request_count > 1:
             # It may be a late answer to an earlier request.
             raise _InvalidAnswer('an answer without an id, maybe a late one')
@@ -243,6 +249,10 @@
         answer: wire_protocol.AnswerHead,
     ) -> AttemptResult:
         self.progress = attempt_state.Progress.declined
+        if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            self._dependencies.brittle_servers.record_rejected(
+                self._server, self._dependencies.now()
+            )
         reason = f'declined with {head.status}'
         if not answer.request_id:
             reason = f'{reason} without an id'
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -66,7 +66,7 @@
             self._check_not_stopping()
             configuration = self._configuration()
         except refusal.RequestRefused as refused:
-            _refuse(decoded, refused, out)
+            self._refuse(decoded, refused, out)
             return
         await self._forward(request, decoded, configuration, out)
 
@@ -97,6 +97,25 @@
         if sends is not None:
             await self._relay(raw, request, found_route, out, sends)
 
+    def _refuse(
+        self,
+        request: caller_request.CallerRequest,
+        refused: refusal.RequestRefused,
+        out: reply.Reply,
+    ) -> None:
+        """Refuse a request; an instance that sent it on asks the next."""
+        logs.event(
+            'request_refused', request=request.request_id, reason=refused.reason
+        )
+        headers = request_execution.retry_after_headers(refused.retry_after_s)
+        if request.relayed:
+            headers.extend(
+                self._dependencies.wire_protocol.unreached(
+                    request.earlier_sends
+                )
+            )
+        out.answer(http.HTTPStatus.SERVICE_UNAVAILABLE, headers, b'')
+
     def _check_not_stopping(self) -> None:
         """Raise RequestRefused if the stop may cut off an answer."""
         if self._dependencies.now() >= self._accepts_until_s:
@@ -146,7 +165,7 @@
         await self._dependencies.peer_relay.relay(
             raw,
             request,
-            request.deadline_s(request_route.timeout_s),
+            request_route,
             out,
             self._dependencies.unanswered,
             sends=sends,
@@ -167,7 +186,7 @@
             async with self._dependencies.unanswered.limit(out, None):
                 admission = await self._gate.admit(request, request_route)
         except refusal.InstanceStopping as stopping:
-            _refuse(request, stopping, out)
+            self._refuse(request, stopping, out)
             return None
         except organisation_gate.KeyRefused as refused:
             out.answer(
@@ -194,18 +213,3 @@
             if execution.has_not_run:
                 admission.give_back()
         return execution.sends_that_reached if execution.is_unreached else None
-
-
-def _refuse(
-    request: caller_request.CallerRequest,
-    refused: refusal.RequestRefused,
-    out: reply.Reply,
-) -> None:
-    logs.event(
-        'request_refused', request=request.request_id, reason=refused.reason
-    )
-    out.answer(
-        http.HTTPStatus.SERVICE_UNAVAILABLE,
-        request_execution.retry_after_headers(refused.retry_after_s),
-        b'',
-    )
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -15,13 +15,10 @@
     unanswered_requests,
     wire_protocol,
 )
-from oatcrank.routing import server_table
+from oatcrank.routing import peer_choice, route, server_table
 from oatcrank.transport import backend_connection, errors, message, reply
 
 CONNECT_TIMEOUT_S = 0.2
-MAX_PEERS = 3
-# An instance that does not reach the servers itself is not asked for this time.
-AVOID_S = 1.0
 UNREACHED_RETRY_S = 0.5
 # Longer answers are passed on before their end.
 MAX_BUFFERED_BYTES = 262144
@@ -39,11 +36,13 @@
     def __init__(
         self,
         raw: message.Request,
+        route_name: str,
         deadline_s: float,
         out: reply.Reply,
         sends: int,
     ) -> None:
         self.raw = raw
+        self.route_name = route_name
         # How many sends have reached servers.
         self.sends = sends
         self.deadline_s = deadline_s
@@ -69,14 +68,13 @@
         self._protocol = protocol
         self._servers = servers
         self._addresses = addresses
-        self._rng = rng
-        self._avoided_until_s: dict[str, float] = {}
+        self._choice = peer_choice.PeerChoice(rng)
 
     async def relay(
         self,
         raw: message.Request,
         request: caller_request.CallerRequest,
-        deadline_s: float,
+        request_route: route.Route,
         out: reply.Reply,
         unanswered: unanswered_requests.UnansweredRequests,
         *,
@@ -86,7 +84,8 @@
 
         So many sends of it have reached servers, which declined it.
         """
-        sending = _Relaying(raw, deadline_s, out, sends)
+        deadline_s = request.deadline_s(request_route.timeout_s)
+        sending = _Relaying(raw, request_route.name, deadline_s, out, sends)
         try:
             async with unanswered.limit(out, deadline_s):
                 await self._ask_in_turn(sending)
@@ -105,7 +104,9 @@
         _finish(sending.outcome, out)
 
     async def _ask_in_turn(self, sending: _Relaying) -> None:
-        for address in self._choose():
+        for address in self._choice.choose(
+            sending.route_name, self._addresses(), time.monotonic()
+        ):
             sending.asked.append(address)
             # Holds if the time runs out meanwhile.
             sending.outcome = _Outcome.broken
@@ -113,15 +114,6 @@
             if sending.outcome is not _Outcome.not_sent:
                 return
 
-    def _choose(self) -> list[str]:
-        now_s = time.monotonic()
-        addresses = [
-            address
-            for address in self._addresses()
-            if self._avoided_until_s.get(address, 0) <= now_s
-        ]
-        return self._rng.sample(addresses, min(MAX_PEERS, len(addresses)))
-
     async def _ask(
         self,
         address: str,
@@ -133,7 +125,7 @@
                 host, int(port), CONNECT_TIMEOUT_S
             )
         except errors.ConnectFailed:
-            self._avoid(address)
+            self._choice.record_failed(address, time.monotonic())
             return _Outcome.not_sent
         left_s = sending.deadline_s - asyncio.get_running_loop().time()
         try:
@@ -161,12 +153,14 @@
             self._servers.record_leaving(
                 leaving, server_table.LeavingSource.instance
             )
+        now_s = time.monotonic()
         if self._protocol.is_unreached(head):
-            self._avoid(address)
+            self._choice.record_refused(sending.route_name, address, now_s)
             sending.sends = max(
                 sending.sends, self._protocol.unreached_sends(head)
             )
             return _Outcome.not_sent
+        self._choice.record_answered(sending.route_name, address, now_s)
         if head.framing is message.Framing.connection_end:
             # An instance states a length or sends chunks.
             return _Outcome.broken
@@ -174,9 +168,6 @@
             return await _pass_whole(connection, head, sending.out)
         return await _pass_chunks(connection, head, sending.out, None, b'')
 
-    def _avoid(self, address: str) -> None:
-        self._avoided_until_s[address] = time.monotonic() + AVOID_S
-
 
 async def _pass_whole(
     connection: backend_connection.BackendConnection,
--- a/oatcrank/forwarding/wire_protocol.py
+++ b/oatcrank/forwarding/wire_protocol.py
@@ -37,6 +37,8 @@
         together; None if it names no limit.
     leaving: the server says that it leaves.
     pause: for how long the server wants nothing from this instance.
+    max_rejections_per_s: requests that the server can turn away in a second
+        for want of room without ending; None if it does not say so.
     """
 
     request_id: ids.RequestId | None
@@ -49,6 +51,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     pause: server_pause.RequestedPause | None = None
+    max_rejections_per_s: float | None = None
 
     @property
     def tells_limit(self) -> bool:
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -5,7 +5,12 @@
 
 from oatcrank import ids, logs
 from oatcrank.forwarding import caller_request, wire_protocol
-from oatcrank.platform import credentials, relay_headers, server_headers
+from oatcrank.platform import (
+    brittle_statement,
+    credentials,
+    relay_headers,
+    server_headers,
+)
 from oatcrank.routing import server_process
 from oatcrank.transport import message
 
@@ -181,6 +186,9 @@
             limit_per_s=limit_per_s(head.headers),
             leaving=server_headers.is_leaving(head.status, head.headers),
             pause=server_headers.requested_pause(head.status, head.headers),
+            max_rejections_per_s=brittle_statement.max_rejections_per_s(
+                header_by_name.get(brittle_statement.BRITTLE)
+            ),
         )
 
 
