--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -217,14 +217,14 @@
 
     def _go_on(self, *, keep_alive: bool) -> None:
         """Answer the next request, wait for one, or close the connection."""
-        if not keep_alive:
+        if not keep_alive or self.transport.is_closing():
             self._close_after_linger()
         elif self._pending:
             self._answer_next()
         elif self._closing:
             # What followed the request could not be read.
             self._close_after_linger()
-        elif not self.transport.is_closing():
+        else:
             self._wait_for_request()
 
     def _wait_for_request(self) -> None:
