Give up all requests at a stop though one is at its deadline

If the deadline of a request passed in the same step of the event loop in which a planned stop gives up the requests without an answer, the error of rescheduling its timeout ended that loop: the requests after it went on, and were cut off without an answer when the process ended. A stream whose first event had arrived in that step began, and was cut off at once.

Work is now cancelled directly. It takes no further step, and a timeout that has expired does not matter.

--- a/oatcrank/forwarding/unanswered_requests.py
+++ b/oatcrank/forwarding/unanswered_requests.py
@@ -11,10 +11,23 @@
 class _Limited:
     """A request whose answer may not have begun."""
 
-    def __init__(self, out: reply.Reply, timeout: asyncio.Timeout) -> None:
-        self.out = out
-        self.timeout = timeout
-        self.given_up = False
+    def __init__(self, out: reply.Reply) -> None:
+        self._out = out
+        self._task = asyncio.current_task()
+        self._given_up = False
+
+    def give_up(self) -> None:
+        """Cancel the work unless its answer has begun."""
+        if self._task is not None and not self._out.started:
+            # Unlike a timeout, this lets the work take no further step.
+            self._given_up = True
+            self._task.cancel()
+
+    def end(self) -> bool:
+        """Return whether the work ends only because it was given up."""
+        if self._task is None or not self._given_up:
+            return False
+        return not self._task.uncancel()
 
 
 class UnansweredRequests:
@@ -35,14 +48,13 @@
         requests are given up, unless the answer has begun by then.
         """
         self._check_not_given_up(out)
-        timeout = asyncio.timeout_at(deadline_s)
-        limited = _Limited(out, timeout)
+        limited = _Limited(out)
         self._limited.add(limited)
         try:
-            async with timeout:
+            async with asyncio.timeout_at(deadline_s):
                 yield
-        except TimeoutError:
-            if limited.given_up:
+        except asyncio.CancelledError:
+            if limited.end():
                 raise refusal.InstanceStopping from None
             raise
         finally:
@@ -51,11 +63,8 @@
     def give_up(self) -> None:
         """Refuse all requests whose answers have not begun."""
         self._are_given_up = True
-        now_s = asyncio.get_running_loop().time()
         for limited in self._limited:
-            if not limited.out.started:
-                limited.given_up = True
-                limited.timeout.reschedule(now_s)
+            limited.give_up()
 
     def _check_not_given_up(self, out: reply.Reply) -> None:
         if self._are_given_up and not out.started:
