Return to a paused server also while its answers begin late

After a pause a server had one place until an answer began. Answers of a route that begin after seconds kept it at one request for as long. A server turns requests away at once, so that a request that has waited for half a second now counts as taken.

The pause of a registered server was forgotten once 4096 processes had been registered: its later pauses had no effect on requests. A pause in use is now kept, and those of ended processes that had not come back fully are not.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -111,8 +111,8 @@
     async def run(self, deadline_s: float) -> AttemptResult:
         """Run the attempt; closes the connection if cancelled."""
         self._server.in_flight += 1
-        self._server.pauses.begin_send(self)
         self._began_s = self._dependencies.now()
+        self._server.pauses.begin_send(self, self._began_s)
         try:
             return await self._connect_and_send(deadline_s)
         finally:
--- a/oatcrank/routing/server_pause.py
+++ b/oatcrank/routing/server_pause.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import weakref
 from collections.abc import Hashable
 
 import msgspec
@@ -18,9 +19,12 @@
 # first, one more for each answer, and with so many there is no bound any more.
 FIRST_PLACES = 1
 UNBOUNDED_PLACES = 16
+# A server turns requests away at once, so that one that waits longer counts as
+# taken.
+TAKEN_AFTER_S = 0.5
 # Time after which to look again for a place at a server that returns.
 PLACE_POLL_S = 0.05
-# Beyond this many, pauses that are over are forgotten.
+# Beyond this many, those that are not active are forgotten unless in use.
 MAX_PAUSES = 4096
 
 
@@ -42,7 +46,8 @@
         self._until_s = -math.inf
         # None if the number of requests is not bounded.
         self._places: int | None = None
-        self._waiting: set[Hashable] = set()
+        # Monotonic time in seconds at which each send began.
+        self._began_s_by_key: dict[Hashable, float] = {}
         self._fault_reported = False
 
     def extend(self, until_s: float, now_s: float) -> bool:
@@ -54,7 +59,7 @@
         self._until_s = max(self._until_s, min(until_s, now_s + MAX_PAUSE_S))
         if self.is_active(now_s):
             self._places = FIRST_PLACES
-            self._waiting.clear()
+            self._began_s_by_key.clear()
             return begins
         return False
 
@@ -62,15 +67,17 @@
         """Return whether nothing is to be sent."""
         return now_s < self._until_s
 
-    def is_over(self, now_s: float) -> bool:
-        """Return whether the server takes any number of requests."""
-        return self._places is None and not self.is_active(now_s)
-
     def has_place(self, now_s: float) -> bool:
         """Return whether a request may be sent."""
         if self.is_active(now_s):
             return False
-        return self._places is None or len(self._waiting) < self._places
+        if self._places is None:
+            return True
+        taken = sum(
+            now_s - began_s >= TAKEN_AFTER_S
+            for began_s in self._began_s_by_key.values()
+        )
+        return len(self._began_s_by_key) - taken < self._places + taken
 
     def wait_s(self, now_s: float) -> float:
         """Return how long to wait until there may be a place."""
@@ -78,29 +85,29 @@
             return 0
         return max(PLACE_POLL_S, self._until_s - now_s)
 
-    def begin_send(self, key: Hashable) -> None:
+    def begin_send(self, key: Hashable, now_s: float) -> None:
         """Record a request that is sent; the key identifies the send."""
         if self._places is not None:
-            self._waiting.add(key)
+            self._began_s_by_key[key] = now_s
 
     def record_answer(self, key: Hashable) -> bool:
         """Record that a request was taken; return whether it is the first.
 
         Answers to requests that were sent before the pause don't count.
         """
-        if self._places is None or key not in self._waiting:
+        if self._places is None or key not in self._began_s_by_key:
             return False
-        self._waiting.discard(key)
+        self._began_s_by_key.pop(key, None)
         is_first = self._places == FIRST_PLACES
         self._places += 1
         if self._places >= UNBOUNDED_PLACES:
             self._places = None
-            self._waiting.clear()
+            self._began_s_by_key.clear()
         return is_first
 
     def end_send(self, key: Hashable) -> None:
         """Record that a request waits no longer, with or without answer."""
-        self._waiting.discard(key)
+        self._began_s_by_key.pop(key, None)
 
     def report_fault(self) -> bool:
         """Return whether a fault of a requested pause is to be logged."""
@@ -117,15 +124,20 @@
         self._by_process: dict[
             server_process.RegisteredProcess, ServerPause
         ] = {}
+        self._in_use_by_process: weakref.WeakValueDictionary[
+            server_process.RegisteredProcess, ServerPause
+        ] = weakref.WeakValueDictionary()
 
     def of(
         self, process: server_process.RegisteredProcess, now_s: float
     ) -> ServerPause:
         """Return the pause of a process, for this and all later calls."""
-        known = self._by_process.get(process)
+        known = self._in_use_by_process.get(process)
         if known is None:
             self._drop_ended(now_s)
-            known = self._by_process.setdefault(process, ServerPause())
+            known = ServerPause()
+            self._in_use_by_process[process] = known
+        self._by_process[process] = known
         return known
 
     def _drop_ended(self, now_s: float) -> None:
@@ -134,5 +146,5 @@
         self._by_process = {
             process: pause
             for process, pause in self._by_process.items()
-            if not pause.is_over(now_s)
+            if pause.is_active(now_s)
         }
