Write no interim answer into the answer before it

A caller that sent a request with Expect: 100-continue while the stream of its earlier request was written got the interim answer between two chunks, which broke the stream. It is now written after the earlier answers have ended.

tests/test_data_behind_requests.py: the stream broke after its first event before, and is whole now.

--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -16,6 +16,7 @@
 # Time for the caller to read the last answer before the connection closes.
 LINGER_S = 2.0
 CONNECT = b'CONNECT'
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 class Handler(abc.ABC):
@@ -154,7 +155,8 @@
             self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
         expected = message.find_header(self._headers, b'expect')
         if expected is not None and expected.lower() == b'100-continue':
-            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self._expects_continue = True
+        self._continue_if_expected()
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its size."""
@@ -232,10 +234,17 @@
     def _wait_for_request(self) -> None:
         """Limit the time until a request has arrived."""
         if self._reading:
+            self._continue_if_expected()
             self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
             return
         self._set_timeout(self._get_limits().idle_timeout_s, self._close_idle)
 
+    def _continue_if_expected(self) -> None:
+        """Let the caller send a body, once earlier answers have ended."""
+        if self._expects_continue and self._task is None:
+            self._expects_continue = False
+            self.transport.write(CONTINUE)
+
     def _has_next(self) -> bool:
         """Return whether another request follows on this connection."""
         return self._reading or bool(self._pending)
@@ -299,6 +308,7 @@
         self._target = b''
         self._headers: message.Headers = []
         self._headers_done = False
+        self._expects_continue = False
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
