Take no empty line behind a request for the begin of another

A caller whose request is followed by an empty line got a 408 after the header timeout, which its next request then took for its answer. In a stop its connection counted as busy until the end. Only other bytes begin a request.

tests/test_data_behind_requests.py: 408 for the next request before (2 of 2 cases), 200 now.

--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -17,6 +17,8 @@
 LINGER_S = 2.0
 CONNECT = b'CONNECT'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Some callers send empty lines after a request.
+LINE_ENDS = b'\r\n'
 
 
 class Handler(abc.ABC):
@@ -85,7 +87,7 @@
         """Parse data and start the header timeout with a new request."""
         if self._closing:
             return
-        if not self._reading:
+        if not self._reading and data.strip(LINE_ENDS):
             self._reading = True
             self._began_s = time.monotonic()
             if self._task is None:
--- a/tests/test_data_behind_requests.py
+++ b/tests/test_data_behind_requests.py
@@ -1,15 +1,39 @@
 """Test that data behind a request does not disturb its connection.
 
-Load pattern: callers send the next request while the answer to one is written.
+Load pattern: callers send an empty line after a request, or the next request
+while the answer to one is written.
 """
 
 import asyncio
 
 import forwarding_site
+import pytest
 
+from oatcrank.transport import limits
+
+EMPTY_LINE = b'\r\n'
+HEADER_TIMEOUT_S = 0.2
 TALK = {'streaming': True}
 
 
+@pytest.mark.parametrize('delay_s', [0, 0.05])
+def test_an_empty_line_is_taken_for_the_begin_of_a_request(delay_s):
+    async def work(site):
+        site.limits = limits.Limits(header_timeout_s=HEADER_TIMEOUT_S)
+        caller = await forwarding_site.Caller.open(site.port)
+        answer = await caller.ask(forwarding_site.request())
+        await asyncio.sleep(delay_s)
+        caller.writer.write(EMPTY_LINE)
+        await asyncio.sleep(2 * HEADER_TIMEOUT_S)
+        busy = [connection.busy for connection in site.open_connections]
+        again = await caller.ask(forwarding_site.request(x_request_id='next'))
+        caller.close()
+        assert (answer.status, again.status) == (200, 200)
+        assert busy == [False]
+
+    forwarding_site.run(work)
+
+
 def test_continue_is_written_into_the_answer_before_it():
     async def work(site):
         for worker in site.workers:
