Keep a server that says it does not leave

Server-Leaving: 0 in one answer took a server out for as long as its process lived, on all instances, as any value of the header did. The value 0 now means that it stays; any other still takes it out.

tests/test_leaving_paths.py: 1 of 5 new cases failed before, all pass now.

--- a/oatcrank/platform/server_headers.py
+++ b/oatcrank/platform/server_headers.py
@@ -7,6 +7,8 @@
 from oatcrank.transport import message
 
 LEAVING = b'server-leaving'
+# Value of this header in an answer of a server that does not leave.
+STAYS = b'0'
 RETRY_AFTER = b'retry-after'
 
 
@@ -15,10 +17,10 @@
 
     Another server has the address if the request was misdirected.
     """
-    return (
-        status != http.HTTPStatus.MISDIRECTED_REQUEST
-        and message.find_header(headers, LEAVING) is not None
-    )
+    if status == http.HTTPStatus.MISDIRECTED_REQUEST:
+        return False
+    text = message.find_header(headers, LEAVING)
+    return text is not None and text.strip() != STAYS
 
 
 def requested_pause(
--- a/tests/test_leaving_paths.py
+++ b/tests/test_leaving_paths.py
@@ -17,6 +17,7 @@
 from emulator import platform_worker
 from oatcrank.cluster import datagram_endpoint, leaving_notices, members
 from oatcrank.orders import order, server_state_table
+from oatcrank.platform import server_headers
 from oatcrank.routing import leaving_processes, need, server_table
 
 MODE = platform_worker.AnswerMode
@@ -62,6 +63,21 @@
     forwarding_site.run(work, workers=1, repeatable=False, **route_changes)
 
 
+@pytest.mark.parametrize(
+    ('text', 'leaving'),
+    [
+        (b'1', True),
+        (b' 1 ', True),
+        (b'yes', True),
+        (b'0', False),
+        (None, False),
+    ],
+)
+def test_a_server_that_stays_is_taken_out_for_good(text, leaving):
+    headers = [] if text is None else [(b'Server-Leaving', text)]
+    assert server_headers.is_leaving(200, headers) is leaving
+
+
 def leave_in_permit_wait(site) -> None:
     site.server_limiter.wait_s_by_id['server-0'] = 0.1
 
