Announce no close at the head of a stream in a stop

The head of a stream that began in a planned stop announced that the connection closes, if no other request had arrived by then. One that arrived while the stream was written was read, and got no answer when it ended. The close is now announced by whole answers only; after a stream the connection is kept, and the stop closes it once it is idle.

tests/test_data_behind_requests.py: no answer to the second request before, 200 now.

--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -40,7 +40,10 @@
         self._last_write_s = float(0)
 
     def close_if_last(self) -> None:
-        """Close the connection after this answer if no request follows."""
+        """Close the connection after this answer if no request follows.
+
+        This is not announced for a stream, behind which one may still arrive.
+        """
         self._closes_if_last = True
 
     def start(
@@ -53,9 +56,9 @@
     ) -> None:
         """Write the head; without a length the body is chunked."""
         self.started = True
-        if self._closes_if_last and not self._has_next():
-            self.keep_alive = False
         self._chunked = length is None
+        if self._closes_if_last and not (self._chunked or self._has_next()):
+            self.keep_alive = False
         if not message.has_body(status):
             self._has_body = False
         lines = [b'HTTP/1.1 %d %s' % (status, reason or _reason_phrase(status))]
--- a/tests/test_data_behind_requests.py
+++ b/tests/test_data_behind_requests.py
@@ -14,6 +14,7 @@
 EMPTY_LINE = b'\r\n'
 HEADER_TIMEOUT_S = 0.2
 TALK = {'streaming': True}
+STOP_S = 5.0
 
 
 @pytest.mark.parametrize('delay_s', [0, 0.05])
@@ -56,3 +57,21 @@
         assert (again.status, again.body) == (200, forwarding_site.EVENTS)
 
     forwarding_site.run(work, **TALK)
+
+
+def test_a_request_behind_a_stream_gets_no_answer_in_a_stop():
+    async def work(site):
+        for worker in site.workers:
+            worker.event_delay_s = 0.1
+        now_s = asyncio.get_running_loop().time()
+        site.forwarder.leave(now_s + STOP_S, now_s + STOP_S)
+        caller = await forwarding_site.Caller.open(site.port)
+        caller.writer.write(forwarding_site.request())
+        await asyncio.sleep(0.2)
+        caller.writer.write(forwarding_site.request(x_request_id='next'))
+        answers = [await caller.read(), await caller.read()]
+        caller.close()
+        assert [answer.status for answer in answers] == [200, 200]
+        assert all(answer.whole for answer in answers)
+
+    forwarding_site.run(work, **TALK)
