--- a/oatcrank/cluster/leaving_notices.py
+++ b/oatcrank/cluster/leaving_notices.py
@@ -60,7 +60,7 @@
         tellers = self._members.ranked(leaving.process.server_id, TELLERS)
         if not tellers or self._members.own in tellers:
             return self._members.others()
-        if source is server_table.LeavingSource.instance:
+        if source is server_table.LeavingSource.other_instance:
             return []
         return tellers
 
@@ -75,5 +75,5 @@
 
     def _handle(self, notice: leaving_messages.LeavingNotice, _: str) -> None:
         self._servers.record_leaving(
-            notice.leaving, server_table.LeavingSource.instance
+            notice.leaving, server_table.LeavingSource.other_instance
         )
--- a/oatcrank/forwarding/answer_state.py
+++ b/oatcrank/forwarding/answer_state.py
@@ -53,5 +53,5 @@
         return
     if answer.not_executed or answer.misdirected:
         return
-    if answering.pauses.record_answer(send):
+    if answering.pause_state.record_answer(send):
         logs.event('server_pause_ended', server=answering.server_id)
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -1,19 +1,18 @@
 """Send a request to one backend server and read its answer."""
 
-import asyncio
 import http
 
-import msgspec
-
 from oatcrank.forwarding import (
     answer_end,
     answer_state,
+    attempt_result,
     attempt_state,
     caller_request,
     event_splitter,
     request_dependencies,
     request_metrics,
     resumable_stream,
+    skipped_body,
     stream_head,
     wire_protocol,
 )
@@ -40,34 +39,6 @@
 )
 
 
-# The body of a declined request's answer is only read so that the connection
-# can be used again.
-MAX_SKIP_S = 0.1
-MAX_SKIPPED_BYTES = 65536
-
-
-class BufferedAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Complete answer, buffered before it is forwarded."""
-
-    status: int
-    reason: bytes
-    headers: message.Headers
-    body: bytes
-
-
-class AttemptResult(msgspec.Struct, frozen=True, kw_only=True):
-    """Result of an attempt; answer is None if it was already forwarded.
-
-    end is None if no stream was received.
-    """
-
-    progress: attempt_state.Progress
-    reason: str = ''
-    answer: BufferedAnswer | None = None
-    end: answer_end.AnswerEnd | None = None
-    misdirected: bool = False
-
-
 class _InvalidAnswer(Exception):  # noqa: N818
     """Raised for an answer that is missing, incomplete or not the server's."""
 
@@ -108,11 +79,11 @@
         self._relay_headers: message.Headers = []
         self.progress = attempt_state.Progress.unsent
 
-    async def run(self, deadline_s: float) -> AttemptResult:
+    async def run(self, deadline_s: float) -> attempt_result.AttemptResult:
         """Run the attempt; closes the connection if cancelled."""
         self._server.in_flight += 1
         self._began_s = self._dependencies.now()
-        self._server.pauses.begin_send(self, self._began_s)
+        self._server.pause_state.begin_send(self, self._began_s)
         try:
             return await self._connect_and_send(deadline_s)
         finally:
@@ -120,11 +91,13 @@
 
     def _end_send(self) -> None:
         self._server.in_flight -= 1
-        self._server.pauses.end_send(self)
+        self._server.pause_state.end_send(self)
         if not self._wait_recorded:
             self._record_wait()
 
-    async def _connect_and_send(self, deadline_s: float) -> AttemptResult:
+    async def _connect_and_send(
+        self, deadline_s: float
+    ) -> attempt_result.AttemptResult:
         try:
             connection = await self._acquire()
         except errors.ConnectFailed as error:
@@ -153,7 +126,7 @@
         self,
         connection: backend_connection.BackendConnection,
         deadline_s: float,
-    ) -> AttemptResult:
+    ) -> attempt_result.AttemptResult:
         if not connection.reusable:
             return self._failure('connection lost before the send')
         if not self._server.accepts_sends(self._dependencies.now()):
@@ -187,7 +160,7 @@
         self,
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
-    ) -> AttemptResult:
+    ) -> attempt_result.AttemptResult:
         self._links.record_heard(self._dependencies.now())
         self._server.end_suspension()
         answer = self._dependencies.wire_protocol.decode_answer_head(head)
@@ -247,7 +220,7 @@
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
         answer: wire_protocol.AnswerHead,
-    ) -> AttemptResult:
+    ) -> attempt_result.AttemptResult:
         self.progress = attempt_state.Progress.declined
         if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             self._dependencies.brittle_servers.record_rejected(
@@ -256,7 +229,7 @@
         reason = f'declined with {head.status}'
         if not answer.request_id:
             reason = f'{reason} without an id'
-        if not await _skip_body(connection):
+        if not await skipped_body.skip(connection):
             # The connection can't be used again and is closed.
             reason = f'{reason}, with a body that does not end'
         return self._failure(reason, misdirected=answer.misdirected)
@@ -265,7 +238,7 @@
         self,
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
-    ) -> AttemptResult:
+    ) -> attempt_result.AttemptResult:
         events_before = self._splitter.event_count
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
@@ -300,7 +273,7 @@
         self,
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
-    ) -> AttemptResult:
+    ) -> attempt_result.AttemptResult:
         buffered = bytearray()
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
@@ -314,9 +287,9 @@
             raise _InvalidAnswer('incomplete answer')
         self.progress = attempt_state.Progress.answered
         self._record_outcome(failed=head.status >= SERVER_ERROR)
-        return AttemptResult(
+        return attempt_result.AttemptResult(
             progress=self.progress,
-            answer=BufferedAnswer(
+            answer=attempt_result.BufferedAnswer(
                 status=head.status,
                 reason=head.reason,
                 headers=self._passed_headers(head),
@@ -329,7 +302,7 @@
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
         buffered: bytes,
-    ) -> AttemptResult:
+    ) -> attempt_result.AttemptResult:
         """Forward an answer that is too long to be buffered."""
         length = head.header(b'content-length')
         self._start_answer(head, None if length is None else int(length))
@@ -379,16 +352,18 @@
             length=length,
         )
 
-    def _finish(self) -> AttemptResult:
+    def _finish(self) -> attempt_result.AttemptResult:
         self._out.end()
         self.progress = attempt_state.Progress.answered
         self._record_outcome(failed=False)
-        return AttemptResult(progress=self.progress, end=self._end)
+        return attempt_result.AttemptResult(
+            progress=self.progress, end=self._end
+        )
 
     def _failure(
         self, reason: str, *, misdirected: bool = False
-    ) -> AttemptResult:
-        return AttemptResult(
+    ) -> attempt_result.AttemptResult:
+        return attempt_result.AttemptResult(
             progress=self.progress,
             reason=reason,
             misdirected=misdirected,
@@ -410,19 +385,3 @@
         connection: backend_connection.BackendConnection,
     ) -> None:
         pool.release(connection, idle_timeout_s=self._idle_timeout_s)
-
-
-async def _skip_body(connection: backend_connection.BackendConnection) -> bool:
-    """Read the rest of an answer; return whether it ended within limits."""
-    skipped = 0
-    try:
-        async with asyncio.timeout(MAX_SKIP_S):
-            event = await connection.next_event()
-            while isinstance(event, backend_connection.BodyChunk):
-                skipped += len(event.body)
-                if skipped > MAX_SKIPPED_BYTES:
-                    return False
-                event = await connection.next_event()
-    except TimeoutError:
-        return False
-    return True
--- a/oatcrank/forwarding/paused_servers.py
+++ b/oatcrank/forwarding/paused_servers.py
@@ -37,5 +37,5 @@
 
     Return None if none of them is paused or returns.
     """
-    waits_s = (candidate.pauses.wait_s(now_s) for candidate in candidates)
+    waits_s = (candidate.pause_state.wait_s(now_s) for candidate in candidates)
     return min(filter(None, waits_s), default=None)
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -151,7 +151,7 @@
         leaving = self._protocol.take_leaving(head)
         if leaving is not None:
             self._servers.record_leaving(
-                leaving, server_table.LeavingSource.instance
+                leaving, server_table.LeavingSource.other_instance
             )
         now_s = time.monotonic()
         if self._protocol.is_unreached(head):
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -9,6 +9,7 @@
 from oatcrank.forwarding import (
     answer_end,
     attempt,
+    attempt_result,
     attempt_state,
     caller_request,
     crash_guard,
@@ -55,7 +56,7 @@
         )
         self._sends = request_sends.RequestSends()
         self._last_end: answer_end.AnswerEnd | None = None
-        self._failed_answer: attempt.BufferedAnswer | None = None
+        self._failed_answer: attempt_result.BufferedAnswer | None = None
         self._stream = resumable_stream.ResumableStream(
             dependencies, request, request_route
         )
@@ -222,7 +223,9 @@
                 'retry budget exhausted', FAILURE_RETRY_S
             )
 
-    async def _attempt(self, chosen: server.Server) -> attempt.AttemptResult:
+    async def _attempt(
+        self, chosen: server.Server
+    ) -> attempt_result.AttemptResult:
         current = attempt.Attempt(
             self._dependencies,
             self._request,
@@ -257,7 +260,7 @@
 
     async def _settle(
         self,
-        result: attempt.AttemptResult,
+        result: attempt_result.AttemptResult,
         chosen: server.Server,
         search: server_search.ServerSearch,
     ) -> bool:
@@ -289,7 +292,7 @@
 
     async def _prepare_retry(
         self,
-        result: attempt.AttemptResult,
+        result: attempt_result.AttemptResult,
         chosen: server.Server,
         search: server_search.ServerSearch,
     ) -> None:
@@ -314,7 +317,7 @@
 
     def _deliver(
         self,
-        result: attempt.AttemptResult,
+        result: attempt_result.AttemptResult,
         chosen: server.Server,
         search: server_search.ServerSearch,
     ) -> bool:
@@ -345,7 +348,7 @@
         self._forward_answer(answer)
         return True
 
-    def _forward_answer(self, answer: attempt.BufferedAnswer) -> None:
+    def _forward_answer(self, answer: attempt_result.BufferedAnswer) -> None:
         self._outcome = f'answered {answer.status}'
         self._out.answer(
             answer.status,
--- a/oatcrank/forwarding/request_log.py
+++ b/oatcrank/forwarding/request_log.py
@@ -3,7 +3,7 @@
 from oatcrank import logs
 from oatcrank.forwarding import (
     answer_end,
-    attempt,
+    attempt_result,
     attempt_state,
     caller_request,
     crash_guard,
@@ -18,7 +18,7 @@
     request: caller_request.CallerRequest,
     identity: crash_guard.RequestIdentity,
     chosen: server.Server,
-    result: attempt.AttemptResult,
+    result: attempt_result.AttemptResult,
     step: attempt_state.Step,
 ) -> None:
     """Log why an attempt failed and what follows."""
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -30,11 +30,11 @@
     def __init__(
         self,
         registration: server_registration.Registration,
-        pauses: server_pause.ServerPause | None = None,
+        pause_state: server_pause.ServerPause | None = None,
     ) -> None:
         """Start with what the server has registered, and its known pause."""
         self.registration = registration
-        self.pauses = pauses or server_pause.ServerPause()
+        self.pause_state = pause_state or server_pause.ServerPause()
         self.pool = connection_pool.ConnectionPool(
             registration.host, registration.port
         )
@@ -210,7 +210,7 @@
 
     def pause(self, until_s: float, now_s: float) -> bool:
         """Send nothing until a time; return whether that begins a pause."""
-        return self.pauses.extend(until_s, now_s)
+        return self.pause_state.extend(until_s, now_s)
 
     def begin_trial(self, now_s: float) -> None:
         """Let a single request test a server that was suspended."""
@@ -223,14 +223,14 @@
 
     def has_place(self, now_s: float) -> bool:
         """Return whether one more request may be sent to the server."""
-        return self.is_usable(now_s) and self.pauses.has_place(now_s)
+        return self.is_usable(now_s) and self.pause_state.has_place(now_s)
 
     def accepts_sends(self, now_s: float) -> bool:
         """Return whether a request that is on its way may still be sent."""
         return not (
             self.is_removed
             or self.registration.leaving
-            or self.pauses.is_active(now_s)
+            or self.pause_state.is_active(now_s)
         )
 
     def _decay(self, now_s: float) -> None:
--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -23,7 +23,7 @@
 
     registration = 'registration'
     answer = 'answer'
-    instance = 'instance'
+    other_instance = 'instance'
 
 
 LeavingListener = Callable[
