Take an order's answer with an unlisted status as an unknown outcome

An answer to an order with a status that the standard library does not list (599) raised ValueError, which ended the sending of that order without an outcome.

Cause: the status was converted to http.HTTPStatus before it was looked up.

Change: it is looked up as the number that it is. tests/test_worker_orders.py: the new case failed before with ValueError, 23 pass now.

--- a/oatcrank/platform/worker_order_sender.py
+++ b/oatcrank/platform/worker_order_sender.py
@@ -25,7 +25,7 @@
     order.Action.load: 'model_load',
     order.Action.unload: 'model_unload',
 }
-OUTCOME_BY_STATUS = {
+OUTCOME_BY_STATUS: dict[int, order.Outcome] = {
     http.HTTPStatus.ACCEPTED: order.Outcome.accepted,
     http.HTTPStatus.OK: order.Outcome.done,
     http.HTTPStatus.CONFLICT: order.Outcome.conflict,
@@ -129,7 +129,7 @@
                 error=error,
             )
             return order.Outcome.unknown
-        outcome = OUTCOME_BY_STATUS.get(http.HTTPStatus(response.status))
+        outcome = OUTCOME_BY_STATUS.get(response.status)
         if outcome is None:
             logs.event(
                 'order_answer_unknown',
--- a/tests/test_worker_orders.py
+++ b/tests/test_worker_orders.py
@@ -52,6 +52,8 @@
         (400, order.Outcome.rejected),
         (421, order.Outcome.misdirected),
         (500, order.Outcome.unknown),
+        # A status that no standard lists.
+        (599, order.Outcome.unknown),
     ],
 )
 def test_outcomes(status, expected):
