Send requests through another instance before a cut is known

Callers of an instance that had just lost its links got 503 at once: all its servers were suspended after failed connections, and the probe that tells a cut had not been made. An instance that was asked for another refused in the same way, and its refusal went to the caller instead of the next instance being asked.

Cause: only a refusal after a failed connection counted as one of the links, and not the one that follows from the suspensions.

Change: if several servers in a row were not reached and none is usable, a request that nothing was sent of goes through another instance, and an instance that was asked says that it reaches no server.

--- a/oatcrank/forwarding/server_search.py
+++ b/oatcrank/forwarding/server_search.py
@@ -124,8 +124,26 @@
             self._check_limited()
             self._check_paused(allowed_ids)
             self._check_brittle()
+            if not tried_ids:
+                self._check_reached()
             await self._request_placement(allowed_ids)
 
+    def _check_reached(self) -> None:
+        """Refuse the request if servers are suspended as not reached.
+
+        It can go through another instance, before this one knows that it is
+        cut off.
+        """
+        service = self._wanted.service
+        now_s = self._dependencies.now()
+        if self._dependencies.links.of_service(service).is_suspect and not any(
+            candidate.is_usable(now_s)
+            for candidate in self._dependencies.servers.of_service(service)
+        ):
+            raise refusal.ServersUnreached(
+                'no server is reached', NO_SERVER_RETRY_S
+            )
+
     def _check_delayed(self) -> None:
         """Refuse the request if all prompt slots are too late."""
         if self._wait_s_by_delayed_id:
@@ -322,7 +340,9 @@
         self, allowed_ids: frozenset[ids.ServerId]
     ) -> None:
         if self._wanted.model is None or allowed_ids:
-            raise refusal.RequestRefused('no usable server', NO_SERVER_RETRY_S)
+            raise refusal.ServersUnreached(
+                'no usable server', NO_SERVER_RETRY_S
+            )
         self._check_required_version()
         placement = (
             await self._dependencies.placement_requester.request_placement(
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -11,6 +11,7 @@
 from emulator import platform_worker
 from oatcrank.forwarding import link_prober
 from oatcrank.platform import relay_headers
+from oatcrank.routing import need
 
 STREAM = {'streaming': True}
 ONCE = {'repeatable': False}
@@ -266,6 +267,25 @@
     relay(work)
 
 
+@pytest.mark.parametrize('headers', [{}, {'x_model': 'model-1'}])
+@pytest.mark.parametrize('route_changes', [{}, ONCE, STREAM])
+def test_requests_are_refused_before_the_cut_is_known(route_changes, headers):
+    """All servers are suspended by then, and no probe has been made."""
+
+    async def work(cut, peer):
+        for site in (cut, peer):
+            for server in site.servers.by_id.values():
+                server.add_held(need.Need(routing_parts.SERVICE, 'model-1'))
+        answers = [
+            await cut.ask(x_request_id=f'request-{number}', **headers)
+            for number in range(6)
+        ]
+        assert {answer.status for answer in answers} == {200}
+        assert peer.runs() == 6
+
+    relay(work, **route_changes)
+
+
 @pytest.mark.parametrize('unready', ['stopping', 'without configuration'])
 def test_an_instance_that_takes_no_requests_leaves_them_to_the_next(unready):
     async def work(cut, peer):
