--- a/oatcrank/cluster/leaving_notices.py
+++ b/oatcrank/cluster/leaving_notices.py
@@ -15,7 +15,7 @@
 )
 from oatcrank.routing import server_process, server_table
 
-TELLERS = 2
+NOTIFIERS = 2
 # A notice may be lost, so it is sent this often.
 SENDS = 3
 SEND_INTERVAL_S = 0.2
@@ -57,12 +57,12 @@
         leaving: server_process.RegisteredProcess,
         source: server_table.LeavingSource,
     ) -> list[member.Member]:
-        tellers = self._members.ranked(leaving.process.server_id, TELLERS)
-        if not tellers or self._members.own in tellers:
+        notifiers = self._members.ranked(leaving.process.server_id, NOTIFIERS)
+        if not notifiers or self._members.own in notifiers:
             return self._members.others()
         if source is server_table.LeavingSource.other_instance:
             return []
-        return tellers
+        return notifiers
 
     def _send(
         self,
--- a/oatcrank/platform/relay_headers.py
+++ b/oatcrank/platform/relay_headers.py
@@ -7,7 +7,8 @@
 from oatcrank.transport import message
 
 # A relayed request is not relayed again.  Both marks hold one more than the
-# number of sends that have reached servers; older instances write 1.
+# number of sends that have reached servers, since instances that don't count
+# them write 1.
 RELAYED = b'x-oatcrank-relayed'
 # A refusal by an instance that does not reach the servers either.
 UNREACHED = b'x-oatcrank-unreached'
--- a/oatcrank/routing/brittle_servers.py
+++ b/oatcrank/routing/brittle_servers.py
@@ -1,8 +1,8 @@
 """Keep brittle servers from having to turn requests away.
 
-Load pattern: the servers of a service say that they fall over if they have to
-turn more than a few requests away in a second, summed over all instances, and
-there are more requests than they have room for.
+Load pattern: the servers of a service say that they fail if they have to turn
+more than a few requests away in a second, summed over all instances, and there
+are more requests than they have room for.
 """
 
 import math
@@ -14,11 +14,11 @@
 from oatcrank import ids, logs
 from oatcrank.routing import server
 
-# Answers without the statement end a brittle time only so long after the last
-# answer with it: answers may overtake each other.
+# Servers count as brittle for this time after the last answer that says so, as
+# answers may overtake each other.
 STATED_S = 1.0
-# All instances together send so large a share of what may be turned away to a
-# server that has just turned requests away.
+# Share of the rejections allowed in a second that trial requests of all
+# instances may cause at a server that has just turned requests away.
 TRIAL_SHARE = 0.25
 MAX_PAUSE_S = 10.0
 # For this time after a server has turned a request away, it is taken to have
--- a/oatcrank/routing/server.py
+++ b/oatcrank/routing/server.py
@@ -218,15 +218,15 @@
             self._suspended_until_s = now_s + TRIAL_S
 
     def is_usable(self, now_s: float) -> bool:
-        """Return whether requests may be sent to the server."""
+        """Return whether it may be chosen: in use, not paused or suspended."""
         return self.accepts_sends(now_s) and now_s >= self._suspended_until_s
 
     def has_place(self, now_s: float) -> bool:
-        """Return whether one more request may be sent to the server."""
+        """Return whether it may be chosen and has room after a pause."""
         return self.is_usable(now_s) and self.pause_state.has_place(now_s)
 
     def accepts_sends(self, now_s: float) -> bool:
-        """Return whether a request that is on its way may still be sent."""
+        """Return whether a request for which it was chosen may be sent."""
         return not (
             self.is_removed
             or self.registration.leaving
