--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -10,7 +10,12 @@
 
 import msgspec
 
-from emulator import brittle_room, endless_answer, scripted_answer
+from emulator import (
+    brittle_room,
+    endless_answer,
+    scripted_answer,
+    worker_crash,
+)
 from emulator import platform_worker_answers as answers
 
 OK = b'HTTP/1.1 200 OK'
@@ -125,6 +130,7 @@
         # A path, with or without a query, that crashes the worker as it begins
         # to run a request.
         self.crashing_path = ''
+        self.crash_manner = worker_crash.WorkerCrash()
         self.crashed = asyncio.Event()
         self.limit_per_s: float | None = None
         self.leaving = False
@@ -167,6 +173,12 @@
 
     async def _crash(self) -> None:
         self.crashed.set()
+        for writer in tuple(self._writers):
+            if self.crash_manner.resets:
+                writer.transport.abort()
+            else:
+                writer.close()
+        await asyncio.sleep(self.crash_manner.port_open_s)
         await self.stop()
 
     async def _serve(
@@ -340,7 +352,8 @@
         head = [OK, framing]
         head.extend(f'{key}: {text}'.encode() for key, text in headers.items())
         writer.write(b'\r\n'.join((*head, b'', b'')))
-        if self.crashing_part and self.crashing_part in _shared_parts(request):
+        crashes_after = self._events_before_crash(request)
+        if crashes_after == 0:
             await writer.drain()
             await self._crash()
             return False
@@ -358,10 +371,19 @@
             await asyncio.sleep(self.event_delay_s)
             write(writer, event)
             await writer.drain()
+            if number - start == crashes_after:
+                await self._crash()
+                return False
         if chunked:
             writer.write(LAST_CHUNK)
         return chunked
 
+    def _events_before_crash(self, request: ReceivedRequest) -> int | None:
+        """Return after how many events the worker crashes, or None."""
+        if self.crashing_part not in _shared_parts(request):
+            return None
+        return self.crash_manner.whole_events
+
     def _answer_headers(self, request: ReceivedRequest) -> Headers:
         return {
             'X-Request-Id': request.header_by_name.get('x-request-id', ''),
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -242,12 +242,10 @@
         while True:
             await worker.crashed.wait()
             self.crash_times_s.append(time.monotonic())
-            await asyncio.sleep(pause_s)
-            self.store.store.remove(f'servers/{worker.worker_id}')
             former = worker
             worker = platform_worker.Worker(f'i-{len(self.workers)}')
-            worker.answer_mode = former.answer_mode
             worker.crashing_part = former.crashing_part
+            worker.crash_manner = former.crash_manner
             worker.crashing_path = former.crashing_path
             worker.answer_delay_s = former.answer_delay_s
             worker.event_delay_s = former.event_delay_s
@@ -257,7 +255,15 @@
                     former.room.slots, former.room.rejections_per_s
                 )
             self.workers.append(worker)
-            await worker.start()
+            if former.crash_manner.hands_port_over:
+                await former.stop()
+                worker.answer_mode = platform_worker.AnswerMode.wrong_address
+                await worker.start(former.port)
+            await asyncio.sleep(pause_s)
+            self.store.store.remove(f'servers/{former.worker_id}')
+            worker.answer_mode = former.answer_mode
+            if not former.crash_manner.hands_port_over:
+                await worker.start()
             self.register(worker)
 
     async def ask_for(self, seconds: float, prefix: str, per_s: float) -> None:
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -12,7 +12,7 @@
 import platform_site
 import pytest
 
-from emulator import platform_worker
+from emulator import platform_worker, worker_crash
 
 ROUTES = [
     platform_site.route(
@@ -23,6 +23,9 @@
         target_latency_ms=400,
     )
 ]
+MODE = platform_worker.AnswerMode
+CRASH = worker_crash.WorkerCrash
+CRASH_AT_HEAD = CRASH()
 CRASHING_PART = 'badc0de'
 FIRST_PART = 'f1a57'
 SOUND_PARTS = 12
@@ -143,6 +146,52 @@
     return len(served) / len(sent)
 
 
+async def check_crashes(
+    tmp_path,
+    *,
+    disrupt=no_restarts,
+    seed=1,
+    mode=platform_worker.AnswerMode.stream,
+    manner=CRASH_AT_HEAD,
+) -> None:
+    """Check that few requests arrive once the part must be known."""
+    site = platform_site.PlatformSite(
+        tmp_path, workers=8, routes=ROUTES, slack=60
+    )
+    for worker in site.workers:
+        worker.answer_mode = mode
+        worker.crashing_part = CRASHING_PART
+        worker.crash_manner = manner
+        worker.event_delay_s = 0.05
+    await site.start(processes=5)
+    replacing = asyncio.ensure_future(site.replace_crashed(WORKER_PAUSE_S))
+    traffic = Traffic(site, seed)
+    began_s = time.monotonic()
+    try:
+        await asyncio.gather(
+            traffic.send_for(
+                CALM_S + DURATION_S, SOUND_PER_S, traffic.sound_part
+            ),
+            send_crashing(traffic),
+            disrupt(traffic),
+        )
+    finally:
+        replacing.cancel()
+        await site.stop()
+    crashes_s = sorted(site.crash_times_s)
+    assert crashes_s
+    assert len(later_arrivals(traffic)) <= MAX_LATER_ARRIVALS
+    settled_s = crashes_s[:CRASHES_UNTIL_KNOWN][-1] + 2 * CONTACT_S
+    before = served_share(traffic, began_s, began_s + CALM_S)
+    after = served_share(traffic, settled_s, time.monotonic())
+    assert after >= before / 2
+
+
+async def send_crashing(traffic) -> None:
+    await asyncio.sleep(CALM_S)
+    await traffic.send_for(DURATION_S, CRASHING_PER_S, lambda: CRASHING_PART)
+
+
 @pytest.mark.parametrize(
     ('disrupt', 'seed'),
     [(no_restarts, 1), (restart_in_turn, 2), (restart_all, 3)],
@@ -150,40 +199,27 @@
 def test_requests_with_a_part_that_crashes_servers_crash_all_of_them(
     tmp_path, disrupt, seed
 ):
-    async def work():
-        site = platform_site.PlatformSite(
-            tmp_path, workers=8, routes=ROUTES, slack=60
-        )
-        for worker in site.workers:
-            worker.answer_mode = platform_worker.AnswerMode.stream
-            worker.crashing_part = CRASHING_PART
-            worker.event_delay_s = 0.05
-        await site.start(processes=5)
-        replacing = asyncio.ensure_future(site.replace_crashed(WORKER_PAUSE_S))
-        traffic = Traffic(site, seed)
-        began_s = time.monotonic()
-        try:
-            await asyncio.gather(
-                traffic.send_for(
-                    CALM_S + DURATION_S, SOUND_PER_S, traffic.sound_part
-                ),
-                send_crashing(traffic),
-                disrupt(traffic),
-            )
-        finally:
-            replacing.cancel()
-            await site.stop()
-        crashes_s = sorted(site.crash_times_s)
-        assert crashes_s
-        assert len(later_arrivals(traffic)) <= MAX_LATER_ARRIVALS
-        settled_s = crashes_s[:CRASHES_UNTIL_KNOWN][-1] + 2 * CONTACT_S
-        before = served_share(traffic, began_s, began_s + CALM_S)
-        after = served_share(traffic, settled_s, time.monotonic())
-        assert after >= before / 2
-
-    asyncio.run(work())
+    asyncio.run(check_crashes(tmp_path, disrupt=disrupt, seed=seed))
 
 
-async def send_crashing(traffic) -> None:
-    await asyncio.sleep(CALM_S)
-    await traffic.send_for(DURATION_S, CRASHING_PER_S, lambda: CRASHING_PART)
+@pytest.mark.parametrize(
+    ('mode', 'manner'),
+    [
+        (MODE.stream, CRASH(whole_events=1)),
+        (MODE.stream_without_length, CRASH(whole_events=1, resets=False)),
+        (MODE.stream_without_length, CRASH(resets=False)),
+        (MODE.stream, CRASH(port_open_s=0.2)),
+        (MODE.stream, CRASH(hands_port_over=True)),
+    ],
+    ids=[
+        'after_an_event',
+        'closed_after_an_event',
+        'closed_before_an_event',
+        'port_open_for_a_while',
+        'port_handed_over',
+    ],
+)
+def test_the_manner_of_a_crash_hides_the_part_that_causes_it(
+    tmp_path, mode, manner
+):
+    asyncio.run(check_crashes(tmp_path, mode=mode, manner=manner))
