Suspect prompts that a crashed server had answered with an event

What callers saw: requests whose prompts share a part crashed server after server, and the part was not found, if servers send a whole event before they crash of it.

Cause: a prompt that any server had answered with an event was no suspect, so such a crash was attributed to the others that ran there. A stream that its caller takes up again was none either. Class: evidence is left out by a rule that holds for one manner of the fault only.

Now up to two whole events of the crashed server leave a prompt suspected. They travel in a field of their own: instances of the version before read all others as prompts without an event.

The test that one event clears a prompt claimed what does not hold; the one in its place states up to which event a prompt is a suspect.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -380,9 +380,9 @@
 
     def _events_before_crash(self, request: ReceivedRequest) -> int | None:
         """Return after how many events the worker crashes, or None."""
-        if self.crashing_part not in _shared_parts(request):
-            return None
-        return self.crash_manner.whole_events
+        if self.crashing_part and self.crashing_part in _shared_parts(request):
+            return self.crash_manner.whole_events
+        return None
 
     def _answer_headers(self, request: ReceivedRequest) -> Headers:
         return {
--- a/oatcrank/cluster/crash_messages.py
+++ b/oatcrank/cluster/crash_messages.py
@@ -9,7 +9,8 @@
 class CrashReport(msgspec.Struct, frozen=True, kw_only=True):
     """Report the requests that were running on a server that crashed.
 
-    fingerprints stay empty; older instances require the field.
+    fingerprints stay empty; older instances require the field.  They take all
+    prompts for unanswered ones, so answered_prompts stand apart.
     """
 
     fingerprints: tuple[int, ...] = ()
@@ -17,6 +18,7 @@
     started_ms: int
     requests: tuple[crash.RequestKey, ...] = ()
     prompts: tuple[crash.Prompt, ...] = ()
+    answered_prompts: tuple[crash.Prompt, ...] = ()
 
 
 class Answered(msgspec.Struct, frozen=True, kw_only=True):
--- a/oatcrank/cluster/peer_service.py
+++ b/oatcrank/cluster/peer_service.py
@@ -84,6 +84,7 @@
             ),
             requests=report.requests,
             prompts=report.prompts,
+            answered_prompts=report.answered_prompts,
         )
         self._crashing_requests.record_crash(reported, now_s)
         self._crashing_parts.record_crash(reported, now_s)
@@ -94,7 +95,7 @@
             fingerprints=crash.fingerprints_text(
                 key.whole for key in report.requests
             ),
-            prompts=len(report.prompts),
+            prompts=len(reported.suspects),
         )
         return peer_messages.Acknowledgement()
 
@@ -156,6 +157,7 @@
                 server_id=report.crash_id.server_id,
                 started_ms=report.crash_id.started_ms,
                 prompts=report.prompts,
+                answered_prompts=report.answered_prompts,
             ),
         )
 
--- a/oatcrank/forwarding/crash_detector.py
+++ b/oatcrank/forwarding/crash_detector.py
@@ -19,10 +19,14 @@
 
 
 class Interruption(msgspec.Struct, frozen=True):
-    """An interrupted request; prompt is None if it can't be the cause."""
+    """An interrupted request; prompt is None if it can't be the cause.
+
+    answered: the server had answered the prompt with an event.
+    """
 
     request: crash.RequestKey
     prompt: crash.Prompt | None = None
+    answered: bool = False
 
 
 class _ConnectionState(enum.Enum):
@@ -78,7 +82,7 @@
             fingerprints=crash.fingerprints_text(
                 key.whole for key in report.requests
             ),
-            parts=_log_text(report.prompts),
+            parts=_log_text(report.suspects),
         )
         self._on_crash(report, now_s)
 
@@ -106,11 +110,18 @@
     return crash.Crash(
         crash_id=crash_id,
         requests=tuple({interrupted.request for interrupted in interruptions}),
-        prompts=tuple(
-            interrupted.prompt
-            for interrupted in interruptions
-            if interrupted.prompt is not None
-        ),
+        prompts=_prompts(interruptions, answered=False),
+        answered_prompts=_prompts(interruptions, answered=True),
+    )
+
+
+def _prompts(
+    interruptions: Collection[Interruption], *, answered: bool
+) -> tuple[crash.Prompt, ...]:
+    return tuple(
+        interrupted.prompt
+        for interrupted in interruptions
+        if interrupted.prompt is not None and interrupted.answered is answered
     )
 
 
--- a/oatcrank/forwarding/crash_guard.py
+++ b/oatcrank/forwarding/crash_guard.py
@@ -10,6 +10,8 @@
 from oatcrank.routing import crash, crashing_parts, crashing_requests, server
 
 HEX_BASE = 16
+# A server may send so many events of an answer before it crashes of the prompt.
+MAX_EVENTS_BEFORE_CRASH = 2
 
 
 class CrashPublisher(abc.ABC):
@@ -64,20 +66,23 @@
         target: server.Server,
         identity: RequestIdentity,
         *,
-        answered: bool,
         begun: bool,
+        events: int,
     ) -> None:
         """Record an interrupted request, and check whether its server crashed.
 
-        answered: a server has answered the prompt with an event before.
+        events: whole events of the answer that this server has sent.
         """
         prompt = None
-        if identity.parts and not answered:
+        if identity.parts and events <= MAX_EVENTS_BEFORE_CRASH:
             prompt = crash.Prompt(
                 identity.parts, begun, int(identity.key.whole, HEX_BASE)
             )
         self._detector.record_interruption(
-            target, crash_detector.Interruption(identity.key, prompt)
+            target,
+            crash_detector.Interruption(
+                identity.key, prompt, answered=events > 0
+            ),
         )
 
     def record_answer(self, identity: RequestIdentity, now_s: float) -> None:
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -280,8 +280,8 @@
             self._dependencies.crash_guard.record_interruption(
                 chosen,
                 self._identity,
-                answered=self._stream.splitter.last_id is not None,
                 begun=result.end is not None,
+                events=0 if result.end is None else result.end.event_count,
             )
         if step is attempt_state.Step.send_again:
             await self._prepare_retry(result, chosen, search)
--- a/oatcrank/routing/crash.py
+++ b/oatcrank/routing/crash.py
@@ -29,7 +29,7 @@
 
 
 class Prompt(msgspec.Struct, frozen=True):
-    """A prompt that a crashed server had not answered with any event.
+    """A prompt whose answer may have crashed a server.
 
     parts are those that other prompts may share, from the first one on.  begun
     means that the server had sent the head of the answer.  fingerprint is that
@@ -42,11 +42,21 @@
 
 
 class Crash(msgspec.Struct, frozen=True, kw_only=True):
-    """What one instance knows of a crash."""
+    """What one instance knows of a crash.
+
+    prompts had not been answered with any event; answered_prompts had, but no
+    more than a server may send before it crashes of a prompt.
+    """
 
     crash_id: server_process.ServerProcess
     requests: tuple[RequestKey, ...]
     prompts: tuple[Prompt, ...] = ()
+    answered_prompts: tuple[Prompt, ...] = ()
+
+    @property
+    def suspects(self) -> tuple[Prompt, ...]:
+        """Return all prompts that may be the cause."""
+        return self.prompts + self.answered_prompts
 
 
 def fingerprints_text(fingerprints: Iterable[ids.RequestFingerprint]) -> str:
--- a/oatcrank/routing/crashing_parts.py
+++ b/oatcrank/routing/crashing_parts.py
@@ -105,7 +105,7 @@
         if known is None:
             known = _ReportedCrash(first_report_s=now_s, prompts=set())
             self._crash_by_id[report.crash_id] = known
-        for prompt in report.prompts:
+        for prompt in report.suspects:
             if prompt.parts and len(known.prompts) < MAX_PROMPTS_PER_CRASH:
                 known.prompts.add(prompt)
                 self._suspects.update(prompt.parts)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -143,18 +143,21 @@
 
 
 @pytest.mark.parametrize(
-    ('mode', 'suspected'),
-    [(MODE.no_answer, True), (MODE.truncated_stream, False)],
+    ('events', 'suspected'),
+    [
+        (0, True),
+        (1, True),
+        (crash_guard.MAX_EVENTS_BEFORE_CRASH, True),
+        (crash_guard.MAX_EVENTS_BEFORE_CRASH + 1, False),
+    ],
 )
-def test_a_prompt_that_was_answered_with_an_event_is_no_suspect(
-    mode, suspected
-):
+def test_a_prompt_is_no_suspect_once_its_answer_is_under_way(events, suspected):
     async def work(site):
         (worker,) = site.workers
-        worker.answer_mode = mode
+        worker.event_count = events + 1
         worker.event_delay_s = 0.05
         asking = asyncio.ensure_future(site.ask(x_prompt_prefix=PROMPT))
-        await asyncio.sleep(0.08)
+        await asyncio.sleep(0.05 * events + 0.03)
         await worker.stop()
         await asking
         await asyncio.sleep(0.2)
