Watch a server for a while after it has interrupted requests

What callers saw: requests that crash servers went on crashing them where a crashed server still accepts connections, or the next process listens at its address at once.

Cause: one connection, 50 ms after the first interruption, decided whether the server had crashed; if it was accepted, what was interrupted was forgotten. Class: one look at a state that takes time to show.

Now a connection is kept open for two seconds. It breaks when the process ends, and the next one is refused. A process that registers at the same address, or with the same id and a later start, within ten seconds is a crash as well, unless the server was leaving. An answer to a later request clears the process.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -180,6 +180,8 @@
             instances=lambda: self.members.peak_count,
             began_s=time.monotonic(),
         )
+        guard = crash_guard.CrashGuard(requests, parts, self.peer)
+        self.servers.listen_for_added(guard.record_registered)
         self._forwarder = forwarder.Forwarder(
             request_dependencies.RequestDependencies(
                 wire_protocol=dependencies.wire_protocol,
@@ -192,7 +194,7 @@
                 placement_requester=self._placement_requester,
                 prompt_scheduler=self._prompt_scheduler,
                 stream_origins=origins,
-                crash_guard=crash_guard.CrashGuard(requests, parts, self.peer),
+                crash_guard=guard,
                 server_limiter=self._server_limiter,
                 brittle_servers=brittle_servers.BrittleServers(
                     self.members.ready_count, self.members.is_ranked, rng
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -289,6 +289,7 @@
         self._record_outcome(failed=head.status >= SERVER_ERROR)
         return attempt_result.AttemptResult(
             progress=self.progress,
+            sent_s=self._began_s,
             answer=attempt_result.BufferedAnswer(
                 status=head.status,
                 reason=head.reason,
@@ -357,7 +358,7 @@
         self.progress = attempt_state.Progress.answered
         self._record_outcome(failed=False)
         return attempt_result.AttemptResult(
-            progress=self.progress, end=self._end
+            progress=self.progress, end=self._end, sent_s=self._began_s
         )
 
     def _failure(
--- a/oatcrank/forwarding/attempt_result.py
+++ b/oatcrank/forwarding/attempt_result.py
@@ -18,7 +18,7 @@
 class AttemptResult(msgspec.Struct, frozen=True, kw_only=True):
     """Result of an attempt; answer is None if it was already forwarded.
 
-    end is None if no stream was received.
+    end is None if no stream was received.  sent_s is a time of the event loop.
     """
 
     progress: attempt_state.Progress
@@ -26,3 +26,4 @@
     answer: BufferedAnswer | None = None
     end: answer_end.AnswerEnd | None = None
     misdirected: bool = False
+    sent_s: float = 0
--- a/oatcrank/forwarding/crash_detector.py
+++ b/oatcrank/forwarding/crash_detector.py
@@ -4,35 +4,29 @@
 import enum
 from collections.abc import Callable, Collection
 
-import msgspec
-
 from oatcrank import logs
-from oatcrank.routing import crash, server, server_process
-from oatcrank.transport import backend_connection, errors
+from oatcrank.forwarding import crash_case, process_watch
+from oatcrank.routing import (
+    crash,
+    server,
+    server_process,
+    server_registration,
+)
 
 # A server is checked this long after an interrupted request; requests that
 # are interrupted until then are covered by the same check.
 CHECK_DELAY_S = 0.05
-CONNECT_TIMEOUT_S = 0.5
+# A process that ends slowly still accepts connections within this time.
+WATCH_S = 2.0
 
 OnCrash = Callable[[crash.Crash, float], None]
 
 
-class Interruption(msgspec.Struct, frozen=True):
-    """An interrupted request; prompt is None if it can't be the cause.
-
-    answered: the server had answered the prompt with an event.
-    """
-
-    request: crash.RequestKey
-    prompt: crash.Prompt | None = None
-    answered: bool = False
-
+class _Source(enum.Enum):
+    """How a crash was found."""
 
-class _ConnectionState(enum.Enum):
-    accepted = 'the server runs'
-    refused = 'no process listens'
-    unreached = 'nothing is known of the process'
+    connection = 'connection'
+    registration = 'registration'
 
 
 class CrashDetector:
@@ -41,43 +35,88 @@
     def __init__(self, on_crash: OnCrash) -> None:
         """Call on_crash with each crash and its time."""
         self._on_crash = on_crash
-        self._interruptions_by_id: dict[
-            server_process.ServerProcess, set[Interruption]
+        self._case_by_process: dict[
+            server_process.ServerProcess, crash_case.CrashCase
         ] = {}
-        self._checks: set[asyncio.Task[None]] = set()
 
     def record_interruption(
-        self, target: server.Server, interrupted: Interruption
+        self,
+        target: server.Server,
+        interruption: crash_case.Interruption,
+        on_whole: crash_case.OnWhole | None = None,
     ) -> None:
-        """Record an interrupted request and check the server soon after."""
-        crash_id = target.registration.process
-        interruptions = self._interruptions_by_id.get(crash_id)
-        if interruptions is not None:
-            interruptions.add(interrupted)
-            return
-        self._interruptions_by_id[crash_id] = {interrupted}
-        check = asyncio.ensure_future(self._check(target, crash_id))
-        self._checks.add(check)
-        check.add_done_callback(self._checks.discard)
+        """Record an interrupted request and watch the server for a while.
 
-    async def _check(
-        self, target: server.Server, crash_id: server_process.ServerProcess
+        on_whole is given for an answer that ended with its connection: it is
+        called if the server has not crashed, so that the answer was whole.
+        """
+        now_s = asyncio.get_running_loop().time()
+        process = target.registration.process
+        case = self._case_by_process.get(process)
+        if case is None:
+            case = crash_case.CrashCase(target)
+            self._case_by_process[process] = case
+        case.add(interruption, now_s, on_whole)
+        if case.watching is None:
+            case.watching = asyncio.ensure_future(self._watch(case))
+
+    def record_running(self, target: server.Server, sent_s: float) -> None:
+        """Record that a process has answered a request sent at a time."""
+        case = self._case_by_process.get(target.registration.process)
+        if case is not None:
+            case.record_running(sent_s)
+
+    def record_registered(
+        self, registration: server_registration.Registration
     ) -> None:
+        """Report a crash if a process takes the place of a suspected one."""
+        now_s = asyncio.get_running_loop().time()
+        for case in tuple(self._case_by_process.values()):
+            case.drop_before(now_s - crash_case.REPLACEMENT_S)
+            if not case.interruptions:
+                self._end(case)
+            elif case.is_replaced_by(registration):
+                self._report(case, _Source.registration)
+
+    async def _watch(self, case: crash_case.CrashCase) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
-        state = await _connection_state(target)
-        interruptions = self._interruptions_by_id.pop(crash_id)
-        if state is _ConnectionState.accepted:
+        state = await process_watch.watch(
+            case.target, lambda: case.last_recorded_s + WATCH_S
+        )
+        case.watching = None
+        if state is process_watch.ProcessState.ended:
+            case.target.suspend(asyncio.get_running_loop().time())
+            self._report(case, _Source.connection)
             return
-        now_s = asyncio.get_running_loop().time()
-        target.suspend(now_s)
-        if state is _ConnectionState.unreached:
+        logs.event(
+            'server_crash_not_confirmed',
+            server=case.process.server_id,
+            state=state.name,
+            suspects=len(case.interruptions),
+        )
+        if state is process_watch.ProcessState.unreached:
             # The link or the machine has failed: no request is the cause.
-            logs.event('server_unreached', server=crash_id.server_id)
+            self._end(case)
+            case.target.suspend(asyncio.get_running_loop().time())
+        else:
+            case.confirm_whole()
+
+    def _end(self, case: crash_case.CrashCase) -> None:
+        self._case_by_process.pop(case.process, None)
+        if case.watching is not None:
+            case.watching.cancel()
+
+    def _report(self, case: crash_case.CrashCase, source: _Source) -> None:
+        self._end(case)
+        if not case.interruptions:
+            # The process has answered since.
             return
-        report = _report(crash_id, interruptions)
+        now_s = asyncio.get_running_loop().time()
+        report = _crash(case.process, case.interruptions)
         logs.event(
             'server_crashed',
-            server=crash_id.server_id,
+            server=case.process.server_id,
+            source=source.value,
             suspects=len(report.requests),
             fingerprints=crash.fingerprints_text(
                 key.whole for key in report.requests
@@ -87,41 +126,30 @@
         self._on_crash(report, now_s)
 
 
-async def _connection_state(target: server.Server) -> _ConnectionState:
-    """Return what becomes of a new connection to a server."""
-    try:
-        connection = await backend_connection.connect(
-            target.registration.host,
-            target.registration.port,
-            CONNECT_TIMEOUT_S,
-        )
-    except errors.ConnectionRefused:
-        return _ConnectionState.refused
-    except errors.ConnectFailed:
-        return _ConnectionState.unreached
-    connection.close()
-    return _ConnectionState.accepted
-
-
-def _report(
+def _crash(
     crash_id: server_process.ServerProcess,
-    interruptions: Collection[Interruption],
+    interruptions: Collection[crash_case.Interruption],
 ) -> crash.Crash:
     return crash.Crash(
         crash_id=crash_id,
-        requests=tuple({interrupted.request for interrupted in interruptions}),
+        requests=tuple(
+            {interruption.request for interruption in interruptions}
+        ),
         prompts=_prompts(interruptions, answered=False),
         answered_prompts=_prompts(interruptions, answered=True),
     )
 
 
 def _prompts(
-    interruptions: Collection[Interruption], *, answered: bool
+    interruptions: Collection[crash_case.Interruption], *, answered: bool
 ) -> tuple[crash.Prompt, ...]:
     return tuple(
-        interrupted.prompt
-        for interrupted in interruptions
-        if interrupted.prompt is not None and interrupted.answered is answered
+        {
+            interruption.prompt
+            for interruption in interruptions
+            if interruption.prompt is not None
+            and interruption.answered is answered
+        }
     )
 
 
--- a/oatcrank/forwarding/crash_guard.py
+++ b/oatcrank/forwarding/crash_guard.py
@@ -6,8 +6,19 @@
 import msgspec
 
 from oatcrank import fingerprints, ids, logs
-from oatcrank.forwarding import caller_request, crash_detector
-from oatcrank.routing import crash, crashing_parts, crashing_requests, server
+from oatcrank.forwarding import (
+    attempt_result,
+    caller_request,
+    crash_case,
+    crash_detector,
+)
+from oatcrank.routing import (
+    crash,
+    crashing_parts,
+    crashing_requests,
+    server,
+    server_registration,
+)
 
 HEX_BASE = 16
 # A server may send so many events of an answer before it crashes of the prompt.
@@ -52,6 +63,12 @@
         self._publisher = publisher
         self._detector = crash_detector.CrashDetector(self._record_crash)
 
+    def record_registered(
+        self, registration: server_registration.Registration
+    ) -> None:
+        """Record that a process of a server has registered."""
+        self._detector.record_registered(registration)
+
     def refusal_reason(self, identity: RequestIdentity) -> str | None:
         """Return why a request must not be sent, or None if it may be."""
         if self._requests.is_refused(identity.key):
@@ -65,28 +82,22 @@
         self,
         target: server.Server,
         identity: RequestIdentity,
-        *,
-        begun: bool,
-        events: int,
+        result: attempt_result.AttemptResult,
     ) -> None:
-        """Record an interrupted request, and check whether its server crashed.
-
-        events: whole events of the answer that this server has sent.
-        """
-        prompt = None
-        if identity.parts and events <= MAX_EVENTS_BEFORE_CRASH:
-            prompt = crash.Prompt(
-                identity.parts, begun, int(identity.key.whole, HEX_BASE)
-            )
+        """Record an interrupted request, and watch whether its server runs."""
         self._detector.record_interruption(
-            target,
-            crash_detector.Interruption(
-                identity.key, prompt, answered=events > 0
-            ),
+            target, _interruption(identity, result)
         )
 
-    def record_answer(self, identity: RequestIdentity, now_s: float) -> None:
+    def record_answer(
+        self,
+        target: server.Server,
+        identity: RequestIdentity,
+        result: attempt_result.AttemptResult,
+        now_s: float,
+    ) -> None:
         """Record that a server has answered a request to its end."""
+        self._detector.record_running(target, result.sent_s)
         answered = self._requests.record_answer(identity.key, now_s)
         if answered:
             logs.event(
@@ -121,5 +132,19 @@
     )
 
 
+def _interruption(
+    identity: RequestIdentity, result: attempt_result.AttemptResult
+) -> crash_case.Interruption:
+    events = 0 if result.end is None else result.end.event_count
+    prompt = None
+    if identity.parts and events <= MAX_EVENTS_BEFORE_CRASH:
+        prompt = crash.Prompt(
+            identity.parts,
+            result.end is not None,
+            int(identity.key.whole, HEX_BASE),
+        )
+    return crash_case.Interruption(identity.key, prompt, answered=events > 0)
+
+
 def _fingerprint(*components: bytes) -> ids.RequestFingerprint:
     return ids.RequestFingerprint(f'{fingerprints.fingerprint(*components):x}')
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -278,10 +278,7 @@
         )
         if result.progress is attempt_state.Progress.written:
             self._dependencies.crash_guard.record_interruption(
-                chosen,
-                self._identity,
-                begun=result.end is not None,
-                events=0 if result.end is None else result.end.event_count,
+                chosen, self._identity, result
             )
         if step is attempt_state.Step.send_again:
             await self._prepare_retry(result, chosen, search)
@@ -324,7 +321,7 @@
         answer = result.answer
         if answer is None or answer.status < SERVER_ERROR:
             self._dependencies.crash_guard.record_answer(
-                self._identity, self._dependencies.now()
+                chosen, self._identity, result, self._dependencies.now()
             )
         if answer is None:
             self._outcome = 'streamed'
--- a/oatcrank/routing/server_table.py
+++ b/oatcrank/routing/server_table.py
@@ -29,6 +29,7 @@
 LeavingListener = Callable[
     [server_process.RegisteredProcess, LeavingSource], None
 ]
+AddedListener = Callable[[server_registration.Registration], None]
 
 
 class ServerTable:
@@ -45,6 +46,7 @@
         self._leaving = leaving_processes.LeavingProcesses()
         self._pauses = server_pause.ServerPauses()
         self._leaving_listener: LeavingListener = _ignore_leaving
+        self._added_listener: AddedListener = _ignore_added
         self._versions = version_history.VersionHistory()
         # Monotonic time in seconds; servers that ended before are unknown.
         self.created_s = time.monotonic()
@@ -122,8 +124,13 @@
             address=f'{registration.host}:{registration.port}',
             version=registration.software_version,
         )
+        self._added_listener(registration)
         return added
 
+    def listen_for_added(self, listener: AddedListener) -> None:
+        """Report each process of a server when it is added."""
+        self._added_listener = listener
+
     def listen_for_leaving(self, listener: LeavingListener) -> None:
         """Report each process that is recorded as leaving."""
         self._leaving_listener = listener
@@ -207,3 +214,7 @@
     leaving: server_process.RegisteredProcess, source: LeavingSource
 ) -> None:
     """Ignore a process, as long as no listener is set."""
+
+
+def _ignore_added(registration: server_registration.Registration) -> None:
+    """Ignore a process, as long as no listener is set."""
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -103,6 +103,7 @@
         self._lost = True
         if self._in_use:
             self._finish(Ending.broken)
+        self._wake()
 
     # httptools callbacks
 
@@ -180,7 +181,10 @@
         self.transport.write(request)
 
     async def next_event(self) -> Event:
-        """Return the next event of the response."""
+        """Return the next event of the response, or that it is broken.
+
+        Without a response, wait until the connection is lost.
+        """
         while not self._events:
             if self._lost:
                 return Ending.broken
@@ -239,6 +243,9 @@
 
     def _put(self, event: Event) -> None:
         self._events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
         if self._arrived is not None and not self._arrived.done():
             self._arrived.set_result(None)
 
