Take an answer that ends with its connection for whole if its server runs

What callers saw: requests with a part that crashes servers crashed server after server, and streams that a crash had cut reached callers as complete.

Cause: an answer with neither a length nor chunks that a crash cuts after a whole event, and closes as after an answer, looks whole. It cleared the part on all instances, and the crash was not seen at all. Class: the end of a connection is read as the end of an answer without asking which of the two it was.

Now a new connection shows whether the server still listens before such an answer ends at its caller, for streams and plain answers; if none does, the answer was interrupted. A server that leaves may end with its last answer.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -52,6 +52,7 @@
     unsigned = 'without the signature'
     garbage = 'no HTTP at all'
     without_length = 'without a length, ends with the connection'
+    without_length_then_end = 'without a length, and ends with the answer'
     reset = 'reads the request and resets'
     no_answer = 'reads the request and does not answer'
     closing = 'a whole answer, then it closes'
@@ -74,6 +75,9 @@
 STREAM_MODES = (
     WITHOUT_LENGTH_MODES | TRUNCATED_STREAM_MODES | {AnswerMode.stream}
 )
+PLAIN_WITHOUT_LENGTH_MODES = frozenset(
+    (AnswerMode.without_length, AnswerMode.without_length_then_end)
+)
 NOT_RUN_MODES = frozenset((AnswerMode.full, AnswerMode.wrong_address))
 LAST_CHUNK = b'0\r\n\r\n'
 
@@ -166,11 +170,14 @@
 
     async def stop(self) -> None:
         """Stop listening and reset open connections, as in a crash."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
     async def _crash(self) -> None:
         self.crashed.set()
         for writer in tuple(self._writers):
@@ -314,10 +321,12 @@
             writer.write(answer[:-MISSING_BYTES])
             await writer.drain()
             return False
-        if mode is AnswerMode.without_length:
+        if mode in PLAIN_WITHOUT_LENGTH_MODES:
             writer.write(
                 answers.without_length(self._answer_headers(request), b'whole')
             )
+            if mode is AnswerMode.without_length_then_end:
+                self._stop_listening()
             return False
         writer.transport.abort()
         return False
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -9,6 +9,7 @@
     attempt_state,
     caller_request,
     event_splitter,
+    process_watch,
     request_dependencies,
     request_metrics,
     resumable_stream,
@@ -75,6 +76,7 @@
         self._began_s = float(0)
         self._wait_recorded = False
         self._end: answer_end.AnswerEnd | None = None
+        self._framing: message.Framing | None = None
         # Added to the answer for an instance that has relayed the request.
         self._relay_headers: message.Headers = []
         self.progress = attempt_state.Progress.unsent
@@ -190,6 +192,7 @@
         if answer.not_executed or answer.misdirected:
             return await self._finish_declined(connection, head, answer)
         self._check_answer(head, answer)
+        self._framing = head.framing
         if self._route.streaming and stream_head.is_stream(head):
             return await self._forward_stream(connection, head)
         return await self._buffer_answer(connection, head)
@@ -259,6 +262,7 @@
         self._record_stream_end(end)
         if end.fault is not None:
             raise _InvalidAnswer(end.fault)
+        await self._check_server_runs()
         self._start_answer(head, None)
         self._out.write(self._splitter.take_remainder())
         return self._finish()
@@ -285,11 +289,13 @@
             event = await connection.next_event()
         if event is not backend_connection.Ending.complete:
             raise _InvalidAnswer('incomplete answer')
+        await self._check_server_runs()
         self.progress = attempt_state.Progress.answered
         self._record_outcome(failed=head.status >= SERVER_ERROR)
         return attempt_result.AttemptResult(
             progress=self.progress,
             sent_s=self._began_s,
+            framing=self._framing,
             answer=attempt_result.BufferedAnswer(
                 status=head.status,
                 reason=head.reason,
@@ -315,8 +321,22 @@
             event = await connection.next_event()
         if event is not backend_connection.Ending.complete:
             raise _InvalidAnswer('incomplete answer')
+        await self._check_server_runs()
         return self._finish()
 
+    async def _check_server_runs(self) -> None:
+        """Raise _InvalidAnswer if the server has ended with its answer.
+
+        An answer that ends with its connection looks whole then.  A server
+        that leaves ends after its last answer.
+        """
+        unframed = self._framing is message.Framing.connection_end
+        if not unframed or self._server.registration.leaving:
+            return
+        state = await process_watch.probe(self._server)
+        if state is process_watch.ProcessState.ended:
+            raise _InvalidAnswer('the server has ended with its answer')
+
     def _record_stream_end(self, end: answer_end.AnswerEnd) -> None:
         self._end = end
         request_metrics.STREAMS.labels(
@@ -358,7 +378,10 @@
         self.progress = attempt_state.Progress.answered
         self._record_outcome(failed=False)
         return attempt_result.AttemptResult(
-            progress=self.progress, end=self._end, sent_s=self._began_s
+            progress=self.progress,
+            end=self._end,
+            sent_s=self._began_s,
+            framing=self._framing,
         )
 
     def _failure(
@@ -369,6 +392,7 @@
             reason=reason,
             misdirected=misdirected,
             end=self._end,
+            framing=self._framing,
         )
 
     def _is_own_answer(self, head: message.ResponseHead) -> bool:
--- a/oatcrank/forwarding/attempt_result.py
+++ b/oatcrank/forwarding/attempt_result.py
@@ -19,6 +19,7 @@
     """Result of an attempt; answer is None if it was already forwarded.
 
     end is None if no stream was received.  sent_s is a time of the event loop.
+    framing is None if no head of an answer has arrived.
     """
 
     progress: attempt_state.Progress
@@ -27,3 +28,14 @@
     end: answer_end.AnswerEnd | None = None
     misdirected: bool = False
     sent_s: float = 0
+    framing: message.Framing | None = None
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of its connection ended the answer."""
+        return self.framing is message.Framing.connection_end
+
+    @property
+    def event_count(self) -> int:
+        """Return the number of whole events of this answer."""
+        return 0 if self.end is None else self.end.event_count
--- a/oatcrank/forwarding/crash_guard.py
+++ b/oatcrank/forwarding/crash_guard.py
@@ -96,8 +96,23 @@
         result: attempt_result.AttemptResult,
         now_s: float,
     ) -> None:
-        """Record that a server has answered a request to its end."""
+        """Record that a server has answered a request to its end.
+
+        An answer that ended with its connection counts once it is known that
+        the server has not crashed.
+        """
+        if result.ends_with_connection:
+            self._detector.record_interruption(
+                target,
+                _interruption(identity, result),
+                lambda at_s: self._clear(identity, at_s),
+            )
+            return
         self._detector.record_running(target, result.sent_s)
+        self._clear(identity, now_s)
+
+    def _clear(self, identity: RequestIdentity, now_s: float) -> None:
+        """Clear what a server has answered."""
         answered = self._requests.record_answer(identity.key, now_s)
         if answered:
             logs.event(
@@ -135,15 +150,16 @@
 def _interruption(
     identity: RequestIdentity, result: attempt_result.AttemptResult
 ) -> crash_case.Interruption:
-    events = 0 if result.end is None else result.end.event_count
     prompt = None
-    if identity.parts and events <= MAX_EVENTS_BEFORE_CRASH:
+    if identity.parts and result.event_count <= MAX_EVENTS_BEFORE_CRASH:
         prompt = crash.Prompt(
             identity.parts,
-            result.end is not None,
+            result.framing is not None,
             int(identity.key.whole, HEX_BASE),
         )
-    return crash_case.Interruption(identity.key, prompt, answered=events > 0)
+    return crash_case.Interruption(
+        identity.key, prompt, answered=result.event_count > 0
+    )
 
 
 def _fingerprint(*components: bytes) -> ids.RequestFingerprint:
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -3,7 +3,7 @@
 import forwarding_site
 import pytest
 
-from emulator import platform_worker
+from emulator import platform_worker, worker_crash
 
 MODE = platform_worker.AnswerMode
 EVENTS = b''.join(b'id: %d\ndata: word%d\n\n' % (n, n) for n in range(1, 5))
@@ -109,3 +109,33 @@
         assert site.runs() == 2
 
     forwarding_site.run(work, **STREAM)
+
+
+@pytest.mark.parametrize(('repeatable', 'sends'), [(True, 2), (False, 1)])
+def test_a_server_that_ends_with_its_stream_makes_it_look_complete(
+    repeatable, sends
+):
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_mode = MODE.stream_without_length
+            worker.crashing_part = 'badc0de'
+            worker.crash_manner = worker_crash.WorkerCrash(
+                whole_events=2, resets=False
+            )
+        answer = await site.ask(x_prompt_prefix='badc0de:9,1:9')
+        assert answer.status == 200
+        assert not answer.whole
+        assert site.runs() == sends
+
+    forwarding_site.run(work, repeatable=repeatable, streaming=True)
+
+
+def test_a_server_that_ends_with_a_plain_answer_makes_it_look_whole():
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_mode = MODE.without_length_then_end
+        answer = await site.ask()
+        assert answer.status == 502
+        assert site.runs() == len(site.workers)
+
+    forwarding_site.run(work, repeatable=True)
