Discard only the crashes before an answer, and keep newer records

What callers saw: none shown on its own; found as a related path of requests that crash servers though they were known.

Cause: a message that a prompt was answered was dated when it arrived, so a late one discarded crashes after the answer and the refusal that rests on them. An instance that had cleared a cause did not take its record over for 60 s, though written again after new crashes, and removed it, which cleared the cause on all instances. Class: the order of events is taken from the time of their arrival.

Now the message bears its age (older instances ignore it), the crashes after an answer are evaluated again, and a record that comes soon after a clearing is held back for 5 s and kept. Parts and requests share the code (RefusedCauses).

--- a/oatcrank/cluster/crash_cause_records.py
+++ b/oatcrank/cluster/crash_cause_records.py
@@ -59,12 +59,14 @@
         for kind, causes in self._causes_by_kind.items():
             for name in causes.update(now_s):
                 _log_refused(kind, name, 'crashes')
+            for recorded in causes.adopt_held_back(now_s):
+                _log_refused(kind, recorded, 'record')
 
     async def _write_records(self, kind: crash_causes.Kind) -> None:
         prefix = KEY_PREFIX_BY_KIND[kind]
-        refused_keys = {
-            prefix + name for name in self._causes_by_kind[kind].refused()
-        }
+        causes = self._causes_by_kind[kind]
+        refused_keys = {prefix + name for name in causes.refused()}
+        kept_keys = {prefix + name for name in causes.recorded()}
         recorded_keys = set(self._mirror.keys(prefix))
         free_records = max(0, MAX_RECORDS - len(recorded_keys))
         for new_key in sorted(refused_keys - recorded_keys)[:free_records]:
@@ -73,7 +75,7 @@
             item = self._mirror.get(old_key)
             if item is None:
                 continue
-            if old_key not in refused_keys or _is_expired(item):
+            if old_key not in kept_keys or _is_expired(item):
                 await self._write(old_key, _removal(item))
 
     async def _write(self, key: str, transaction: store.Transaction) -> None:
--- a/oatcrank/cluster/crash_messages.py
+++ b/oatcrank/cluster/crash_messages.py
@@ -24,8 +24,10 @@
 class Answered(msgspec.Struct, frozen=True, kw_only=True):
     """Report that a server has answered what was suspected of crashes.
 
-    parts are those of its prompt, fingerprints those of the request.
+    parts are those of its prompt, fingerprints those of the request.  age_s is
+    the time between the answer and the send of this message.
     """
 
     parts: tuple[ids.PromptPart, ...]
     fingerprints: tuple[ids.RequestFingerprint, ...] = ()
+    age_s: float = 0
--- a/oatcrank/cluster/peer_service.py
+++ b/oatcrank/cluster/peer_service.py
@@ -104,9 +104,15 @@
         answered: crash_messages.Answered,
     ) -> peer_messages.Acknowledgement:
         """Clear what a server has answered of what was suspected."""
-        now_s = asyncio.get_running_loop().time()
-        self._crashing_parts.clear(answered.parts, now_s)
-        self._crashing_requests.clear(answered.fingerprints, now_s)
+        answered_s = asyncio.get_running_loop().time() - answered.age_s
+        self._crashing_parts.clear(answered.parts, answered_s)
+        self._crashing_requests.clear(answered.fingerprints, answered_s)
+        logs.event(
+            'crash_causes_answered',
+            parts=','.join(answered.parts),
+            fingerprints=crash.fingerprints_text(answered.fingerprints),
+            age_s=round(answered.age_s, 3),
+        )
         return peer_messages.Acknowledgement()
 
     async def announce_unload(
@@ -165,12 +171,16 @@
         self,
         parts: Collection[ids.PromptPart],
         request_fingerprints: Collection[ids.RequestFingerprint],
+        answered_s: float,
     ) -> None:
         """Send what a server has answered of what was suspected to all."""
+        age_s = asyncio.get_running_loop().time() - answered_s
         self._broadcast(
             'answered-parts',
             crash_messages.Answered(
-                parts=tuple(parts), fingerprints=tuple(request_fingerprints)
+                parts=tuple(parts),
+                fingerprints=tuple(request_fingerprints),
+                age_s=max(0, age_s),
             ),
         )
 
--- a/oatcrank/forwarding/crash_guard.py
+++ b/oatcrank/forwarding/crash_guard.py
@@ -37,6 +37,7 @@
         self,
         parts: Collection[ids.PromptPart],
         request_fingerprints: Collection[ids.RequestFingerprint],
+        answered_s: float,
     ) -> None:
         """Report that a server has answered what was suspected of crashes."""
 
@@ -123,7 +124,7 @@
         if parts:
             logs.event('prompt_parts_cleared', parts=','.join(parts))
         if answered or parts:
-            self._publisher.publish_answered(parts, answered)
+            self._publisher.publish_answered(parts, answered, now_s)
 
     def _record_crash(self, report: crash.Crash, now_s: float) -> None:
         self._requests.record_crash(report, now_s)
--- a/oatcrank/routing/crash_causes.py
+++ b/oatcrank/routing/crash_causes.py
@@ -7,8 +7,8 @@
 
 Name = TypeVar('Name', bound=str)
 
-# What was refused in error isn't taken over from a record for this long.
-CLEARED_HOLD_S = 60.0
+# Instances that do not know of a clearing yet write records within this time.
+CLEARED_HOLD_S = 5.0
 
 
 class Kind(enum.Enum):
@@ -25,13 +25,21 @@
     def refused(self) -> frozenset[Name]:
         """Return all that are refused."""
 
+    @abc.abstractmethod
+    def recorded(self) -> frozenset[Name]:
+        """Return all whose records are to be kept."""
+
     @abc.abstractmethod
     def adopt(self, name: Name, now_s: float) -> bool:
         """Refuse what another instance refuses; return if it is new."""
 
     @abc.abstractmethod
-    def clear(self, names: Iterable[Name], now_s: float) -> None:
-        """Stop refusing, and discard the crashes counted until now."""
+    def adopt_held_back(self, now_s: float) -> tuple[Name, ...]:
+        """Refuse records that came too soon after a clearing; return them."""
+
+    @abc.abstractmethod
+    def clear(self, names: Iterable[Name], answered_s: float) -> None:
+        """Discard the crashes before an answer, and what rests on them."""
 
     @abc.abstractmethod
     def update(self, now_s: float) -> tuple[Name, ...]:
--- a/oatcrank/routing/crashing_parts.py
+++ b/oatcrank/routing/crashing_parts.py
@@ -17,7 +17,12 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.routing import crash, crash_causes, server_process
+from oatcrank.routing import (
+    crash,
+    crash_causes,
+    refused_causes,
+    server_process,
+)
 
 CRASHES_TO_REFUSE = 3
 # So many of these crashes must have happened without any given request, which
@@ -92,7 +97,7 @@
         self._crash_by_id: collections.OrderedDict[
             server_process.ServerProcess, _ReportedCrash
         ] = collections.OrderedDict()
-        self._refused: set[ids.PromptPart] = set()
+        self._refusals = refused_causes.RefusedCauses[ids.PromptPart]()
         # All parts of the prompts of all crashes.
         self._suspects: set[ids.PromptPart] = set()
         # When a prompt with the part was last answered to its end.
@@ -128,7 +133,7 @@
         suspects = {
             part
             for part in parts
-            if part in self._suspects or part in self._refused
+            if part in self._suspects or part in self._refusals.names
         }
         if not suspects:
             return ()
@@ -136,33 +141,45 @@
         self.clear(suspects, now_s)
         return suspicious
 
-    def clear(self, names: Iterable[ids.PromptPart], now_s: float) -> None:
-        """Stop refusing parts, and discard the crashes counted until now."""
+    def clear(self, names: Iterable[ids.PromptPart], answered_s: float) -> None:
+        """Discard the crashes before an answer, and what rests on them.
+
+        The crashes after it are evaluated again.
+        """
         for part in names:
-            self._answered_s_by_part[part] = now_s
-            self._refused.discard(part)
+            known_s = self._answered_s_by_part.get(part, -math.inf)
+            self._answered_s_by_part[part] = max(known_s, answered_s)
+            self._refusals.clear(part)
+            self._evaluate_at_s = -math.inf
 
     def adopt(self, name: ids.PromptPart, now_s: float) -> bool:
         """Refuse a part that another instance refuses; return if it is new."""
-        answered_s = self._answered_s_by_part.get(name, -math.inf)
-        if (
-            name in self._refused
-            or now_s - answered_s < crash_causes.CLEARED_HOLD_S
-        ):
-            return False
-        self._refused.add(name)
-        return True
+        return self._refusals.adopt(
+            name, hold_back=self._is_just_cleared(name, now_s)
+        )
+
+    def adopt_held_back(self, now_s: float) -> tuple[ids.PromptPart, ...]:
+        """Refuse records that came too soon after a clearing; return them."""
+        return self._refusals.adopt_held_back(
+            lambda name: self._is_just_cleared(name, now_s)
+        )
 
     def refused_part(
         self,
         parts: Iterable[ids.PromptPart],
     ) -> ids.PromptPart | None:
         """Return a part for which a prompt is refused, if any."""
-        return next((part for part in parts if part in self._refused), None)
+        return next(
+            (part for part in parts if part in self._refusals.names), None
+        )
 
     def refused(self) -> frozenset[ids.PromptPart]:
         """Return all parts that are refused."""
-        return frozenset(self._refused)
+        return frozenset(self._refusals.names)
+
+    def recorded(self) -> frozenset[ids.PromptPart]:
+        """Return all parts whose records are to be kept."""
+        return self._refusals.recorded
 
     def update(self, now_s: float) -> tuple[ids.PromptPart, ...]:
         """Refuse the parts that explain the crashes; return the new ones."""
@@ -173,7 +190,7 @@
         new_parts: list[ids.PromptPart] = []
         suspects = self._most_suspected(now_s)
         while suspects:
-            self._refused.update(suspects)
+            self._refusals.refuse(suspects)
             new_parts.extend(suspects)
             suspects = self._most_suspected(now_s)
         return tuple(new_parts)
@@ -216,12 +233,12 @@
             due_s = reported.first_report_s + REPORTS_DUE_S
             if now_s < due_s:
                 self._evaluate_at_s = min(self._evaluate_at_s, due_s)
-            elif self._refused.isdisjoint(reported.suspected_parts()):
+            elif self._refusals.names.isdisjoint(reported.suspected_parts()):
                 unexplained.append(reported)
         return unexplained
 
     def _is_suspicious(self, part: ids.PromptPart) -> bool:
-        if part in self._refused:
+        if part in self._refusals.names:
             return True
         crashes = sum(
             part in reported.suspected_parts()
@@ -230,6 +247,10 @@
         )
         return crashes >= CRASHES_TO_REFUSE - 1
 
+    def _is_just_cleared(self, part: ids.PromptPart, now_s: float) -> bool:
+        answered_s = self._answered_s_by_part.get(part, -math.inf)
+        return now_s - answered_s < crash_causes.CLEARED_HOLD_S
+
     def _is_unanswered_since(
         self, part: ids.PromptPart, reported: _ReportedCrash
     ) -> bool:
--- a/oatcrank/routing/crashing_requests.py
+++ b/oatcrank/routing/crashing_requests.py
@@ -16,7 +16,12 @@
 import msgspec
 
 from oatcrank import ids
-from oatcrank.routing import crash, crash_causes, server_process
+from oatcrank.routing import (
+    crash,
+    crash_causes,
+    refused_causes,
+    server_process,
+)
 
 CRASHES_TO_REFUSE = 3
 # Crashes count together for this long.
@@ -46,7 +51,7 @@
             server_process.ServerProcess, _ReportedCrash
         ] = collections.OrderedDict()
         # Fingerprints of whole requests, and of paths with bodies.
-        self._refused: set[ids.RequestFingerprint] = set()
+        self._refusals = refused_causes.RefusedCauses[ids.RequestFingerprint]()
         self._newly_refused: list[ids.RequestFingerprint] = []
         self._suspects: set[ids.RequestFingerprint] = set()
         # When a request with the fingerprint was last answered.
@@ -90,32 +95,48 @@
         return suspicious
 
     def clear(
-        self, names: Iterable[ids.RequestFingerprint], now_s: float
+        self, names: Iterable[ids.RequestFingerprint], answered_s: float
     ) -> None:
-        """Stop refusing requests, and discard the crashes until now."""
+        """Discard the crashes before an answer, and what rests on them."""
         for fingerprint in names:
-            self._answered_s_by_fingerprint[fingerprint] = now_s
+            known_s = self._answered_s(fingerprint)
+            self._answered_s_by_fingerprint[fingerprint] = max(
+                known_s, answered_s
+            )
             self._answered_s_by_fingerprint.move_to_end(fingerprint)
-            self._refused.discard(fingerprint)
+            if fingerprint in self._refusals.names and self._suffices(
+                fingerprint, self._crashes_with(fingerprint)
+            ):
+                continue
+            self._refusals.clear(fingerprint)
         while len(self._answered_s_by_fingerprint) > MAX_ANSWERED:
             self._answered_s_by_fingerprint.popitem(last=False)
 
     def is_refused(self, key: crash.RequestKey) -> bool:
         """Return whether a request must not be sent."""
-        return not self._refused.isdisjoint(key.fingerprints)
+        return not self._refusals.names.isdisjoint(key.fingerprints)
 
     def refused(self) -> frozenset[ids.RequestFingerprint]:
         """Return all fingerprints that are refused."""
-        return frozenset(self._refused)
+        return frozenset(self._refusals.names)
+
+    def recorded(self) -> frozenset[ids.RequestFingerprint]:
+        """Return all fingerprints whose records are to be kept."""
+        return self._refusals.recorded
 
     def adopt(self, name: ids.RequestFingerprint, now_s: float) -> bool:
         """Refuse what another instance refuses; return if it is new."""
-        answered_s = self._answered_s_by_fingerprint.get(name, -math.inf)
-        recently_cleared = now_s - answered_s < crash_causes.CLEARED_HOLD_S
-        if name in self._refused or recently_cleared:
-            return False
-        self._refused.add(name)
-        return True
+        return self._refusals.adopt(
+            name, hold_back=self._is_just_cleared(name, now_s)
+        )
+
+    def adopt_held_back(
+        self, now_s: float
+    ) -> tuple[ids.RequestFingerprint, ...]:
+        """Refuse records that came too soon after a clearing; return them."""
+        return self._refusals.adopt_held_back(
+            lambda name: self._is_just_cleared(name, now_s)
+        )
 
     def update(self, now_s: float) -> tuple[ids.RequestFingerprint, ...]:
         """Drop old crashes; return what is refused since the last call."""
@@ -125,11 +146,11 @@
         return newly_refused
 
     def _refuse(self, fingerprint: ids.RequestFingerprint) -> None:
-        self._refused.add(fingerprint)
+        self._refusals.refuse((fingerprint,))
         self._newly_refused.append(fingerprint)
 
     def _whole_crashes_servers(self, key: crash.RequestKey) -> bool:
-        if key.whole in self._refused:
+        if key.whole in self._refusals.names:
             return False
         return self._suffices(key.whole, self._crashes_with(key.whole))
 
@@ -139,7 +160,7 @@
         At least one of the crashes isn't explained by a request that is refused
         as a whole.
         """
-        if not self._refused.isdisjoint(key.fingerprints):
+        if not self._refusals.names.isdisjoint(key.fingerprints):
             return False
         crashes = self._crashes_with(key.path)
         wholes = {
@@ -167,7 +188,7 @@
         self, fingerprint: ids.RequestFingerprint
     ) -> list[_ReportedCrash]:
         """Return the crashes since the last answer to such a request."""
-        answered_s = self._answered_s_by_fingerprint.get(fingerprint, -math.inf)
+        answered_s = self._answered_s(fingerprint)
         return [
             reported
             for reported in self._crash_by_id.values()
@@ -177,8 +198,17 @@
             )
         ]
 
+    def _answered_s(self, fingerprint: ids.RequestFingerprint) -> float:
+        return self._answered_s_by_fingerprint.get(fingerprint, -math.inf)
+
+    def _is_just_cleared(
+        self, fingerprint: ids.RequestFingerprint, now_s: float
+    ) -> bool:
+        cleared_for_s = now_s - self._answered_s(fingerprint)
+        return cleared_for_s < crash_causes.CLEARED_HOLD_S
+
     def _is_suspicious(self, fingerprint: ids.RequestFingerprint) -> bool:
-        if fingerprint in self._refused:
+        if fingerprint in self._refusals.names:
             return True
         if fingerprint not in self._suspects:
             return False
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -152,7 +152,7 @@
     def publish_crash(self, report) -> None:
         self.requests.extend(report.requests)
 
-    def publish_answered(self, parts, request_fingerprints) -> None:
+    def publish_answered(self, parts, request_fingerprints, answered_s) -> None:
         self.answered.extend(parts)
         self.answered_fingerprints.extend(request_fingerprints)
 
--- a/tests/test_crash_cause_records.py
+++ b/tests/test_crash_cause_records.py
@@ -80,9 +80,9 @@
             asyncio.ensure_future(self.records.run()),
         ]
 
-    def crash_servers(self, count: int = 3) -> None:
+    def crash_servers(self, count: int = 3, first: int = 0) -> None:
         now_s = asyncio.get_running_loop().time()
-        for number in range(count):
+        for number in range(first, first + count):
             report = crash.Crash(
                 crash_id=server_process.ServerProcess(f'server-{number}', 1),
                 requests=(REQUEST,),
@@ -223,3 +223,24 @@
         assert set(KEYS) <= shared.item_by_key.keys()
 
     run(scenario)
+
+
+def test_an_instance_that_has_just_cleared_a_cause_removes_its_next_record():
+    async def scenario(shared, instances):
+        instances[0].crash_servers()
+        await asyncio.sleep(SYNC_S)
+        now_s = asyncio.get_running_loop().time()
+        for instance in instances:
+            for kind, name in NAME_BY_KIND.items():
+                instance.causes_by_kind[kind].clear((name,), now_s)
+        await asyncio.sleep(1)
+        assert not any(instance.refused_kinds for instance in instances)
+        for number in range(10, 13):
+            instances[0].crash_servers(1, first=number)
+            await asyncio.sleep(1.1)
+        assert instances[0].refused_kinds == set(crash_causes.Kind)
+        await asyncio.sleep(crash_causes.CLEARED_HOLD_S)
+        for instance in instances:
+            assert instance.refused_kinds == set(crash_causes.Kind)
+
+    run(scenario)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -243,3 +243,27 @@
         parts.record_answer((FIRST, rng.choice(sound)), number * 0.2 + 0.1)
     parts.update(2.0)
     assert parts.refused() == {BAD}
+
+
+@pytest.mark.parametrize(('answered_s', 'refused'), [(0.5, True), (9.0, False)])
+def test_a_late_message_of_an_answer_discards_the_crashes_after_it(
+    answered_s, refused
+):
+    parts = crashing_parts.CrashingParts()
+    for number in range(crashing_parts.CRASHES_TO_REFUSE):
+        parts.record_crash(a_crash(prompt(FIRST, BAD)), 1.0 + number)
+    parts.update(5.0)
+    assert parts.refused() == {BAD}
+    parts.clear((BAD,), answered_s)
+    parts.update(9.1)
+    assert (BAD in parts.refused()) is refused
+
+
+def test_an_answer_that_is_told_late_hides_a_newer_one():
+    parts = crashing_parts.CrashingParts()
+    parts.clear((BAD,), 5.0)
+    parts.clear((BAD,), 0.5)
+    for number in range(crashing_parts.CRASHES_TO_REFUSE):
+        parts.record_crash(a_crash(prompt(FIRST, BAD)), 1.0 + number)
+    parts.update(9.0)
+    assert BAD not in parts.refused()
