--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -38,6 +38,7 @@
 ttl_max_s = 5
 [platform]
 address = "{store}"
+{sections}
 """
 
 
@@ -60,7 +61,10 @@
 
     def __init__(self, name: str, directory, store: str, bounds: dict) -> None:
         self.front = ports.free_port()
-        self._metrics = ports.free_port()
+        self.ready = ports.free_port()
+        self.control = ports.free_port()
+        self.directory = ports.free_port()
+        self.metrics = ports.free_port()
         self._settings = directory / f'{name}.toml'
         self._log = directory / f'{name}.log'
         self._process: asyncio.subprocess.Process | None = None
@@ -69,9 +73,9 @@
                 name=name,
                 datagrams=ports.free_port(socket.SOCK_DGRAM),
                 front=self.front,
-                ready=ports.free_port(),
-                control=ports.free_port(),
-                directory=ports.free_port(),
+                ready=self.ready,
+                control=self.control,
+                directory=self.directory,
                 store=store,
                 **bounds,
             ),
@@ -88,7 +92,7 @@
                 '--settings',
                 str(self._settings),
                 '--metrics-port',
-                str(self._metrics),
+                str(self.metrics),
                 stdout=log,
                 stderr=log,
                 env={**os.environ, 'PYTHONPATH': os.getcwd()},
@@ -126,6 +130,18 @@
         )
         return int(line.split()[1]) / 1000
 
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def socket_count(self) -> int:
+        """Return the number of open sockets and pipes."""
+        if self._process is None:
+            return 0
+        folder = pathlib.Path(f'/proc/{self._process.pid}/fd')
+        links = [os.readlink(entry) for entry in folder.iterdir()]
+        return sum(link.startswith(('socket:', 'pipe:')) for link in links)
+
     def log_text(self) -> str:
         """Return what the process has logged."""
         return self._log.read_text()
@@ -135,7 +151,13 @@
     """Processes, a store, workers, and what callers and workers have seen."""
 
     def __init__(self, directory, workers: int, routes, **bounds) -> None:
-        self._bounds = {'ratio': 0.2, 'window_s': 10, 'slack': 10, **bounds}
+        self._bounds = {
+            'ratio': 0.2,
+            'window_s': 10,
+            'slack': 10,
+            'sections': '',
+            **bounds,
+        }
         self._directory = directory
         self._routes = routes
         self.store = platform_store.PlatformStoreServer()
