Count what is kept for clients on one budget of the process

What callers saw: clients that do not behave ended a process; it ran out of memory, or of descriptors.

Cause: what a process keeps grew with what clients send, and nothing counted it. A connection was read on while its requests waited, each piece of a body and each header was an object of its own, answers were written to clients that read none, and the number of connections had no bound on any port. Class: limits of one message, none of all messages.

Now each connection has an account on a budget that follows from memory_mb and max_fds. It counts what the objects cost. Reading stops while a request waits behind another one or its answer is not read; what arrives is parsed in pieces. Over a limit, one module decides who is given up: for memory the request that waits and keeps the most (503, it has not run), for connections the one that is closing, idle or sending a request the longest.

The crowd that connects again at once kept its closed sockets and used up the descriptors of the test itself; it closes them now, its number and the bounds are as they were.

--- a/oatcrank/cluster/instance.py
+++ b/oatcrank/cluster/instance.py
@@ -51,7 +51,7 @@
     server_selection,
     server_table,
 )
-from oatcrank.transport import caller_connection, limits
+from oatcrank.transport import caller_connection, caller_listener, limits
 
 READY_POLL_INTERVAL_S = 0.05
 IDLE_POLL_INTERVAL_S = 0.05
@@ -210,6 +210,7 @@
                 rng=rng,
             ),
         )
+        self._budget = dependencies.budget
         self._open_connections: set[caller_connection.CallerConnection] = set()
         self._server: asyncio.Server | None = None
         self._background = background.Background(metrics.NoMetrics())
@@ -233,11 +234,8 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen for callers and start following the store."""
-        self._server = await asyncio.get_running_loop().create_server(
-            self._create_connection,
-            host,
-            port,
-            backlog=1024,
+        self._server = await caller_listener.listen(
+            self._create_connection, host, port
         )
         await self._datagrams.start(self.members.own.datagram_address)
         for name, work in (
@@ -294,6 +292,7 @@
             self._forwarder,
             self._limits,
             self._open_connections,
+            self._budget,
         )
 
     def _limits(self) -> limits.Limits:
--- a/oatcrank/cluster/instance_dependencies.py
+++ b/oatcrank/cluster/instance_dependencies.py
@@ -5,6 +5,7 @@
 from oatcrank.cluster import codec, store
 from oatcrank.forwarding import wire_protocol
 from oatcrank.orders import order
+from oatcrank.transport import process_budget
 
 
 class InstanceDependencies(msgspec.Struct, frozen=True, kw_only=True):
@@ -14,3 +15,4 @@
     codec: codec.Codec
     wire_protocol: wire_protocol.WireProtocol
     sender: order.OrderSender
+    budget: process_budget.ProcessBudget
--- a/oatcrank/platform/serve.py
+++ b/oatcrank/platform/serve.py
@@ -6,7 +6,7 @@
 import time
 
 import prometheus_client
-from tornado import httpserver, web
+from tornado import web
 
 from oatcrank import logs
 from oatcrank.cluster import instance, instance_dependencies, peer_handlers
@@ -18,6 +18,7 @@
     store_client,
     worker_order_sender,
 )
+from oatcrank.transport import bounded_server, process_budget
 
 SETTINGS_POLL_S = 2.0
 
@@ -50,8 +51,9 @@
         front=current_settings.listen.front,
         process_s=round(time.process_time(), 3),
     )
-    serving = _instance(current_settings, read_tokens_per_s)
-    _listen(serving, current_settings, metrics_port)
+    budget = process_budget.ProcessBudget(current_settings.process_limits())
+    serving = _instance(current_settings, read_tokens_per_s, budget)
+    _listen(serving, current_settings, metrics_port, budget)
     host, _, port = current_settings.listen.front.rpartition(':')
     await serving.start(host, int(port))
     reloading = asyncio.ensure_future(
@@ -67,6 +69,7 @@
 def _instance(
     current_settings: settings.Settings,
     read_tokens_per_s: float,
+    budget: process_budget.ProcessBudget,
 ) -> instance.Instance:
     return instance.Instance(
         current_settings.member(int(time.time() * 1000)),
@@ -76,6 +79,7 @@
             codec=codec.PlatformCodec(),
             wire_protocol=platform_protocol.PlatformProtocol(),
             sender=worker_order_sender.WorkerOrderSender(),
+            budget=budget,
         ),
         read_tokens_per_s,
     )
@@ -85,24 +89,32 @@
     serving: instance.Instance,
     current_settings: settings.Settings,
     metrics_port: int,
+    budget: process_budget.ProcessBudget,
 ) -> None:
     platform_routes = directory.handlers(serving)
-    _open(current_settings.listen.directory, platform_routes)
-    _open(current_settings.listen.ready, platform_routes)
+    _open(current_settings.listen.directory, platform_routes, budget)
+    _open(current_settings.listen.ready, platform_routes, budget)
     _open(
         current_settings.listen.control,
         peer_handlers.handlers(serving.peer, serving.relay),
+        budget,
     )
     _open(
         f'{current_settings.ip}:{metrics_port}',
         [('/metrics', MetricsHandler, {})],
+        budget,
     )
 
 
-def _open(address: str, handlers: list[peer_handlers.Route]) -> None:
+def _open(
+    address: str,
+    handlers: list[peer_handlers.Route],
+    budget: process_budget.ProcessBudget,
+) -> None:
     host, _, port = address.rpartition(':')
-    server = httpserver.HTTPServer(
+    server = bounded_server.BoundedServer(
         web.Application(handlers, log_function=_log_nothing),
+        group=budget.control,
     )
     server.listen(int(port), host)
 
--- a/oatcrank/platform/settings.py
+++ b/oatcrank/platform/settings.py
@@ -5,6 +5,7 @@
 from oatcrank import errors, ids
 from oatcrank.cluster import cluster_bounds, member, quota_owner
 from oatcrank.orders import store_load_limit
+from oatcrank.transport import process_budget
 
 SETTINGS_VARIABLE = 'OATCRANK_CONFIG'
 
@@ -35,6 +36,13 @@
     quota_slack: float = 0
 
 
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """Memory and descriptors of a process."""
+
+    memory_mb: float = process_budget.Limits().memory_mb
+    max_fds: int = process_budget.Limits().descriptors
+
+
 class Store(msgspec.Struct, frozen=True, kw_only=True):
     """Address of the platform's store."""
 
@@ -53,6 +61,7 @@
     listen: Listen
     bounds: Bounds
     platform: Store
+    limits: Limits = Limits()
 
     def member(self, started_ms: int) -> member.Member:
         """Return this process as a member of the cluster."""
@@ -67,6 +76,12 @@
             datagram_address=f'{self.ip}:{self.internal_ports[0]}',
         )
 
+    def process_limits(self) -> process_budget.Limits:
+        """Return the memory and the descriptors of this process."""
+        return process_budget.Limits(
+            memory_mb=self.limits.memory_mb, descriptors=self.limits.max_fds
+        )
+
     def shared_bounds(self) -> cluster_bounds.Bounds:
         """Return the limits that all instances share."""
         return cluster_bounds.Bounds(
--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -8,9 +8,16 @@
 from collections.abc import Callable
 
 import httptools
+import msgspec
 
 from oatcrank import logs
-from oatcrank.transport import limits, message, reply
+from oatcrank.transport import (
+    limits,
+    message,
+    partial_request,
+    process_budget,
+    reply,
+)
 
 BODY_TIMEOUT_S = 15.0
 # Time for the caller to read the last answer before the connection closes.
@@ -19,6 +26,12 @@
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Some callers send empty lines after a request.
 LINE_ENDS = b'\r\n'
+# What arrives is parsed in pieces, so that the limits hold after each of them.
+HEAD_PIECE_BYTES = 4_096
+BODY_PIECE_BYTES = 65_536
+# A request that is answered is kept as it was read, decoded, and as it is sent.
+KEPT_COPIES = 3
+NO_ROOM_RETRY_S = 1.0
 
 
 class Handler(abc.ABC):
@@ -29,27 +42,42 @@
         """Answer one request; cancelled when the caller disconnects."""
 
 
-class CallerConnection(asyncio.Protocol):
-    """Read requests within limits and pass them to a handler."""
+class _WaitingRequest(msgspec.Struct):
+    """Request that waits for the answer to the one before it."""
+
+    request: message.Request
+    kept_bytes: int
+
+
+class CallerConnection(asyncio.Protocol, process_budget.Holder):
+    """Read requests within limits and pass them to a handler.
+
+    Reading stops while a request waits for the answer to another one.
+    """
 
     def __init__(
         self,
         handler: Handler,
         get_limits: Callable[[], limits.Limits],
         open_connections: 'set[CallerConnection]',
+        budget: process_budget.ProcessBudget,
     ) -> None:
         """Serve one connection; adds itself to open_connections."""
+        self._budget = budget
         self._handler = handler
         self._get_limits = get_limits
         self._open_connections = open_connections
-        self._pending: collections.deque[message.Request] = collections.deque()
+        self._pending: collections.deque[_WaitingRequest] = collections.deque()
+        # What has arrived while reading was about to stop.
+        self._unparsed = b''
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._reading = False
-        self._start_message()
+        self._partial = partial_request.PartialRequest()
+        self._new_parser()
 
     @property
     def busy(self) -> bool:
@@ -64,39 +92,70 @@
         peer = transport.get_extra_info('peername')
         self._peer = str(peer[0]) if peer else ''
         self._open_connections.add(self)
+        self._account = self._budget.callers.open(self)
         self._set_timeout(self._get_limits().idle_timeout_s, self._close_idle)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the current request."""
         self._open_connections.discard(self)
         self._cancel_timeout()
-        self._pending.clear()
+        self._drop_input()
         self._writable.set()
+        self._account.close()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
         """Make writers wait until the caller has read more."""
         self._writable.clear()
+        self._update_account()
 
     def resume_writing(self) -> None:
         """Let writers continue."""
         self._writable.set()
+        self._update_account()
 
     def data_received(self, data: bytes) -> None:
         """Parse data and start the header timeout with a new request."""
         if self._closing:
             return
-        if not self._reading and data.strip(LINE_ENDS):
+        self._unparsed += data
+        self._read_on()
+
+    def _read_on(self) -> None:
+        """Parse what has arrived until a request has to wait."""
+        data = self._unparsed
+        begin = 0
+        while begin < len(data) and not (self._closing or self._pending):
+            end = begin + self._piece_bytes()
+            self._read_piece(data[begin:end])
+            begin = end
+            self._unparsed = data[begin:] if self._pending else b''
+            self._update_account()
+        self._hold_back()
+
+    def _piece_bytes(self) -> int:
+        in_body = self._reading and self._partial.headers_done
+        return BODY_PIECE_BYTES if in_body else HEAD_PIECE_BYTES
+
+    def _read_piece(self, piece: bytes) -> None:
+        if not self._reading and piece.strip(LINE_ENDS):
             self._reading = True
-            self._began_s = time.monotonic()
+            self._partial.began_s = time.monotonic()
             if self._task is None:
                 self._set_timeout(
                     self._get_limits().header_timeout_s,
                     self._refuse_timeout,
                 )
-        self._header_bytes += len(data)
-        self._parse(data)
+        self._partial.header_bytes += len(piece)
+        self._parse(piece)
+
+    def _hold_back(self) -> None:
+        """Stop reading while a request waits, and go on afterwards."""
+        if self._pending:
+            self.transport.pause_reading()
+        elif not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -105,7 +164,7 @@
             self._ignore_upgrade(data[upgrade.args[0] :])
         except httptools.HttpParserError as error:
             self._refuse(http.HTTPStatus.BAD_REQUEST, str(error))
-        if self._reading or not self._headers_done:
+        if self._reading or not self._partial.headers_done:
             self._check_header_size()
 
     def _ignore_upgrade(self, rest: bytes) -> None:
@@ -118,9 +177,9 @@
             return
         head = message.encode_head_without_upgrade(
             self._parser.get_method(),
-            self._target,
+            self._partial.target,
             self._parser.get_http_version(),
-            self._headers,
+            self._partial.headers,
         )
         self._new_parser()
         self._parse(head + rest)
@@ -130,42 +189,38 @@
     def on_message_begin(self) -> None:
         """Start to read a request."""
         self._reading = True
-        self._start_message(parser=False)
+        self._partial = partial_request.PartialRequest()
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
-        self._target += url
+        self._partial.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Append one header; drop a field of the trailer."""
-        if not self._headers_done:
-            self._headers.append((name, value))
+        if not self._partial.headers_done:
+            self._partial.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the header size; answer 100 Continue if expected."""
         if self._parser.should_upgrade():
             return
-        self._headers_done = True
-        size = len(self._target) + sum(
-            len(name) + len(text) + 4 for name, text in self._headers
-        )
-        if size > self._get_limits().max_header_bytes:
+        self._partial.headers_done = True
+        if self._partial.head_size > self._get_limits().max_header_bytes:
             self._refuse_too_large()
             return
-        self._header_bytes = 0
+        self._partial.header_bytes = 0
         if self._task is None:
             self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
-        expected = message.find_header(self._headers, b'expect')
+        expected = message.find_header(self._partial.headers, b'expect')
         if expected is not None and expected.lower() == b'100-continue':
-            self._expects_continue = True
+            self._partial.expects_continue = True
         self._continue_if_expected()
 
     def on_body(self, body: bytes) -> None:
         """Append to the body and check its size."""
-        self._header_bytes = 0
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._get_limits().max_body_bytes:
+        self._partial.header_bytes = 0
+        self._partial.body += body
+        if len(self._partial.body) > self._get_limits().max_body_bytes:
             self._refuse(
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 'body too large',
@@ -176,36 +231,91 @@
         if self._closing or self._parser.should_upgrade():
             return
         self._reading = False
-        self._pending.append(
-            message.Request(
-                method=self._parser.get_method(),
-                target=self._target,
-                headers=self._headers,
-                body=b''.join(self._body),
-                began_s=self._began_s,
-                peer=self._peer,
-                keep_alive=self._parser.should_keep_alive(),
-            ),
+        request = message.Request(
+            method=self._parser.get_method(),
+            target=self._partial.target,
+            headers=self._partial.headers,
+            body=bytes(self._partial.body),
+            began_s=self._partial.began_s,
+            peer=self._peer,
+            keep_alive=self._parser.should_keep_alive(),
         )
+        kept_bytes = self._partial.kept_bytes
+        self._partial = partial_request.PartialRequest()
+        self._pending.append(_WaitingRequest(request, kept_bytes))
         self._answer_next()
 
+    # Budget of the process
+
+    def give_up_waiting(self) -> None:
+        """Refuse what is being read, or close if the answer is not read."""
+        if self._closing or not self._writable.is_set():
+            logs.event('unread_answer_dropped', peer=self._peer)
+            self.transport.abort()
+            return
+        self._pending.clear()
+        self._refuse(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            'no room for the request',
+            retry_after_s=NO_ROOM_RETRY_S,
+        )
+
+    def close_now(self) -> None:
+        """Close the connection at once."""
+        logs.event('connection_given_up', peer=self._peer)
+        self._closing = True
+        self.transport.abort()
+
+    def _update_account(self) -> None:
+        """Count what waits; this may refuse the request that is read."""
+        waiting_bytes = len(self._unparsed) + self._partial.kept_bytes
+        waiting_bytes += sum(waiting.kept_bytes for waiting in self._pending)
+        if not self._writable.is_set():
+            waiting_bytes += self.transport.get_write_buffer_size()
+        self._account.enter(self._state())
+        self._account.keep(waiting_bytes)
+
+    def _state(self) -> process_budget.State:
+        if self._task is not None:
+            return process_budget.State.answering
+        if self._closing:
+            return process_budget.State.closing
+        if self._has_next():
+            return process_budget.State.reading
+        return process_budget.State.idle
+
+    def _drop_input(self) -> None:
+        self._pending.clear()
+        self._unparsed = b''
+        self._partial = partial_request.PartialRequest()
+
     # Answers
 
     def close_if_idle(self) -> None:
         """Close the connection if it is idle."""
         if not self.busy:
-            self.transport.close()
+            self._close()
 
     def _answer_next(self) -> None:
         if self._task is not None or not self._pending:
             return
         self._cancel_timeout()
-        request = self._pending.popleft()
-        self._task = asyncio.ensure_future(self._answer(request))
+        waiting = self._pending.popleft()
+        self._update_account()
+        if self._closing:
+            return
+        if self._account.begin_work(waiting.kept_bytes * KEPT_COPIES):
+            self._task = asyncio.ensure_future(self._answer(waiting.request))
+        else:
+            self.give_up_waiting()
 
     async def _answer(self, request: message.Request) -> None:
         out = reply.Reply(
-            self.transport, self._writable, request, self._has_next
+            self.transport,
+            self._writable,
+            request,
+            self._has_next,
+            self._account,
         )
         try:
             await self._handler.handle(request, out)
@@ -215,12 +325,24 @@
         except Exception as error:
             logs.event('request_handler_failed', error=repr(error))
             out.fail()
-        finally:
-            self._task = None
         if not out.complete:
             out.fail()
+        try:
+            await self._wait_until_read()
+        finally:
+            self._task = None
+            self._account.end_work()
         self._go_on(keep_alive=out.keep_alive)
 
+    async def _wait_until_read(self) -> None:
+        """Wait until the caller has read most of the answer."""
+        try:
+            async with asyncio.timeout(self._get_limits().idle_timeout_s):
+                await self._writable.wait()
+        except TimeoutError:
+            logs.event('unread_answer_dropped', peer=self._peer)
+            self.transport.abort()
+
     def _go_on(self, *, keep_alive: bool) -> None:
         """Answer the next request, wait for one, or close the connection."""
         if not keep_alive or self.transport.is_closing():
@@ -232,6 +354,9 @@
             self._close_after_linger()
         else:
             self._wait_for_request()
+        self._read_on()
+        if not self.transport.is_closing():
+            self._update_account()
 
     def _wait_for_request(self) -> None:
         """Limit the time until a request has arrived."""
@@ -243,37 +368,53 @@
 
     def _continue_if_expected(self) -> None:
         """Let the caller send a body, once earlier answers have ended."""
-        if self._expects_continue and self._task is None:
-            self._expects_continue = False
+        if self._partial.expects_continue and self._task is None:
+            self._partial.expects_continue = False
             self.transport.write(CONTINUE)
 
     def _has_next(self) -> bool:
         """Return whether another request follows on this connection."""
-        return self._reading or bool(self._pending)
+        return self._reading or bool(self._pending or self._unparsed)
 
     def _close_after_linger(self) -> None:
         """Close the connection after a delay to read the answer."""
         self._closing = True
+        self._drop_input()
         if self.transport.is_closing():
             return
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self._set_timeout(LINGER_S, self.transport.close)
+        self._set_timeout(LINGER_S, self._close)
+
+    def _close(self) -> None:
+        """Close the connection, at once if the caller reads no more."""
+        self.transport.close()
+        self._set_timeout(LINGER_S, self.transport.abort)
 
-    def _refuse(self, status: http.HTTPStatus, reason: str) -> None:
+    def _refuse(
+        self,
+        status: http.HTTPStatus,
+        reason: str,
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
         if self._closing:
             return
         logs.event('message_refused', status=int(status), reason=reason)
         self._closing = True
+        self._unparsed = b''
+        self._partial = partial_request.PartialRequest()
         if self._task is not None:
             # The connection closes after the answers to what came before.
             return
         if not self.transport.is_closing():
-            self.transport.write(reply.encode_closing_reply(status, reason))
+            self.transport.write(
+                reply.encode_closing_reply(status, reason, retry_after_s)
+            )
         self._close_after_linger()
 
     def _check_header_size(self) -> None:
-        if self._header_bytes > self._get_limits().max_header_bytes:
+        if self._partial.header_bytes > self._get_limits().max_header_bytes:
             self._refuse_too_large()
 
     def _refuse_too_large(self) -> None:
@@ -287,7 +428,7 @@
 
     def _close_idle(self) -> None:
         if not self.busy:
-            self.transport.close()
+            self._close()
 
     def _set_timeout(
         self, timeout_s: float, action: Callable[[], None]
@@ -303,15 +444,3 @@
 
     def _new_parser(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
-
-    def _start_message(self, *, parser: bool = True) -> None:
-        if parser:
-            self._new_parser()
-        self._target = b''
-        self._headers: message.Headers = []
-        self._headers_done = False
-        self._expects_continue = False
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._began_s = time.monotonic()
--- a/oatcrank/transport/reply.py
+++ b/oatcrank/transport/reply.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from oatcrank.transport import message
+from oatcrank.transport import message, process_budget
 
 HEAD = b'HEAD'
 LAST_CHUNK = b'0\r\n\r\n'
@@ -20,11 +20,14 @@
         writable: asyncio.Event,
         request: message.Request,
         has_next: Callable[[], bool],
+        account: process_budget.Account,
     ) -> None:
         """Create the writer for the answer to a request.
 
         has_next() returns whether another one follows on the connection.
+        account is that of the connection.
         """
+        self._account = account
         self._transport = transport
         self._writable = writable
         self._has_body = request.method != HEAD
@@ -92,6 +95,10 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self._last_write_s = now_s
 
+    def hold(self, answer_bytes: int) -> bool:
+        """Set what is kept of the answer; return whether there is room."""
+        return self._account.hold_answer(answer_bytes)
+
     async def drain(self) -> None:
         """Wait until the write buffer has room."""
         await self._writable.wait()
@@ -130,13 +137,20 @@
         self._transport.abort()
 
 
-def encode_closing_reply(status: http.HTTPStatus, text: str) -> bytes:
+def encode_closing_reply(
+    status: http.HTTPStatus, text: str, retry_after_s: float | None = None
+) -> bytes:
     """Return a complete answer that closes the connection."""
     body = text.encode('ascii', 'replace')
-    return (
-        b'HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n'
-        b'Content-Length: %d\r\nConnection: close\r\n\r\n%s'
-    ) % (status, _reason_phrase(status), len(body), body)
+    lines = [
+        b'HTTP/1.1 %d %s' % (status, _reason_phrase(status)),
+        b'Content-Type: text/plain',
+        b'Content-Length: %d' % len(body),
+        b'Connection: close',
+    ]
+    if retry_after_s is not None:
+        lines.append(b'Retry-After: %g' % retry_after_s)
+    return b'\r\n'.join((*lines, b'', body))
 
 
 def _reason_phrase(status: int) -> bytes:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -170,8 +170,21 @@
                 '127.0.0.1', self._port, limit=1
             )
             self._writers.append(writer)
+            if self._crowd.reconnects:
+                await self._send_until_closed(reader, writer)
+                return
             async for piece in self._crowd.pieces():
                 writer.write(piece)
                 await writer.drain()
-            if self._crowd.reconnects:
-                await reader.read(1)
+
+    async def _send_until_closed(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            async for piece in self._crowd.pieces():
+                writer.write(piece)
+                await writer.drain()
+            await reader.read(1)
+        finally:
+            self._writers.remove(writer)
+            writer.transport.abort()
--- a/tests/forwarding_site.py
+++ b/tests/forwarding_site.py
@@ -35,7 +35,7 @@
     server_table,
     stream_origin,
 )
-from oatcrank.transport import caller_connection, limits
+from oatcrank.transport import caller_connection, limits, process_budget
 
 # What a stream of the stand-in holds.
 EVENTS = b''.join(b'id: %d\ndata: word%d\n\n' % (n, n) for n in range(1, 5))
@@ -195,6 +195,7 @@
         self.parts = crashing_parts.CrashingParts()
         self.publisher = StubPublisher()
         self.limits = limits.Limits()
+        self.budget = process_budget.ProcessBudget(process_budget.Limits())
         self.open_connections: set[caller_connection.CallerConnection] = set()
         self.dependencies = request_dependencies.RequestDependencies(
             wire_protocol=platform_protocol.PlatformProtocol(),
@@ -252,6 +253,7 @@
                 self.forwarder,
                 lambda: self.limits,
                 self.open_connections,
+                self.budget,
             ),
             '127.0.0.1',
             0,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,7 +4,6 @@
 import collections
 import json
 import os
-import pathlib
 import random
 import signal
 import socket
@@ -13,6 +12,7 @@
 
 import forwarding_site
 import ports
+import process_usage
 
 from emulator import brittle_room, platform_store, platform_worker
 
@@ -124,11 +124,7 @@
         """Return the most memory that the process has used, in MB."""
         if self._process is None:
             return 0
-        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
-        (line,) = (
-            line for line in status.splitlines() if line.startswith('VmHWM')
-        )
-        return int(line.split()[1]) / 1000
+        return process_usage.peak_mb(self._process.pid)
 
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
@@ -138,9 +134,7 @@
         """Return the number of open sockets and pipes."""
         if self._process is None:
             return 0
-        folder = pathlib.Path(f'/proc/{self._process.pid}/fd')
-        links = [os.readlink(entry) for entry in folder.iterdir()]
-        return sum(link.startswith(('socket:', 'pipe:')) for link in links)
+        return process_usage.socket_count(self._process.pid)
 
     def log_text(self) -> str:
         """Return what the process has logged."""
