Bound what is kept of the answers of servers

What callers saw: none reported; looked for as the same cause at servers.

Cause: an answer with very many short headers, or a body in very small chunks, was kept as very many objects, and an event without an end was copied whole for each piece.

Now an answer has at most 1,000 headers, small chunks are kept as one piece, what arrives is parsed in pieces, and what is held of an answer counts on the budget of the process; an answer that finds no room is a failed attempt.

--- a/emulator/endless_answer.py
+++ b/emulator/endless_answer.py
@@ -14,6 +14,9 @@
 NOISE_BYTES = 16_384
 NOISE = 'x' * NOISE_BYTES
 SHORT_NOISE = 'x' * 1000
+REPEATS = 4_096
+SHORT_HEADERS = 'a:\r\n' * REPEATS
+SMALL_CHUNKS = '2\r\nxx\r\n' * REPEATS
 
 
 class EndlessAnswer(msgspec.Struct, frozen=True):
@@ -43,6 +46,15 @@
 
     header = EndlessAnswer(f'{OK}\r\n{NOISE_HEADER}', NOISE)
     headers = EndlessAnswer(f'{OK}\r\n', f'{NOISE_HEADER}{SHORT_NOISE}\r\n')
+    short_headers = EndlessAnswer(f'{OK}\r\n', SHORT_HEADERS)
+    small_chunks = EndlessAnswer(
+        f'{OK}\r\n{CHUNKED}\r\nContent-Type: text/event-stream\r\n'
+        f'{{headers}}\r\n',
+        SMALL_CHUNKS,
+    )
+    plain_small_chunks = EndlessAnswer(
+        f'{OK}\r\n{CHUNKED}\r\n{{headers}}\r\n', SMALL_CHUNKS
+    )
     interim = EndlessAnswer(
         '', f'HTTP/1.1 103 Early\r\n{NOISE_HEADER}{SHORT_NOISE}\r\n\r\n'
     )
--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -269,9 +269,15 @@
 
     def _feed(self, chunk: bytes) -> bytes:
         try:
-            return self._splitter.feed(chunk)
+            events = self._splitter.feed(chunk)
         except event_splitter.InvalidEvent as error:
             raise _InvalidAnswer(str(error)) from error
+        self._hold(self._splitter.held_bytes)
+        return events
+
+    def _hold(self, answer_bytes: int) -> None:
+        if not self._out.hold(answer_bytes):
+            raise _InvalidAnswer('no room for the answer')
 
     async def _buffer_answer(
         self,
@@ -286,6 +292,7 @@
                 return await self._forward_rest(
                     connection, head, bytes(buffered)
                 )
+            self._hold(len(buffered))
             event = await connection.next_event()
         if event is not backend_connection.Ending.complete:
             raise _InvalidAnswer('incomplete answer')
--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -10,6 +10,8 @@
 # Limit of one event.
 MAX_EVENT_BYTES = 1_048_576
 EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
+# Longest end of an event but for its last byte.
+MAX_CUT_END_BYTES = 2
 # A line that is neither empty nor a comment.
 FIELD = re.compile(rb'(?:^|\n)[^:\r\n]')
 
@@ -37,7 +39,12 @@
         self.ends_with_id = False
         self._shows_place = True
         self._repeats = False
-        self._partial = b''
+        self._partial = bytearray()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._partial)
 
     @property
     def partial_bytes(self) -> int:
@@ -49,7 +56,7 @@
 
         A run that continues a stream must begin with an event that has an id.
         """
-        self._partial = b''
+        self._partial = bytearray()
         self._shows_place = not continues
         self._repeats = False
 
@@ -58,21 +65,25 @@
 
         Raises InvalidEvent if they can't go on with the stream.
         """
-        buffered = self._partial + chunk
+        searched = max(0, len(self._partial) - MAX_CUT_END_BYTES)
+        self._partial += chunk
         events = []
         start = 0
-        for match in EVENT_END.finditer(buffered):
-            events.append(buffered[start : match.end()])
-            start = match.end()
-        self._partial = buffered[start:]
+        ends = [
+            match.end() for match in EVENT_END.finditer(self._partial, searched)
+        ]
+        for end in ends:
+            events.append(bytes(self._partial[start:end]))
+            start = end
+        del self._partial[:start]  # noqa: WPS420
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLong(f'over {MAX_EVENT_BYTES} bytes without an end')
         return b''.join(event for event in events if self._is_new(event))
 
     def take_remainder(self) -> bytes:
         """Return the bytes after the last event of a complete stream."""
-        partial = self._partial
-        self._partial = b''
+        partial = bytes(self._partial)
+        self._partial = bytearray()
         return partial
 
     def _is_new(self, event: bytes) -> bool:
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -16,6 +16,9 @@
 # Limit of heads, interim (1xx) responses and trailers: of all that brings
 # neither the awaited head nor a part of a body.
 MAX_HEAD_BYTES = 65536
+MAX_HEADERS = 1000
+# What arrives is parsed in pieces, so that the limits hold after each of them.
+PIECE_BYTES = 16384
 HEAD_REQUEST = b'HEAD '
 
 
@@ -32,6 +35,12 @@
     body: bytes
 
 
+class _UnreadBody(msgspec.Struct):
+    """Pieces of a body that were not read yet."""
+
+    pieces: bytearray
+
+
 Event = message.ResponseHead | BodyChunk | Ending
 HeadFilter = Callable[[message.ResponseHead], bool]
 
@@ -41,7 +50,9 @@
 
     def __init__(self) -> None:
         """Create an unconnected protocol."""
-        self._events: collections.deque[Event] = collections.deque()
+        self._events: collections.deque[
+            message.ResponseHead | _UnreadBody | Ending
+        ] = collections.deque()
         self._arrived: asyncio.Future[None] | None = None
         self._buffered = 0
         self._paused = False
@@ -78,18 +89,27 @@
         if not self._in_use:
             self.close()
             return
-        self._head_bytes += len(data)
+        for begin in range(0, len(data), PIECE_BYTES):
+            self._parse(data[begin : begin + PIECE_BYTES])
+            if self.transport.is_closing():
+                return
+        if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+
+    def _parse(self, piece: bytes) -> None:
+        self._head_bytes += len(piece)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             self._abort_response()
         except httptools.HttpParserError:
             self._abort_response()
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if (
+            self._head_bytes > MAX_HEAD_BYTES
+            or len(self._headers) > MAX_HEADERS
+        ):
             self._abort_response()
-        if self._buffered > MAX_BUFFERED_BYTES and not self._paused:
-            self._paused = True
-            self.transport.pause_reading()
 
     def eof_received(self) -> bool:
         """End a response whose length is given by the connection's end."""
@@ -121,7 +141,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Append one header; drop a field of the trailer."""
-        if not self._head_done:
+        if not self._head_done and len(self._headers) <= MAX_HEADERS:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -162,7 +182,7 @@
             self._unusable = True
         elif self._head_done:
             self._buffered += len(body)
-            self._put(BodyChunk(body))
+            self._put_body(body)
 
     def on_message_complete(self) -> None:
         """End the response, except an interim (1xx) one."""
@@ -191,10 +211,11 @@
             self._arrived = asyncio.get_running_loop().create_future()
             await self._arrived
         event = self._events.popleft()
-        if isinstance(event, BodyChunk):
-            self._buffered -= len(event.body)
-            self._resume_reading()
-        return event
+        if not isinstance(event, _UnreadBody):
+            return event
+        self._buffered -= len(event.pieces)
+        self._resume_reading()
+        return BodyChunk(bytes(event.pieces))
 
     def end_exchange(self) -> None:
         """End an exchange; close the connection if it can't be reused."""
@@ -241,7 +262,17 @@
         self._in_use = False
         self._put(ending)
 
-    def _put(self, event: Event) -> None:
+    def _put_body(self, body: bytes) -> None:
+        """Add to the last chunk that was not read, or begin one.
+
+        A body in very small chunks would be kept as very many objects.
+        """
+        if self._events and isinstance(self._events[-1], _UnreadBody):
+            self._events[-1].pieces += body
+        else:
+            self._put(_UnreadBody(bytearray(body)))
+
+    def _put(self, event: message.ResponseHead | _UnreadBody | Ending) -> None:
         self._events.append(event)
         self._wake()
 
