Let the own interface draw on a budget of memory and descriptors

Now it serves with the bounded server of the other ports; limits.memory_mb and limits.descriptors set its budget.

--- a/oatcrank/entry/entry_instance.py
+++ b/oatcrank/entry/entry_instance.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgspec
-from tornado import httpserver, netutil, web
+from tornado import netutil, web
 
 from oatcrank import background, logs
 from oatcrank.claims import claim_handlers
@@ -23,6 +23,7 @@
 )
 from oatcrank.membership import internal_handlers
 from oatcrank.settings import settings
+from oatcrank.transport import bounded_server, process_budget
 
 MS_PER_S = 1000
 ASSIGN_PERIOD_S = 0.05
@@ -31,6 +32,8 @@
 REFUSAL_TIME_S = 0.5
 # When another instance is lost, its callers reconnect here all at once.
 LISTEN_BACKLOG = 4096
+MAX_HEAD_BYTES = 65_536
+IDLE_TIMEOUT_S = 3600.0
 
 
 class EntryInstance:
@@ -41,7 +44,7 @@
         self.settings = settings
         self.platform = _entry_platform.EntryPlatform(settings)
         self._background = background.Background(self.platform.metrics)
-        self._server: httpserver.HTTPServer
+        self._server: bounded_server.BoundedServer
 
     async def start(self) -> None:
         """Join the membership, listen and start the background tasks."""
@@ -102,16 +105,27 @@
             await asyncio.sleep(ASSIGN_PERIOD_S)
 
     def _listen(self) -> None:
-        self._server = httpserver.HTTPServer(
+        limits = self.settings.limits
+        budget = process_budget.ProcessBudget(
+            process_budget.Limits(
+                memory_mb=limits.memory_mb, descriptors=limits.descriptors
+            )
+        )
+        self._server = bounded_server.BoundedServer(
             body_limit.BodyLimit(
                 web.Application(
                     self._routes(),
                     default_handler_class=unknown_handler.UnknownHandler,
                 ),
-                limit_bytes=self.settings.limits.body_bytes,
+                limit_bytes=limits.body_bytes,
+            ),
+            group=budget.callers,
+            limits=bounded_server.RequestLimits(
+                max_head_bytes=MAX_HEAD_BYTES,
+                max_body_bytes=limits.body_bytes * body_limit.READ_LIMIT_FACTOR,
+                body_timeout_s=None,
+                idle_timeout_s=IDLE_TIMEOUT_S,
             ),
-            max_body_size=self.settings.limits.body_bytes
-            * body_limit.READ_LIMIT_FACTOR,
         )
         listen = self.settings.listen
         sockets = netutil.bind_sockets(
--- a/oatcrank/settings/limits_settings.py
+++ b/oatcrank/settings/limits_settings.py
@@ -14,3 +14,5 @@
     crashes_per_request: int = 3
     address_keep_s: int = 10
     stop_grace_s: int = 60
+    memory_mb: int = 512
+    descriptors: int = 4096
