Let all instances call one that holds a lease, within the descriptors

The control port had a tenth of the connections; docs/CAPACITY.md measured 2,397 at a holder of 300 instances, which that would have cut in calm. It may have 65 in 100 now, and both groups together 90: over it, the group that uses most of its share gives up a connection. Found when the limits were compared with the capacity page; no run showed it.

--- a/oatcrank/transport/process_budget.py
+++ b/oatcrank/transport/process_budget.py
@@ -22,7 +22,10 @@
 # Shares of the connections that a process can have: a request of a caller needs
 # a second connection, to a server.
 CALLER_SHARE = 0.45
-CONTROL_SHARE = 0.1
+# All other instances may call one that holds a lease at the same time.
+CONTROL_SHARE = 0.65
+# The rest is for connections to servers, to other instances and to the store.
+TOTAL_SHARE = 0.9
 MIN_CONNECTIONS = 16
 # Requests that are being answered leave this share to small ones.
 LARGE_REQUEST_SHARE = 0.75
@@ -145,7 +148,7 @@
     def __init__(self, budget: 'ProcessBudget', max_connections: int) -> None:
         """Start without connections."""
         self.budget = budget
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         # In each state the connection that has been in it the longest is first.
         self._accounts_by_state: dict[State, dict[Account, None]] = {
             state: {} for state in State
@@ -159,9 +162,10 @@
     def open(self, holder: Holder) -> Account:
         """Open an account; this may close another connection, or this one."""
         account = Account(self, holder)
-        excess = self.count >= self._max_connections
-        if excess:
-            self._close_one(default=account)
+        if self.count >= self.max_connections:
+            self.close_one(account)
+        elif self.budget.is_full:
+            self.budget.most_crowded().close_one(account)
         self._accounts_by_state[account.state][account] = None
         self.budget.add(CONNECTION_BYTES)
         return account
@@ -187,7 +191,7 @@
             for account in accounts
         ]
 
-    def _close_one(self, default: Account) -> None:
+    def close_one(self, default: Account) -> None:
         """Close the connection that is the least loss, or the default."""
         for state in (State.closing, State.idle, State.reading):
             longest = next(iter(self._accounts_by_state[state]), None)
@@ -206,6 +210,7 @@
         self._max_bytes = limits.max_bytes
         self._bytes = 0
         self._working_bytes = 0
+        self._max_connections = limits.max_connections(TOTAL_SHARE)
         self.callers = ConnectionGroup(
             self, limits.max_connections(CALLER_SHARE)
         )
@@ -218,6 +223,19 @@
         """Return what is kept for all clients."""
         return self._bytes
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether no connection may be added."""
+        count = self.callers.count + self.control.count
+        return count >= self._max_connections
+
+    def most_crowded(self) -> ConnectionGroup:
+        """Return the group that uses most of its share."""
+        return max(
+            (self.callers, self.control),
+            key=lambda group: group.count / group.max_connections,
+        )
+
     def add(self, change: int) -> None:
         """Add to what is kept; give up what waits if it is too much."""
         self._bytes += change
