Answer what waits before bad input, and test the budget of a connection

A request that waited behind another one and before bad input was dropped without an answer.

Cause: a connection that was closing was taken for one that had just been refused for want of room. Two further tests state that requests behind one that is answered are not kept without bound, and that a refusal for want of room is true.

--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -301,8 +301,10 @@
             return
         self._cancel_timeout()
         waiting = self._pending.popleft()
+        was_closing = self._closing
         self._update_account()
-        if self._closing:
+        if self._closing and not was_closing:
+            # There is no room, and the request was refused.
             return
         if self._account.begin_work(waiting.kept_bytes * KEPT_COPIES):
             self._task = asyncio.ensure_future(self._answer(waiting.request))
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -6,7 +6,7 @@
 import pytest
 
 from emulator import platform_worker
-from oatcrank.transport import limits
+from oatcrank.transport import limits, process_budget
 
 SMALL = limits.Limits(
     max_header_bytes=400,
@@ -280,3 +280,53 @@
         assert (answer.status, answer.whole, rest) == (200, True, b'')
 
     forwarding_site.run(work, **route_changes)
+
+
+def test_bad_input_cuts_off_the_requests_that_wait_before_it():
+    async def work(site):
+        for worker in site.workers:
+            worker.answer_delay_s = 0.1
+        caller = await forwarding_site.Caller.open(site.port)
+        ids = ['1', '2', '3']
+        sent = [forwarding_site.request(x_request_id=name) for name in ids]
+        caller.writer.write(b''.join((*sent, b'no request\r\n\r\n')))
+        try:
+            answers = [await caller.read() for _ in sent]
+            rest = await caller.reader.read()
+        finally:
+            caller.close()
+        assert [answer.status for answer in answers] == [200, 200, 200]
+        assert rest == b''
+
+    forwarding_site.run(work)
+
+
+def test_requests_behind_one_that_is_answered_are_kept_without_bound():
+    async def work(site):
+        site.workers[0].answer_delay_s = 0.3
+        caller = await forwarding_site.Caller.open(site.port)
+        sent = [
+            forwarding_site.request(x_request_id=f'{number}')
+            for number in range(2000)
+        ]
+        caller.writer.write(b''.join(sent))
+        await asyncio.sleep(0.2)
+        kept_bytes = site.budget.used_bytes
+        caller.close()
+        assert kept_bytes < 1_000_000
+
+    forwarding_site.run(work, workers=1)
+
+
+@pytest.mark.parametrize(('room_mb', 'status'), [(1, 503), (100, 200)])
+def test_a_request_without_room_is_not_refused_as_not_run(room_mb, status):
+    async def work(site):
+        site.budget = process_budget.ProcessBudget(
+            process_budget.Limits(memory_mb=room_mb)
+        )
+        answer = await site.ask(forwarding_site.request(body=b'y' * 200_000))
+        assert answer.status == status
+        assert site.runs() == int(status == 200)
+        assert ('retry-after' in answer.header_by_name) is (status == 503)
+
+    forwarding_site.run(work)
