--- a/oatcrank/transport/process_budget.py
+++ b/oatcrank/transport/process_budget.py
@@ -27,8 +27,10 @@
 # The rest is for connections to servers, to other instances and to the store.
 TOTAL_SHARE = 0.9
 MIN_CONNECTIONS = 16
-# Requests that are being answered leave this share to small ones.
+# Share that large requests may use while they are answered; the rest is for small
+# ones.
 LARGE_REQUEST_SHARE = 0.75
+# Largest of the small requests.
 SMALL_REQUEST_BYTES = 65_536
 # Memory of a connection with its parser.
 CONNECTION_BYTES = 16_384
