--- a/oatcrank/transport/process_budget.py
+++ b/oatcrank/transport/process_budget.py
@@ -27,8 +27,7 @@
 # The rest is for connections to servers, to other instances and to the store.
 TOTAL_SHARE = 0.9
 MIN_CONNECTIONS = 16
-# Share that large requests may use while they are answered; the rest is for small
-# ones.
+# Share that large requests may use while they are answered.
 LARGE_REQUEST_SHARE = 0.75
 # Largest of the small requests.
 SMALL_REQUEST_BYTES = 65_536
