Drop an answer only if its caller has read nothing for the idle timeout

A caller that reads slowly lost its answer after the idle timeout, or four seconds after the end of a connection.

Cause: the time for the whole answer was bounded, not the time without progress. The connection is now aborted only if nothing was read for the idle timeout. The budget of the process still gives up unread answers when the memory is needed.

A test with a caller that reads a part at a time, and one that reads nothing.

--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import collections
+import functools
 import http
 import time
 from collections.abc import Callable
@@ -337,13 +338,17 @@
         self._go_on(keep_alive=out.keep_alive)
 
     async def _wait_until_read(self) -> None:
-        """Wait until the caller has read most of the answer."""
-        try:
-            async with asyncio.timeout(self._get_limits().idle_timeout_s):
-                await self._writable.wait()
-        except TimeoutError:
-            logs.event('unread_answer_dropped', peer=self._peer)
-            self.transport.abort()
+        """Wait until the caller has read most of the answer.
+
+        One that reads slowly may take its time, one that stops may not.
+        """
+        while not self._writable.is_set():
+            former_bytes = self.transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(self._get_limits().idle_timeout_s):
+                    await self._writable.wait()
+            except TimeoutError:
+                self._abort_if_unread(former_bytes)
 
     def _go_on(self, *, keep_alive: bool) -> None:
         """Answer the next request, wait for one, or close the connection."""
@@ -389,9 +394,27 @@
         self._set_timeout(LINGER_S, self._close)
 
     def _close(self) -> None:
-        """Close the connection, at once if the caller reads no more."""
+        """Close the connection once the caller has read what was written."""
         self.transport.close()
-        self._set_timeout(LINGER_S, self.transport.abort)
+        self._wait_for_close()
+
+    def _wait_for_close(self) -> None:
+        left_bytes = self.transport.get_write_buffer_size()
+        if left_bytes:
+            self._set_timeout(
+                self._get_limits().idle_timeout_s,
+                functools.partial(self._close_if_unread, left_bytes),
+            )
+
+    def _close_if_unread(self, former_bytes: int) -> None:
+        self._abort_if_unread(former_bytes)
+        self._wait_for_close()
+
+    def _abort_if_unread(self, former_bytes: int) -> None:
+        """Abort the connection if the caller has read nothing since."""
+        if self.transport.get_write_buffer_size() >= former_bytes:
+            logs.event('unread_answer_dropped', peer=self._peer)
+            self.transport.abort()
 
     def _refuse(
         self,
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -6,7 +6,7 @@
 import pytest
 
 from emulator import platform_worker
-from oatcrank.transport import limits, process_budget
+from oatcrank.transport import caller_connection, limits, process_budget
 
 SMALL = limits.Limits(
     max_header_bytes=400,
@@ -330,3 +330,48 @@
         assert ('retry-after' in answer.header_by_name) is (status == 503)
 
     forwarding_site.run(work)
+
+
+class StubTransport(asyncio.Transport):
+    """Transport to a caller that reads a part of what is left at a time."""
+
+    def __init__(self, left_bytes, read_bytes) -> None:
+        super().__init__()
+        self.left_bytes = left_bytes
+        self.read_bytes = read_bytes
+        self.aborted = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.left_bytes
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def close(self) -> None:
+        """Close once all has been read."""
+
+    def abort(self) -> None:
+        self.aborted = True
+        self.left_bytes = 0
+
+    def read(self) -> None:
+        self.left_bytes = max(0, self.left_bytes - self.read_bytes)
+
+
+@pytest.mark.parametrize(('read_bytes', 'aborted'), [(10, False), (0, True)])
+def test_a_caller_that_reads_slowly_loses_its_answer(read_bytes, aborted):
+    async def work(site):
+        site.limits = SMALL
+        connection = caller_connection.CallerConnection(
+            site.forwarder, lambda: site.limits, set(), site.budget
+        )
+        transport = StubTransport(100, read_bytes)
+        connection.connection_made(transport)
+        connection.close_if_idle()
+        for _ in range(12):
+            await asyncio.sleep(SMALL.idle_timeout_s / 2)
+            transport.read()
+        connection.connection_lost(None)
+        assert transport.aborted is aborted
+
+    forwarding_site.run(work)
