Hold the crowds to what was fixed before the change

- Since an ordinary request that got no answer at all within five seconds was asked again; it fails the test again, as before.
The cases with servers that do not behave are held to the same.
- Since the connections of the crowd that reconnects were closed when it was stopped, before sockets were counted and the ordinary request was sent.
Those that are open then stay open again.
That a client closes a connection which its instance has closed stays: else the test runs out of descriptors.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -180,11 +180,11 @@
     async def _send_until_closed(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        try:
+        with contextlib.suppress(OSError):
             async for piece in self._crowd.pieces():
                 writer.write(piece)
                 await writer.drain()
             await reader.read(1)
-        finally:
-            self._writers.remove(writer)
-            writer.transport.abort()
+        # Those that are open at the end stay open.
+        self._writers.remove(writer)
+        writer.transport.abort()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 
 import crowds
 import platform_site
@@ -67,12 +66,9 @@
     ends_s = loop.time() + ASK_S
     while True:
         request_id = f'ordinary-{loop.time()}'
-        with contextlib.suppress(TimeoutError):
-            answer = await site.ask(site.processes[0], 'draft', request_id)
-            if answer.status == 200:
-                return answer.status
-        if loop.time() > ends_s:
-            return 0
+        answer = await site.ask(site.processes[0], 'draft', request_id)
+        if answer.status == 200 or loop.time() > ends_s:
+            return answer.status
         await asyncio.sleep(ASK_PAUSE_S)
 
 
