Suspect only what came just before the end of a process

Cause: an answer that ended with its connection and proved whole stayed a suspect for ten seconds, so a later crash was blamed on sound requests; and it cleared suspicions after two seconds, though another process may register in the place of a crashed one until ten. An answer that this instance had given up for want of room counted against its server and made its request a suspect. The number of events was lost if an answer ended by an error in the middle of it.

Now the end of a process is blamed on what was recorded in the two seconds before its last sign, an answer without length clears only once no other process has registered for ten seconds, what is settled is dropped, and an answer that is given up here is not held against the server.

The case of a waiting prompt without any answer, which dropped with the test that it replaced, is back.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -44,6 +44,10 @@
     """Raised for an answer that is missing, incomplete or not the server's."""
 
 
+class _NoRoom(Exception):  # noqa: N818
+    """Raised if this instance has no room for the answer."""
+
+
 class Attempt:
     """Send one request to one server and forward its answer."""
 
@@ -77,6 +81,7 @@
         self._wait_recorded = False
         self._end: answer_end.AnswerEnd | None = None
         self._framing: message.Framing | None = None
+        self._events_before = stream.splitter.event_count
         # Added to the answer for an instance that has relayed the request.
         self._relay_headers: message.Headers = []
         self.progress = attempt_state.Progress.unsent
@@ -111,6 +116,8 @@
         except _InvalidAnswer as error:
             self._record_outcome(failed=True)
             return self._failure(str(error))
+        except _NoRoom:
+            return self._failure('no room for the answer', given_up=True)
         finally:
             self._release(self._server.pool, connection)
 
@@ -242,7 +249,7 @@
         connection: backend_connection.BackendConnection,
         head: message.ResponseHead,
     ) -> attempt_result.AttemptResult:
-        events_before = self._splitter.event_count
+        self._events_before = self._splitter.event_count
         event = await connection.next_event()
         while isinstance(event, backend_connection.BodyChunk):
             complete_events = self._feed(event.body)
@@ -256,7 +263,7 @@
         end = answer_end.AnswerEnd(
             framing=head.framing,
             ending=backend_connection.ending_of(event),
-            event_count=self._splitter.event_count - events_before,
+            event_count=self._event_count(),
             partial_bytes=self._splitter.partial_bytes,
         )
         self._record_stream_end(end)
@@ -277,7 +284,7 @@
 
     def _hold(self, answer_bytes: int) -> None:
         if not self._out.hold(answer_bytes):
-            raise _InvalidAnswer('no room for the answer')
+            raise _NoRoom
 
     async def _buffer_answer(
         self,
@@ -389,10 +396,14 @@
             end=self._end,
             sent_s=self._began_s,
             framing=self._framing,
+            event_count=self._event_count(),
         )
 
+    def _event_count(self) -> int:
+        return self._splitter.event_count - self._events_before
+
     def _failure(
-        self, reason: str, *, misdirected: bool = False
+        self, reason: str, *, misdirected: bool = False, given_up: bool = False
     ) -> attempt_result.AttemptResult:
         return attempt_result.AttemptResult(
             progress=self.progress,
@@ -400,6 +411,8 @@
             misdirected=misdirected,
             end=self._end,
             framing=self._framing,
+            event_count=self._event_count(),
+            given_up=given_up,
         )
 
     def _is_own_answer(self, head: message.ResponseHead) -> bool:
--- a/oatcrank/forwarding/attempt_result.py
+++ b/oatcrank/forwarding/attempt_result.py
@@ -19,7 +19,9 @@
     """Result of an attempt; answer is None if it was already forwarded.
 
     end is None if no stream was received.  sent_s is a time of the event loop.
-    framing is None if no head of an answer has arrived.
+    framing is None if no head of an answer has arrived.  event_count is the
+    number of whole events of this answer.  given_up: this instance has ended
+    the answer, not the server.
     """
 
     progress: attempt_state.Progress
@@ -29,13 +31,10 @@
     misdirected: bool = False
     sent_s: float = 0
     framing: message.Framing | None = None
+    event_count: int = 0
+    given_up: bool = False
 
     @property
     def ends_with_connection(self) -> bool:
         """Return whether only the end of its connection ended the answer."""
         return self.framing is message.Framing.connection_end
-
-    @property
-    def event_count(self) -> int:
-        """Return the number of whole events of this answer."""
-        return 0 if self.end is None else self.end.event_count
--- a/oatcrank/forwarding/crash_case.py
+++ b/oatcrank/forwarding/crash_case.py
@@ -7,6 +7,8 @@
 
 from oatcrank.routing import crash, server, server_registration
 
+# A process that ends slowly still accepts connections within this time.
+ENDING_S = 2.0
 # The next process of a server that has crashed registers within this time.
 REPLACEMENT_S = 10.0
 MAX_INTERRUPTIONS = 256
@@ -47,41 +49,43 @@
         self.last_recorded_s = float(0)
         self._records: list[_Record] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is recorded."""
+        return not self._records
+
     @property
     def interruptions(self) -> tuple[Interruption, ...]:
-        """Return what was interrupted, or may have been."""
-        return tuple(record.interruption for record in self._records)
+        """Return what the end of the process may have interrupted.
+
+        The process ran on after what came before its last time.
+        """
+        last_time_s = self.last_recorded_s - ENDING_S
+        return tuple(
+            record.interruption
+            for record in self._records
+            if record.recorded_s >= last_time_s
+        )
 
     def add(
         self, interruption: Interruption, now_s: float, on_whole: OnWhole | None
     ) -> None:
         """Add an interruption, or an answer that may be one."""
         self.last_recorded_s = now_s
-        self.drop_before(now_s - REPLACEMENT_S)
         if len(self._records) < MAX_INTERRUPTIONS:
             self._records.append(_Record(interruption, now_s, on_whole))
 
     def record_running(self, at_s: float) -> None:
-        """Record that the process ran at a time, on a new request."""
-        self._report_whole(at_s)
-        self.drop_before(at_s)
-
-    def confirm_whole(self) -> None:
-        """Report the answers that are whole; keep all as interruptions.
-
-        The process may still turn out to have been replaced.
-        """
-        self._report_whole(self.last_recorded_s)
-        self._records = [
-            msgspec.structs.replace(record, on_whole=None)
-            for record in self._records
+        """Record that the process has not ended by what was before a time."""
+        earlier = [
+            record for record in self._records if record.recorded_s < at_s
         ]
-
-    def drop_before(self, before_s: float) -> None:
-        """Drop what was recorded before a time."""
         self._records = [
-            record for record in self._records if record.recorded_s >= before_s
+            record for record in self._records if record.recorded_s >= at_s
         ]
+        for record in earlier:
+            if record.on_whole is not None:
+                record.on_whole(record.recorded_s)
 
     def is_replaced_by(
         self, registration: server_registration.Registration
@@ -96,8 +100,3 @@
         if registration.server_id == own.server_id:
             return registration.started_ms > own.started_ms
         return (registration.host, registration.port) == (own.host, own.port)
-
-    def _report_whole(self, until_s: float) -> None:
-        for record in self._records:
-            if record.on_whole is not None and record.recorded_s <= until_s:
-                record.on_whole(record.recorded_s)
--- a/oatcrank/forwarding/crash_detector.py
+++ b/oatcrank/forwarding/crash_detector.py
@@ -16,8 +16,6 @@
 # A server is checked this long after an interrupted request; requests that
 # are interrupted until then are covered by the same check.
 CHECK_DELAY_S = 0.05
-# A process that ends slowly still accepts connections within this time.
-WATCH_S = 2.0
 
 OnCrash = Callable[[crash.Crash, float], None]
 
@@ -70,18 +68,15 @@
         self, registration: server_registration.Registration
     ) -> None:
         """Report a crash if a process takes the place of a suspected one."""
-        now_s = asyncio.get_running_loop().time()
         for case in tuple(self._case_by_process.values()):
-            case.drop_before(now_s - crash_case.REPLACEMENT_S)
-            if not case.interruptions:
-                self._end(case)
-            elif case.is_replaced_by(registration):
+            if case.is_replaced_by(registration):
                 self._report(case, _Source.registration)
 
     async def _watch(self, case: crash_case.CrashCase) -> None:
         await asyncio.sleep(CHECK_DELAY_S)
         state = await process_watch.watch(
-            case.target, lambda: case.last_recorded_s + WATCH_S
+            case.target,
+            lambda: case.last_recorded_s + crash_case.ENDING_S,
         )
         case.watching = None
         if state is process_watch.ProcessState.ended:
@@ -99,7 +94,27 @@
             self._end(case)
             case.target.suspend(asyncio.get_running_loop().time())
         else:
-            case.confirm_whole()
+            self._expire_later(case)
+
+    def _expire_later(self, case: crash_case.CrashCase) -> None:
+        asyncio.get_running_loop().call_later(
+            crash_case.REPLACEMENT_S, self._expire, case
+        )
+
+    def _expire(self, case: crash_case.CrashCase) -> None:
+        """Settle what is too old to be explained by another process."""
+        if self._case_by_process.get(case.process) is not case:
+            # The process has crashed.
+            return
+        now_s = asyncio.get_running_loop().time()
+        case.record_running(now_s - crash_case.REPLACEMENT_S)
+        if case.watching is not None:
+            # The end of that watch comes back to this.
+            return
+        if case.is_empty:
+            self._end(case)
+        else:
+            self._expire_later(case)
 
     def _end(self, case: crash_case.CrashCase) -> None:
         self._case_by_process.pop(case.process, None)
@@ -108,7 +123,7 @@
 
     def _report(self, case: crash_case.CrashCase, source: _Source) -> None:
         self._end(case)
-        if not case.interruptions:
+        if case.is_empty:
             # The process has answered since.
             return
         now_s = asyncio.get_running_loop().time()
--- a/oatcrank/forwarding/request_execution.py
+++ b/oatcrank/forwarding/request_execution.py
@@ -276,7 +276,10 @@
         request_log.log_failed_attempt(
             self._request, self._identity, chosen, result, step
         )
-        if result.progress is attempt_state.Progress.written:
+        if (
+            result.progress is attempt_state.Progress.written
+            and not result.given_up
+        ):
             self._dependencies.crash_guard.record_interruption(
                 chosen, self._identity, result
             )
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -64,7 +64,7 @@
 def test_a_port_that_is_open_for_a_while_hides_a_crash(open_s, crashes):
     async def work(site):
         site.interrupt()
-        end_s = crash_detector.CHECK_DELAY_S + crash_detector.WATCH_S + 0.3
+        end_s = crash_detector.CHECK_DELAY_S + crash_case.ENDING_S + 0.3
         await asyncio.sleep(min(open_s, end_s))
         if open_s < end_s:
             await site.worker.stop()
@@ -115,18 +115,56 @@
     assert not run(work).crashes
 
 
-@pytest.mark.parametrize('crashes', [True, False])
-def test_an_answer_that_ended_with_its_connection_counts_once_it_is_whole(
-    crashes,
+@pytest.mark.parametrize(
+    ('ends', 'next_id', 'crashes'),
+    [(False, None, 0), (True, None, 1), (False, 'other', 1)],
+    ids=['it runs on', 'its port closes', 'its port is handed over'],
+)
+def test_an_answer_that_a_crash_has_cut_counts_as_whole(
+    monkeypatch, ends, next_id, crashes
 ):
+    monkeypatch.setattr(crash_case, 'ENDING_S', 0.2)
+    monkeypatch.setattr(crash_case, 'REPLACEMENT_S', 0.6)
+
     async def work(site):
         site.interrupt(site.whole_s.append)
-        if crashes:
+        if ends:
             await site.worker.stop()
-        await asyncio.sleep(
-            crash_detector.CHECK_DELAY_S + crash_detector.WATCH_S + 0.2
-        )
+        await asyncio.sleep(0.5)
+        assert not site.whole_s
+        if next_id is not None:
+            site.register(server_id=next_id)
+        await asyncio.sleep(1)
 
     site = run(work)
     assert len(site.crashes) == crashes
     assert len(site.whole_s) == (not crashes)
+
+
+def test_what_came_well_before_the_end_of_a_process_is_suspected(monkeypatch):
+    monkeypatch.setattr(crash_case, 'ENDING_S', 0.2)
+    earlier = crash.RequestKey('3', '4')
+
+    async def work(site):
+        site.detector.record_interruption(
+            site.server, crash_case.Interruption(earlier), site.whole_s.append
+        )
+        await asyncio.sleep(0.5)
+        await site.worker.stop()
+        site.interrupt()
+        await asyncio.sleep(0.3)
+
+    (report,) = run(work).crashes
+    assert report.requests == (REQUEST,)
+
+
+def test_what_is_recorded_of_a_process_is_kept_for_good(monkeypatch):
+    monkeypatch.setattr(crash_case, 'ENDING_S', 0.1)
+    monkeypatch.setattr(crash_case, 'REPLACEMENT_S', 0.2)
+
+    async def work(site):
+        site.interrupt()
+        await asyncio.sleep(1)
+        site.register(server_id='other')
+
+    assert not run(work).crashes
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -13,7 +13,7 @@
     crashing_requests,
     server_process,
 )
-from oatcrank.transport import message
+from oatcrank.transport import message, reply
 
 MODE = platform_worker.AnswerMode
 STREAM = {'repeatable': True, 'streaming': True}
@@ -143,17 +143,21 @@
 
 
 @pytest.mark.parametrize(
-    ('events', 'suspected'),
+    ('mode', 'events', 'suspected'),
     [
-        (0, True),
-        (1, True),
-        (crash_guard.MAX_EVENTS_BEFORE_CRASH, True),
-        (crash_guard.MAX_EVENTS_BEFORE_CRASH + 1, False),
+        (MODE.no_answer, 0, True),
+        (MODE.stream, 0, True),
+        (MODE.stream, 1, True),
+        (MODE.stream, crash_guard.MAX_EVENTS_BEFORE_CRASH, True),
+        (MODE.stream, crash_guard.MAX_EVENTS_BEFORE_CRASH + 1, False),
     ],
 )
-def test_a_prompt_is_no_suspect_once_its_answer_is_under_way(events, suspected):
+def test_a_prompt_is_no_suspect_once_its_answer_is_under_way(
+    mode, events, suspected
+):
     async def work(site):
         (worker,) = site.workers
+        worker.answer_mode = mode
         worker.event_count = events + 1
         worker.event_delay_s = 0.05
         asking = asyncio.ensure_future(site.ask(x_prompt_prefix=PROMPT))
@@ -228,3 +232,21 @@
         assert crashed['fingerprints'] == failed['fingerprint']
 
     forwarding_site.run(work, workers=1, repeatable=True)
+
+
+@pytest.mark.parametrize('has_room', [True, False])
+def test_an_answer_that_finds_no_room_makes_its_request_a_suspect(
+    monkeypatch, has_room
+):
+    monkeypatch.setattr(reply.Reply, 'hold', lambda *_: has_room)
+
+    async def work(site):
+        (worker,) = site.workers
+        worker.answer_mode = MODE.truncated_stream
+        answer = await site.ask()
+        await worker.stop()
+        await asyncio.sleep(0.3)
+        assert not answer.whole or answer.status == 502
+        assert bool(site.publisher.requests) is has_room
+
+    forwarding_site.run(work, workers=1, **STREAM)
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -210,6 +210,10 @@
         (MODE.stream_without_length, CRASH(resets=False)),
         (MODE.stream, CRASH(port_open_s=0.2)),
         (MODE.stream, CRASH(hands_port_over=True)),
+        (
+            MODE.stream_without_length,
+            CRASH(whole_events=1, resets=False, hands_port_over=True),
+        ),
     ],
     ids=[
         'after_an_event',
@@ -217,6 +221,7 @@
         'closed_before_an_event',
         'port_open_for_a_while',
         'port_handed_over',
+        'closed_after_an_event_and_port_handed_over',
     ],
 )
 def test_the_manner_of_a_crash_hides_the_part_that_causes_it(
