Check the end of answers at the own interface and of relayed ones

What callers saw: none reported; the same causes on related paths.

Cause: the own interface took an answer without length for whole if its server ended with it (read in the code when the incident was handled, left open then). What was held of a relayed answer was not counted on the budget of the process.

Now the own interface probes the server at the end of such an answer, and a relayed answer that finds no room is given up. Both tests fail without the change.

--- a/oatcrank/entry/upstream_connection.py
+++ b/oatcrank/entry/upstream_connection.py
@@ -70,6 +70,8 @@
             stream.close()
         if self._is_broken(stream) or not self._finished:
             raise errors.Interrupted(f'{address}: the answer ended early')
+        if self._ends_with_connection and not await probe():
+            raise errors.Interrupted(f'{address}: it ended with its answer')
 
     def close(self) -> None:
         """Close the connection; run then raises errors.Interrupted."""
--- a/oatcrank/forwarding/peer_relay.py
+++ b/oatcrank/forwarding/peer_relay.py
@@ -179,6 +179,8 @@
     event = await connection.next_event()
     while isinstance(event, backend_connection.BodyChunk):
         buffered += event.body
+        if not out.hold(len(buffered)):
+            return _Outcome.broken
         if len(buffered) > MAX_BUFFERED_BYTES:
             length = head.header(b'content-length')
             return await _pass_chunks(
--- a/tests/test_peer_relay.py
+++ b/tests/test_peer_relay.py
@@ -12,6 +12,7 @@
 from oatcrank.forwarding import link_prober
 from oatcrank.platform import relay_headers
 from oatcrank.routing import need
+from oatcrank.transport import reply
 
 STREAM = {'streaming': True}
 ONCE = {'repeatable': False}
@@ -302,3 +303,19 @@
         assert {answer.status for answer in answers} == {200}
 
     relay(work)
+
+
+def test_a_relayed_answer_is_kept_though_there_is_no_room(monkeypatch):
+    async def work(cut, peer):
+        cut_off(cut)
+        held = []
+        monkeypatch.setattr(
+            reply.Reply,
+            'hold',
+            lambda out, size: held.append(size) or len(held) == 1,
+        )
+        answer = await cut.ask()
+        assert len(held) == 2
+        assert answer.status == 502
+
+    relay(work)
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -89,6 +89,8 @@
         (reset, True),
         # The probe finds the silent server dead and closes the connection.
         (keep_open, False),
+        # The server ends as after an answer.
+        (close, False),
     ],
 )
 def test_a_broken_answer_without_length_is_not_complete(finish, is_alive):
