--- a/oatcrank/transport/caller_connection.py
+++ b/oatcrank/transport/caller_connection.py
@@ -5,17 +5,15 @@
 import collections
 import functools
 import http
-import time
 from collections.abc import Callable
 
-import httptools
 import msgspec
 
 from oatcrank import logs
 from oatcrank.transport import (
     limits,
     message,
-    partial_request,
+    message_reader,
     process_budget,
     reply,
 )
@@ -23,13 +21,7 @@
 BODY_TIMEOUT_S = 15.0
 # Time for the caller to read the last answer before the connection closes.
 LINGER_S = 2.0
-CONNECT = b'CONNECT'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-# Some callers send empty lines after a request.
-LINE_ENDS = b'\r\n'
-# What arrives is parsed in pieces, so that the limits hold after each of them.
-HEAD_PIECE_BYTES = 4_096
-BODY_PIECE_BYTES = 65_536
 # A request that is answered is kept as it was read, decoded, and as it is sent.
 KEPT_COPIES = 3
 NO_ROOM_RETRY_S = 1.0
@@ -50,7 +42,9 @@
     kept_bytes: int
 
 
-class CallerConnection(asyncio.Protocol, process_budget.Holder):
+class CallerConnection(
+    asyncio.Protocol, message_reader.Listener, process_budget.Holder
+):
     """Read requests within limits and pass them to a handler.
 
     Reading stops while a request waits for the answer to another one.
@@ -76,9 +70,7 @@
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
-        self._reading = False
-        self._partial = partial_request.PartialRequest()
-        self._new_parser()
+        self._reader = message_reader.MessageReader(self, get_limits)
 
     @property
     def busy(self) -> bool:
@@ -91,7 +83,7 @@
         """Start the idle timeout."""
         self.transport: asyncio.Transport = transport  # type: ignore
         peer = transport.get_extra_info('peername')
-        self._peer = str(peer[0]) if peer else ''
+        self._reader.peer = str(peer[0]) if peer else ''
         self._open_connections.add(self)
         self._account = self._budget.callers.open(self)
         self._set_timeout(self._get_limits().idle_timeout_s, self._close_idle)
@@ -117,7 +109,7 @@
         self._update_account()
 
     def data_received(self, data: bytes) -> None:
-        """Parse data and start the header timeout with a new request."""
+        """Parse what has arrived, unless the connection is about to close."""
         if self._closing:
             return
         self._unparsed += data
@@ -128,29 +120,13 @@
         data = self._unparsed
         begin = 0
         while begin < len(data) and not (self._closing or self._pending):
-            end = begin + self._piece_bytes()
-            self._read_piece(data[begin:end])
+            end = begin + self._reader.piece_bytes
+            self._reader.feed(data[begin:end])
             begin = end
             self._unparsed = data[begin:] if self._pending else b''
             self._update_account()
         self._hold_back()
 
-    def _piece_bytes(self) -> int:
-        in_body = self._reading and self._partial.headers_done
-        return BODY_PIECE_BYTES if in_body else HEAD_PIECE_BYTES
-
-    def _read_piece(self, piece: bytes) -> None:
-        if not self._reading and piece.strip(LINE_ENDS):
-            self._reading = True
-            self._partial.began_s = time.monotonic()
-            if self._task is None:
-                self._set_timeout(
-                    self._get_limits().header_timeout_s,
-                    self._refuse_timeout,
-                )
-        self._partial.header_bytes += len(piece)
-        self._parse(piece)
-
     def _hold_back(self) -> None:
         """Stop reading while a request waits, and go on afterwards."""
         if self._pending:
@@ -158,100 +134,36 @@
         elif not self.transport.is_closing():
             self.transport.resume_reading()
 
-    def _parse(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._ignore_upgrade(data[upgrade.args[0] :])
-        except httptools.HttpParserError as error:
-            self._refuse(http.HTTPStatus.BAD_REQUEST, str(error))
-        if self._reading or not self._partial.headers_done:
-            self._check_header_size()
-
-    def _ignore_upgrade(self, rest: bytes) -> None:
-        """Read a request again without its offer to upgrade.
-
-        With the offer, the parser takes its body for another protocol.
-        """
-        if self._parser.get_method() == CONNECT:
-            self._refuse(http.HTTPStatus.NOT_IMPLEMENTED, 'no tunnels')
-            return
-        head = message.encode_head_without_upgrade(
-            self._parser.get_method(),
-            self._partial.target,
-            self._parser.get_http_version(),
-            self._partial.headers,
-        )
-        self._new_parser()
-        self._parse(head + rest)
-
-    # httptools callbacks
+    # Requests that arrive
 
-    def on_message_begin(self) -> None:
-        """Start to read a request."""
-        self._reading = True
-        self._partial = partial_request.PartialRequest()
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target."""
-        self._partial.add_target(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Append one header; drop a field of the trailer."""
-        if not self._partial.headers_done:
-            self._partial.add_header(name, value)
+    def on_request_begin(self) -> None:
+        """Limit the time until the head has arrived."""
+        if self._task is None:
+            self._set_timeout(
+                self._get_limits().header_timeout_s, self._refuse_timeout
+            )
 
-    def on_headers_complete(self) -> None:
-        """Check the header size; answer 100 Continue if expected."""
-        if self._parser.should_upgrade():
-            return
-        self._partial.headers_done = True
-        if self._partial.head_size > self._get_limits().max_header_bytes:
-            self._refuse_too_large()
-            return
-        self._partial.header_bytes = 0
+    def on_head(self) -> None:
+        """Limit the time until the body has arrived, and let it be sent."""
         if self._task is None:
             self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
-        expected = message.find_header(self._partial.headers, b'expect')
-        if expected is not None and expected.lower() == b'100-continue':
-            self._partial.expects_continue = True
         self._continue_if_expected()
 
-    def on_body(self, body: bytes) -> None:
-        """Append to the body and check its size."""
-        self._partial.header_bytes = 0
-        self._partial.body += body
-        if len(self._partial.body) > self._get_limits().max_body_bytes:
-            self._refuse(
-                http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                'body too large',
-            )
-
-    def on_message_complete(self) -> None:
+    def on_request(self, request: message.Request, kept_bytes: int) -> None:
         """Queue the request."""
-        if self._closing or self._parser.should_upgrade():
-            return
-        self._reading = False
-        request = message.Request(
-            method=self._parser.get_method(),
-            target=self._partial.target,
-            headers=self._partial.headers,
-            body=bytes(self._partial.body),
-            began_s=self._partial.began_s,
-            peer=self._peer,
-            keep_alive=self._parser.should_keep_alive(),
-        )
-        kept_bytes = self._partial.kept_bytes
-        self._partial = partial_request.PartialRequest()
         self._pending.append(_WaitingRequest(request, kept_bytes))
         self._answer_next()
 
+    def on_invalid(self, status: http.HTTPStatus, reason: str) -> None:
+        """Refuse what arrives."""
+        self._refuse(status, reason)
+
     # Budget of the process
 
     def give_up_waiting(self) -> None:
         """Refuse what is being read, or close if the answer is not read."""
         if self._closing or not self._writable.is_set():
-            logs.event('unread_answer_dropped', peer=self._peer)
+            logs.event('unread_answer_dropped', peer=self._reader.peer)
             self.transport.abort()
             return
         self._pending.clear()
@@ -263,13 +175,13 @@
 
     def close_now(self) -> None:
         """Close the connection at once."""
-        logs.event('connection_given_up', peer=self._peer)
+        logs.event('connection_given_up', peer=self._reader.peer)
         self._closing = True
         self.transport.abort()
 
     def _update_account(self) -> None:
         """Count what waits; this may refuse the request that is read."""
-        waiting_bytes = len(self._unparsed) + self._partial.kept_bytes
+        waiting_bytes = len(self._unparsed) + self._reader.kept_bytes
         waiting_bytes += sum(waiting.kept_bytes for waiting in self._pending)
         if not self._writable.is_set():
             waiting_bytes += self.transport.get_write_buffer_size()
@@ -288,7 +200,7 @@
     def _drop_input(self) -> None:
         self._pending.clear()
         self._unparsed = b''
-        self._partial = partial_request.PartialRequest()
+        self._reader.stop()
 
     # Answers
 
@@ -367,7 +279,7 @@
 
     def _wait_for_request(self) -> None:
         """Limit the time until a request has arrived."""
-        if self._reading:
+        if self._reader.reading:
             self._continue_if_expected()
             self._set_timeout(BODY_TIMEOUT_S, self._refuse_timeout)
             return
@@ -375,13 +287,12 @@
 
     def _continue_if_expected(self) -> None:
         """Let the caller send a body, once earlier answers have ended."""
-        if self._partial.expects_continue and self._task is None:
-            self._partial.expects_continue = False
+        if self._task is None and self._reader.take_expectation():
             self.transport.write(CONTINUE)
 
     def _has_next(self) -> bool:
         """Return whether another request follows on this connection."""
-        return self._reading or bool(self._pending or self._unparsed)
+        return self._reader.reading or bool(self._pending or self._unparsed)
 
     def _close_after_linger(self) -> None:
         """Close the connection after a delay to read the answer."""
@@ -413,7 +324,7 @@
     def _abort_if_unread(self, former_bytes: int) -> None:
         """Abort the connection if the caller has read nothing since."""
         if self.transport.get_write_buffer_size() >= former_bytes:
-            logs.event('unread_answer_dropped', peer=self._peer)
+            logs.event('unread_answer_dropped', peer=self._reader.peer)
             self.transport.abort()
 
     def _refuse(
@@ -428,7 +339,7 @@
         logs.event('message_refused', status=int(status), reason=reason)
         self._closing = True
         self._unparsed = b''
-        self._partial = partial_request.PartialRequest()
+        self._reader.stop()
         if self._task is not None:
             # The connection closes after the answers to what came before.
             return
@@ -438,16 +349,6 @@
             )
         self._close_after_linger()
 
-    def _check_header_size(self) -> None:
-        if self._partial.header_bytes > self._get_limits().max_header_bytes:
-            self._refuse_too_large()
-
-    def _refuse_too_large(self) -> None:
-        self._refuse(
-            http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            'headers too large',
-        )
-
     def _refuse_timeout(self) -> None:
         self._refuse(http.HTTPStatus.REQUEST_TIMEOUT, 'request too slow')
 
@@ -466,6 +367,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-    def _new_parser(self) -> None:
-        self._parser = httptools.HttpRequestParser(self)
