Pass events on before an answer is given up for want of room

A stream that was given up for want of memory went on at another server without the events that had just arrived (ORDER).

Cause: the room for the incomplete event was asked for between the moment at which events count as passed on and their write. The write comes first now.

The new test failed before: event 1 of 4 was missing.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -259,6 +259,8 @@
                 self._start_answer(head, None)
                 self._out.write(complete_events)
                 await self._out.drain()
+            # Only now: the events count as passed on.
+            self._hold(self._splitter.held_bytes)
             event = await connection.next_event()
         end = answer_end.AnswerEnd(
             framing=head.framing,
@@ -276,11 +278,9 @@
 
     def _feed(self, chunk: bytes) -> bytes:
         try:
-            events = self._splitter.feed(chunk)
+            return self._splitter.feed(chunk)
         except event_splitter.InvalidEvent as error:
             raise _InvalidAnswer(str(error)) from error
-        self._hold(self._splitter.held_bytes)
-        return events
 
     def _hold(self, answer_bytes: int) -> None:
         if not self._out.hold(answer_bytes):
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -4,6 +4,7 @@
 import pytest
 
 from emulator import platform_worker, worker_crash
+from oatcrank.transport import reply
 
 MODE = platform_worker.AnswerMode
 EVENTS = b''.join(b'id: %d\ndata: word%d\n\n' % (n, n) for n in range(1, 5))
@@ -139,3 +140,22 @@
         assert site.runs() == len(site.workers)
 
     forwarding_site.run(work, repeatable=True)
+
+
+def test_an_answer_that_is_given_up_loses_events_that_were_not_passed_on(
+    monkeypatch,
+):
+    has_room = [False]
+    monkeypatch.setattr(
+        reply.Reply, 'hold', lambda *_: has_room.pop() if has_room else True
+    )
+
+    async def work(site):
+        for worker in site.workers:
+            worker.event_delay_s = 0.02
+        answer = await site.ask()
+        assert answer.status == 200
+        assert answer.body == EVENTS
+        assert site.runs() == 2
+
+    forwarding_site.run(work, **STREAM)
