--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -603,9 +603,12 @@
             'X-Response-Signature': f'{self.worker_id}.{request_id}',
             'X-Server-Load': '1,0,16',
         }
-        writer.write(
-            encode('HTTP/1.1 200 Told', headers, self.worker_id.encode())
-        )
+        body = self.worker_id.encode()
+        if model:
+            headers['Content-Type'] = 'text/event-stream'
+            headers['X-Weight-Versions'] = '1'
+            body = b'id: 1\ndata: some\n\nid: 2\ndata: words\n\n'
+        writer.write(encode('HTTP/1.1 200 Told', headers, body))
         await writer.drain()
         return True
 
