--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,141 +1,104 @@
-"""The holder of orders is killed, and its successor is stopped soon after."""
+"""One answer of the store to a watch is lost; a configuration follows later."""
 
 import asyncio
-import itertools
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'lab-2'))
 
 import lab as labs
 
-LEASE_TTL_S = 3.0
-# A process that was killed starts again after this time.
-RESTART_S = 1.9
-# The successor is stopped this long after its first order.
-STOP_AFTER_S = 0.02
-SETTLE_S = 6.0
-# The stop of a process, and a little longer.
-ROUND_S = 8.0
-ROUNDS = 5
-ADAPTERS = 12
-MAX_ADAPTERS = 4
-ENGINE = {
-    'weights_mb': 83000.0,
-    'max_adapters': MAX_ADAPTERS,
-    'loads_per_s': 2.8,
-    'models': [
-        {
-            'name': 'model-1',
-            'weights_mb': 34300.0,
-            'load_s': 1.2,
-            'adapters': ADAPTERS,
-            'adapter_mb': 40.0,
-        }
-    ],
+CONTACT_S = 3.0
+CONFIG_APPLY_S = 2.0
+MARGIN_S = 0.2
+ASKED_S = 6.0
+INTERVAL_S = 0.25
+INSTANCES = {
+    'edge-a-1': 'zone-a',
+    'edge-a-2': 'zone-a',
+    'edge-b-1': 'zone-b',
+    'edge-b-2': 'zone-b',
 }
-INSTANCES = {'edge-a-1': 'zone-a', 'edge-b-1': 'zone-b'}
-
-
-async def ask(lab: labs.Lab) -> None:
-    """Request one adapter after the other at all instances, until cancelled."""
-    running: set[asyncio.Task] = set()
-    for number in itertools.count():
-        adapter = f'a{number % ADAPTERS + 1}'
-        for instance in lab.instances:
-            if instance.is_running:
-                task = asyncio.ensure_future(
-                    lab.client.request(
-                        instance,
-                        '/draft/1',
-                        X_Model=f'model-1/{adapter}',
-                        X_Token_Usage='64,8',
-                        X_Prompt_Prefix=f'{number:08x}:64',
-                    )
-                )
-                running.add(task)
-                task.add_done_callback(running.discard)
-        await asyncio.sleep(0.08)
-
-
-def holder(worker: labs.Worker) -> str | None:
-    """Return the machine that gave the last order."""
-    return worker.orders[-1][1] if worker.orders else None
-
-
-async def disrupt(lab: labs.Lab, worker: labs.Worker) -> None:
-    """Kill the holder and start it again; stop its successor and start it."""
-    by_name = {instance.name: instance for instance in lab.instances}
-    first = by_name[holder(worker) or '']
-    first.send(signal.SIGKILL)
-    await first.wait_end(2)
-    starting = asyncio.ensure_future(start_later(first))
-    ends_s = lab.record.now_s() + ROUND_S
-    while holder(worker) == first.name and lab.record.now_s() < ends_s:  # noqa: ASYNC110, E501
-        await asyncio.sleep(0.005)
-    if holder(worker) == first.name:
-        # No other machine has become the holder.
-        await starting
-        return
-    second = by_name[holder(worker) or '']
-    await asyncio.sleep(STOP_AFTER_S)
-    second.send(signal.SIGTERM)
-    await starting
-    await second.wait_end(ROUND_S + 1)
-    await second.start()
-    await second.wait_ready()
-    await asyncio.sleep(labs.BOUNDS['lease_ttl_ms'] / 1000)
-
-
-async def start_later(instance: labs.Instance) -> None:
-    """Start a process again that was killed."""
-    await asyncio.sleep(RESTART_S)
-    await instance.start()
+
+
+def configure(lab: labs.Lab, version: int, service: str, *extra: str) -> float:
+    """Write a configuration whose route leads to a service."""
+    routes = [labs.route('book', service, 'idempotent')]
+    routes.extend(labs.route(name, service, 'idempotent') for name in extra)
+    backends = [labs.backend('desk-old'), labs.backend('desk-new')]
+    return lab.configure(version, routes, backends)
 
 
 async def play(lab: labs.Lab) -> list[str]:
     """Return how the rule was broken."""
-    worker = await lab.add_worker('i-words-1', 'words')
-    worker.models = {'model-1': set()}
-    worker.register()
-    routes = [
-        labs.route(
-            'draft', 'words', 'streaming', sticky=True, gap_target_ms=150
-        )
-    ]
-    lab.configure(3, routes, [labs.backend('words', ENGINE)])
-    await lab.start_instances(INSTANCES)
-    asking = asyncio.ensure_future(ask(lab))
-    await asyncio.sleep(SETTLE_S)
-    for _ in range(ROUNDS):
-        if labs.trouble():
-            await disrupt(lab, worker)
-        else:
-            await asyncio.sleep(ROUND_S)
-        if turns(worker.orders):
-            break
-    asking.cancel()
-    return turns(worker.orders)
-
-
-def turns(orders: list[tuple[float, str, int, int]]) -> list[str]:
-    """Return where a holder orders again after another one, too soon."""
-    accepted = [order for order in orders if order[3] in {200, 202}]
+    record = lab.record
+    old = await lab.add_worker('i-old-1', 'desk-old')
+    new = await lab.add_worker('i-new-1', 'desk-new')
+    for worker in (old, new):
+        worker.register()
+    configure(lab, 3, 'desk-old')
+    instances = await lab.start_instances(INSTANCES)
+    await asyncio.sleep(3)
+    for instance in instances:
+        await lab.client.request(instance, '/book/1', method='GET')
+    # Ordinary changes of the store, so that a new watch has begun.
+    spare = await lab.add_worker('i-old-2', 'desk-old')
+    spare.register()
+    await asyncio.sleep(1.5)
+    if labs.trouble():
+        lose_one_answer(lab, instances[0])
+    another = await lab.add_worker('i-old-3', 'desk-old')
+    another.register()
+    ended_s = record.add('a worker has registered; from here no disruption')
+    await asyncio.sleep(CONTACT_S + MARGIN_S)
+    acked_s = configure(lab, 8, 'desk-new', 'added')
+    record.add(
+        f'all machines are in touch: {acked_s - ended_s:.2f} s without '
+        'disruption'
+    )
+    await asyncio.sleep(CONFIG_APPLY_S + MARGIN_S)
+    return await ask(lab, instances, acked_s)
+
+
+def lose_one_answer(lab: labs.Lab, instance: labs.Instance) -> None:
+    """Lose the next answer of the store to a watch of one instance."""
+    lost: list[str] = []
+
+    def loses(address: str) -> bool:
+        if lost or address != instance.store_address:
+            return False
+        lost.append(address)
+        lab.record.add(f'the answer to a watch of {instance.name} is lost')
+        return True
+
+    lab.store.loses_watch_answer = loses
+
+
+async def ask(
+    lab: labs.Lab, instances: list[labs.Instance], acked_s: float
+) -> list[str]:
+    """Send requests to all instances; return those that are out of date."""
     broken: list[str] = []
-    last_by_holder: dict[str, float] = {}
-    previous = None
-    for at_s, name, fence, _ in accepted:
-        last_s = last_by_holder.get(name)
-        if previous not in {None, name} and last_s is not None:
-            if at_s - last_s <= LEASE_TTL_S:
-                broken.append(
-                    f'{name} orders at {last_s:.3f} s, then {previous}, then '
-                    f'{name} again at {at_s:.3f} s (fence {fence}), '
-                    f'{at_s - last_s:.3f} s later'
+    ends_s = lab.record.now_s() + ASKED_S
+    while lab.record.now_s() < ends_s:
+        for instance in instances:
+            for path in ('/book/1', '/added/1'):
+                request_id, status = await lab.client.request(
+                    instance, path, method='GET'
                 )
-        last_by_holder[name] = at_s
-        previous = name
+                after_s = lab.client.sent_s[request_id] - acked_s
+                ran = [
+                    worker.service
+                    for worker in lab.workers
+                    if request_id in {run for _, run in worker.runs}
+                ]
+                if status == 404 or 'desk-old' in ran:
+                    broken.append(
+                        f'{request_id} {path} at {instance.name}, sent '
+                        f'{after_s:.2f} s after the acknowledgement: '
+                        f'{status}, run by {ran or "none"}'
+                    )
+        await asyncio.sleep(INTERVAL_S)
     return broken
 
 
