--- a/oatcrank/cluster/holder_records.py
+++ b/oatcrank/cluster/holder_records.py
@@ -6,6 +6,7 @@
 from oatcrank.cluster import (
     lease_holder,
     members,
+    order_turns,
     store,
     store_eras,
     store_mirror,
@@ -69,13 +70,16 @@
         )
 
     async def write(
-        self, former: store.Item | None, lease_id: ids.LeaseId
+        self,
+        former: store.Item | None,
+        lease_id: ids.LeaseId,
+        earlier: order_turns.EarlierIds,
     ) -> ids.Revision | None:
         """Record this instance as the holder after a former one.
 
         Return the revision, or None if another instance holds the lease.
         """
-        encoded = self._encode_own()
+        encoded = self._encode_own(earlier)
         try:
             revision = await self._store.write(
                 store.Transaction(
@@ -131,7 +135,7 @@
         )
         logs.event('order_lease_record_removed', fence=holder.fence)
 
-    def _encode_own(self) -> bytes:
+    def _encode_own(self, earlier: order_turns.EarlierIds) -> bytes:
         own = self._members.own
         return msgspec.json.encode(
             lease_holder.HolderRecord(
@@ -139,6 +143,7 @@
                 started_ms=own.started_ms,
                 peer_address=own.peer_address,
                 era=self.era,
+                earlier=earlier,
             )
         )
 
--- a/oatcrank/cluster/lease_holder.py
+++ b/oatcrank/cluster/lease_holder.py
@@ -18,13 +18,16 @@
 class HolderRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Identify the holder of the order lease as stored.
 
-    era is that of the store when the record was written.
+    era is that of the store when the record was written.  earlier names the
+    instances that may have sent orders shortly before another one did; None if
+    they are unknown, as in records of earlier versions of this software.
     """
 
     instance_id: ids.InstanceId
     started_ms: int
     peer_address: str = msgspec.field(name='peer')
     era: ids.StoreEra = store_eras.UNNAMED_ERA
+    earlier: tuple[ids.InstanceId, ...] | None = None
 
 
 def decode_record(item: store.Item) -> HolderRecord | None:
--- a/oatcrank/cluster/order_lease.py
+++ b/oatcrank/cluster/order_lease.py
@@ -10,6 +10,7 @@
     holder_records,
     lease_holder,
     members,
+    order_turns,
     peer_messages,
     peers,
     session,
@@ -25,8 +26,8 @@
 REPLICATION_INTERVAL_S = 0.25
 OVERDUE_CHECK_INTERVAL_S = 0.1
 MAX_START_DELAY_S = 0.3
-# After this time an instance that handed the lease over takes it again if no
-# other one has.
+# After this time an instance that handed the lease over, or that may not send
+# orders yet, takes it if no other one has.
 HAND_OVER_S = 1.0
 
 
@@ -54,6 +55,7 @@
         self._coordinator = coordinator
         self.lease_duration_s = lease_duration_s
         self._holder_client = holder_client.HolderClient(peer_client)
+        self._turns = order_turns.OrderTurns(members.own.instance_id)
         self._may_acquire = True
         self._waits_until_s = float(0)
         self._store_lease_id: ids.LeaseId | None = None
@@ -176,21 +178,34 @@
         )
 
     async def _step(self) -> None:
+        last = self._records.last()
+        self._turns.watch(last, is_free=self._records.is_free)
         if self._coordinator.term is not None:
             await self._renew(self._coordinator.term)
             return
         await self._records.remove_own()
         lease_id = self._session.lease_id
-        if (
-            self._is_candidate
-            and lease_id is not None
-            and self._records.is_free
-        ):
-            await self._acquire(lease_id)
+        if lease_id is not None and self._is_candidate(last):
+            await self._acquire(last, lease_id)
+
+    def _is_candidate(self, last: store.Item | None) -> bool:
+        """Return whether to acquire the lease now.
 
-    @property
-    def _is_candidate(self) -> bool:
-        return self._may_acquire and boot_clock.now() >= self._waits_until_s
+        An instance that may not send orders yet leaves it to others first.
+        """
+        now_s = boot_clock.now()
+        free_s = self._turns.free_s()
+        if not self._may_acquire or free_s is None:
+            return False
+        if now_s < self._waits_until_s:
+            return False
+        former = self._former(last, self._records.era)
+        return free_s >= HAND_OVER_S or now_s >= self._own_orders_end_s(former)
+
+    def _own_orders_end_s(self, former: order_turns.FormerHolder) -> float:
+        return self._turns.own_orders_end_s(
+            former, self._coordinator.last_order_s, self.lease_duration_s
+        )
 
     async def _renew(self, term: lease_term.LeaseTerm) -> None:
         sent_s = boot_clock.now()
@@ -252,43 +267,53 @@
             fence=ids.Fence(term.fence),
         )
 
-    async def _acquire(self, lease_id: ids.LeaseId) -> None:
+    async def _acquire(
+        self, last: store.Item | None, lease_id: ids.LeaseId
+    ) -> None:
         sent_s = boot_clock.now()
-        former = self._records.last()
+        former = self._former(last, self._records.era)
+        earlier = self._turns.earlier_ids(former, self.lease_duration_s)
         self._acquiring = True
         try:
-            fence = await self._records.write(former, lease_id)
+            fence = await self._records.write(last, lease_id, earlier)
         finally:
             self._acquiring = False
         if fence is not None:
             self._store_lease_id = lease_id
-            self._begin_term(former, fence, sent_s)
+            self._begin_term(last, fence, sent_s)
+
+    def _former(
+        self, last: store.Item | None, era: ids.StoreEra
+    ) -> order_turns.FormerHolder:
+        """Return what the record of the last holder says in an era."""
+        return self._turns.former(
+            last, is_known=holder_records.is_last_known(last, era)
+        )
 
     def _begin_term(
-        self, former: store.Item | None, fence: ids.Revision, sent_s: float
+        self, last: store.Item | None, fence: ids.Revision, sent_s: float
     ) -> None:
-        former_is_known = holder_records.is_last_known(
-            former, store_eras.revision_era(fence)
-        )
+        former = self._former(last, store_eras.revision_era(fence))
         term = lease_term.begin(
             fence=fence,
             sent_s=sent_s,
             now_s=boot_clock.now(),
-            own_orders_end_s=self._coordinator.last_order_s
-            + self.lease_duration_s,
-            first=former is None and former_is_known,
+            own_orders_end_s=self._own_orders_end_s(former),
+            first=last is None and former.is_known,
             wait_s=(
                 lease_term.FORMER_STOPS_S
-                if former_is_known
+                if former.is_known
                 else lease_term.UNKNOWN_FORMER_STOPS_S
             ),
         )
         self._coordinator.begin_term(term)
+        own_wait_s = max(0, term.own_orders_end_s - term.acquired_s)
         logs.event(
             'order_lease_acquired',
             fence=fence,
-            former_is_known=former_is_known,
+            former_is_known=former.is_known,
             wait_s=round(term.earliest_start_s - term.acquired_s, 3),
+            own_wait_s=round(own_wait_s, 3),
         )
         for other in self._members.others():
             self._spawn(
@@ -296,8 +321,8 @@
                     other.peer_address, self._own_holder(term)
                 ),
             )
-        if former is not None and former_is_known:
-            self._spawn(self._request_former_stop(former, term))
+        if last is not None and former.is_known:
+            self._spawn(self._request_former_stop(last, term))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.ensure_future(work)
--- a/tests/cluster_parts.py
+++ b/tests/cluster_parts.py
@@ -78,7 +78,12 @@
     """One instance's components that decide whether it may send orders."""
 
     def __init__(
-        self, name: str, client: store.Store, network: PeerNetwork, number: int
+        self,
+        name: str,
+        client: store.Store,
+        network: PeerNetwork,
+        number: int,
+        lease_duration_s: float = 0.3,
     ) -> None:
         self.client = client
         own = member.Member(
@@ -117,7 +122,7 @@
             members=self.members,
             session=self.session,
             coordinator=self.coordinator,
-            lease_duration_s=0.3,
+            lease_duration_s=lease_duration_s,
             peer_client=NetworkClient(network, own.peer_address),
         )
         self.network = network
@@ -137,6 +142,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.coordinator.stop()
 
+    def record_order(self) -> None:
+        """Record that an order is sent now."""
+        self.coordinator._dispatcher.last_order_s = boot_clock.now()
+
     @property
     def may_order(self) -> bool:
         term = self.coordinator.term
@@ -148,16 +157,17 @@
 class Fleet:
     """A set of instances of which at most one may send orders at a time."""
 
-    def __init__(self, count: int, new_client=None) -> None:
+    def __init__(
+        self, count: int, new_client=None, lease_duration_s: float = 0.3
+    ) -> None:
+        self._lease_duration_s = lease_duration_s
         self.shared = memory_store.MemoryStore()
         self.network = PeerNetwork()
         self.new_client = new_client or (
             lambda: memory_store.MemoryClient(self.shared)
         )
         self.members = [
-            Member(
-                f'instance-{number}', self.new_client(), self.network, number
-            )
+            self._new_member(f'instance-{number}', number)
             for number in range(count)
         ]
         self.holders: list[str] = []
@@ -170,6 +180,23 @@
         for instance in self.members:
             await instance.kill()
 
+    def start_again(self, ended: Member) -> Member:
+        """Start a new process on the machine of one that has ended."""
+        own = ended.members.own
+        started = self._new_member(own.instance_id, own.started_ms + 100)
+        self.members[self.members.index(ended)] = started
+        started.start()
+        return started
+
+    def _new_member(self, name: str, number: int) -> Member:
+        return Member(
+            name,
+            self.new_client(),
+            self.network,
+            number,
+            self._lease_duration_s,
+        )
+
     def holder(self) -> Member | None:
         """Return the instance that may send orders; fail if two may."""
         holders = [instance for instance in self.members if instance.may_order]
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -63,7 +63,12 @@
 
 def run_restored(scenario, count=3):
     """Run a scenario with a store in memory."""
-    virtual.run(check_orders(cluster_parts.Fleet(count), scenario))
+
+    async def run():
+        # Its processes begin in virtual time.
+        await check_orders(cluster_parts.Fleet(count), scenario)
+
+    virtual.run(run())
 
 
 async def restart(fleet, stopped):
