Take ids of events as they are, or refuse to go on after them

Cause: `Last-Event-Id` was decoded like counts and times, of which ten digits and at most 10**9 are kept. An id names an event and is no quantity. Ruled out: the origin of the stream was found, and neither a relayed request nor the send to the server cuts the id again.

The same class: an id that is no number, or two different ones, let the stream begin anew; `id: 12abc` counted as event 12, the first of two ids of an event counted instead of the last, and one of over 4,300 digits raised an exception.

Now one function decodes ids of callers and of events: whole numbers, in the one form in which they are sent on. On a route with streams a caller that names its last event otherwise gets 400; nothing is sent. An event with such an id is passed on as one without, and no run goes on after it.

--- a/emulator/platform_worker.py
+++ b/emulator/platform_worker.py
@@ -107,6 +107,7 @@
     executed_request_ids: ids of the requests that were executed.
     interrupted_connections: number of connections that broke within a request.
     event_count: number of events in a stream.
+    events_before: the id of the first event is one higher.
     crashed: set once the worker has crashed of a request.
     limit_per_s: limit that all answers name, if it is set.
     leaving: whether all answers say that the worker leaves.
@@ -128,6 +129,7 @@
         self.connection_count = 0
         self.interrupted_connections = 0
         self.event_count = 4
+        self.events_before = 0
         self.event_delay_s = float(0)
         # A part of prompts that crashes the worker as it begins to answer.
         self.crashing_part = ''
@@ -368,8 +370,10 @@
             return False
         if mode is AnswerMode.empty_stream_without_length:
             return False
-        start = int(request.header_by_name.get('last-event-id', '0'))
-        for number in range(start + 1, self.event_count + 1):
+        last_id = request.header_by_name.get('last-event-id')
+        start = self.events_before if last_id is None else int(last_id)
+        last_number = self.events_before + self.event_count
+        for number in range(start + 1, last_number + 1):
             event = b'id: %d\ndata: word%d\n\n' % (number, number)
             if mode in TRUNCATED_STREAM_MODES and number == start + 2:
                 write(writer, event[:9])
--- a/oatcrank/forwarding/caller_request.py
+++ b/oatcrank/forwarding/caller_request.py
@@ -19,6 +19,8 @@
     tokens counts the prompt and the longest answer, if the caller states them.
     last_event_id is the last event that the caller has of a stream that it
     takes up again; resumed_id is the caller's request that brought the first.
+    names_unreadable_event: it names its last event in a way that can't be read,
+        so that a stream can't go on after it.
     """
 
     request_id: ids.RequestId
@@ -42,6 +44,7 @@
     key: bytes | None = None
     organisation: ids.OrganisationName | None = None
     last_event_id: int | None = None
+    names_unreadable_event: bool = False
     resumed_id: ids.RequestId | None = None
 
     def deadline_s(self, max_s: float) -> float:
--- a/oatcrank/forwarding/event_splitter.py
+++ b/oatcrank/forwarding/event_splitter.py
@@ -3,13 +3,13 @@
 import re
 
 from oatcrank import errors
+from oatcrank.forwarding import event_ids
 
 # End of an event's last line, and the empty line after it.
 EVENT_END = re.compile(rb'\n\r?\n')
 LINE_ENDS = b'\r\n'
 # Limit of one event.
 MAX_EVENT_BYTES = 1_048_576
-EVENT_ID = re.compile(rb'(?:^|\n)id: ?(\d+)')
 # Longest end of an event but for its last byte.
 MAX_CUT_END_BYTES = 2
 # A line that is neither empty nor a comment.
@@ -88,12 +88,11 @@
 
     def _is_new(self, event: bytes) -> bool:
         self.event_count += 1
-        match = EVENT_ID.search(event)
-        if match is None:
+        event_id = event_ids.of_event(event)
+        if event_id is None:
             return self._is_new_without_id(event)
         self._shows_place = True
         self.ends_with_id = True
-        event_id = int(match[1])
         # Events without id repeat what the one before them repeats.
         self._repeats = self.last_id is not None and event_id < self.last_id
         if self.last_id is not None and event_id <= self.last_id:
--- a/oatcrank/forwarding/forwarder.py
+++ b/oatcrank/forwarding/forwarder.py
@@ -59,8 +59,7 @@
         try:
             decoded = self._dependencies.wire_protocol.decode_request(request)
         except wire_protocol.MalformedRequest as error:
-            logs.event('request_malformed', reason=error, peer=request.peer)
-            out.answer(http.HTTPStatus.BAD_REQUEST, [], str(error).encode())
+            _answer_malformed(request, str(error), out)
             return
         try:
             self._check_not_stopping()
@@ -89,6 +88,10 @@
             )
             out.answer(http.HTTPStatus.NOT_FOUND, [], b'')
             return
+        if found_route.streaming and request.names_unreadable_event:
+            # Any other place to go on from would repeat or leave out events.
+            _answer_malformed(raw, 'the last event has an unreadable id', out)
+            return
         if self._is_down(found_route):
             sends_before = request.earlier_sends
             await self._relay(raw, request, found_route, out, sends_before)
@@ -213,3 +216,11 @@
             if execution.has_not_run:
                 admission.give_back()
         return execution.sends_that_reached if execution.is_unreached else None
+
+
+def _answer_malformed(
+    request: message.Request, reason: str, out: reply.Reply
+) -> None:
+    """Answer a request that can't be forwarded as its caller means it."""
+    logs.event('request_malformed', reason=reason, peer=request.peer)
+    out.answer(http.HTTPStatus.BAD_REQUEST, [], reason.encode())
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -4,10 +4,11 @@
 import re
 
 from oatcrank import ids, logs
-from oatcrank.forwarding import caller_request, wire_protocol
+from oatcrank.forwarding import caller_request, event_ids, wire_protocol
 from oatcrank.platform import (
     brittle_statement,
     credentials,
+    last_event,
     relay_headers,
     server_headers,
 )
@@ -19,7 +20,6 @@
 MODEL = b'x-model'
 PREFIX = b'x-prompt-prefix'
 TOKENS = b'x-token-usage'
-LAST_EVENT_ID = b'last-event-id'
 RESUMED_ID = b'resumes'
 EXPECTED_INSTANCE = b'x-expected-instance'
 PRIORITY = b'x-request-priority'
@@ -39,7 +39,7 @@
     (
         DEADLINE_MS,
         relay_headers.RELAYED,
-        LAST_EVENT_ID,
+        last_event.LAST_EVENT_ID,
         EXPECTED_INSTANCE,
         PRIORITY,
         b'x-expected-version',
@@ -68,6 +68,8 @@
         model, _, adapter = _text(raw, MODEL).partition('/')
         deadline_ms = _number(_text(raw, DEADLINE_MS))
         prefix = _shared_part(_text(raw, PREFIX))
+        last_event_text = last_event.named_text(raw.headers)
+        last_event_id = event_ids.decode(last_event_text)
         headers = [
             pair
             for pair in message.end_to_end(raw.headers)
@@ -98,7 +100,10 @@
                 _text(raw, PREFIX),
                 _text(raw, TOKENS),
             ),
-            last_event_id=_number(_text(raw, LAST_EVENT_ID)),
+            last_event_id=last_event_id,
+            names_unreadable_event=(
+                bool(last_event_text) and last_event_id is None
+            ),
             resumed_id=ids.RequestId(_text(raw, RESUMED_ID)) or None,
         )
 
