Do not cut numbers in headers to other numbers

What callers saw: a deadline with leading zeros counted as 0 ms. An answer of the store that names an era of over 4,300 digits raised an exception that ended the copy of the store, and one over 13 bits made revisions that do not fit into the messages between instances.

Cause: the first ten characters were taken for the number. Now leading zeros are skipped and larger numbers count as the largest; an era that is too large is logged as unreadable, and the last known one stays.

--- a/oatcrank/cluster/store_eras.py
+++ b/oatcrank/cluster/store_eras.py
@@ -9,6 +9,8 @@
 # Fences are revisions, and must fit into the 53 bits of a JSON number.
 REVISION_BITS = 40
 LEASE_BITS = 64
+ERA_BITS = 13
+MAX_ERA = (1 << ERA_BITS) - 1
 # That of a store that names no era and is never restored.
 UNNAMED_ERA = ids.StoreEra(0)
 
--- a/oatcrank/platform/platform_protocol.py
+++ b/oatcrank/platform/platform_protocol.py
@@ -8,6 +8,7 @@
 from oatcrank.platform import (
     brittle_statement,
     credentials,
+    header_numbers,
     last_event,
     relay_headers,
     server_headers,
@@ -230,9 +231,7 @@
 
 
 def _number(text: str) -> int | None:
-    if not (text.isascii() and text.isdigit()):
-        return None
-    return min(int(text[:10]), MAX_NUMBER)
+    return header_numbers.decode(text, MAX_NUMBER)
 
 
 def _shared_part(prefix: str) -> str:
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -10,7 +10,7 @@
 
 from oatcrank import decoding, errors, ids, logs
 from oatcrank.cluster import store, store_eras, store_metrics
-from oatcrank.platform import store_messages
+from oatcrank.platform import header_numbers, store_messages
 from oatcrank.transport import calls, message
 
 CALL_TIMEOUT_S = 1.5
@@ -264,10 +264,11 @@
     text = message.find_header(headers, ERA)
     if text is None:
         return default
-    if not (text.isascii() and text.isdigit()):
-        logs.event('store_era_unreadable', era=text)
+    era = header_numbers.decode(text.decode('latin-1'), store_eras.MAX_ERA + 1)
+    if era is None or era > store_eras.MAX_ERA:
+        logs.event('store_era_unreadable', era=text[:MAX_SHOWN_BYTES])
         return default
-    return ids.StoreEra(int(text))
+    return ids.StoreEra(era)
 
 
 def _decode(answer: _Answer, expected: type[Body]) -> Body:
