Ask another instance while a watch of the store is silent

Cause: a watch is believed for its wait of 10 s and 1.5 s more, and each renewal of the session that succeeds counted as a confirmation of the copy, also for the instances that ask this one. Ruled out as signs: the connection, which lives, and the renewals, whose answers name no revision.

Now an instance whose watch is silent for half a second asks another one what it knows, takes over what is newer, and makes its watch anew. One instance, the checker, relies on nobody and watches for a second at a time, for the case that all watches are dead. Renewals confirm the copy for 3 s after the last proof. `store_watch_silent`, `look_failed` and a counter show it.

The stand-in fleet of tests/relay_fleet.py can let a watch go silent. In tests/test_crash_cause_records.py only the place of a constant has changed.

--- a/oatcrank/cluster/change_source.py
+++ b/oatcrank/cluster/change_source.py
@@ -23,6 +23,17 @@
     async def changes(self, after: ids.Revision) -> RelayedChanges | None:
         """Return the changes after a revision, or None to ask the store."""
 
+    @abc.abstractmethod
+    async def look(self, after: ids.Revision) -> RelayedChanges | None:
+        """Return what another instance knows; None if none answers.
+
+        Its revision may be an earlier one, if the other knows less.
+        """
+
+    @abc.abstractmethod
+    def checks_store(self) -> bool:
+        """Return whether this instance must not rely on what others know."""
+
     @abc.abstractmethod
     def bypass(self, *, bypassed: bool) -> None:
         """Set whether this instance needs each change without delay."""
--- a/oatcrank/cluster/relay_choice.py
+++ b/oatcrank/cluster/relay_choice.py
@@ -32,6 +32,15 @@
     return candidates[:RELAYS_PER_DOMAIN]
 
 
+def checker(members: Iterable[member.Member]) -> member.Member | None:
+    """Return the instance that checks the store for all; None without any.
+
+    It is a relay of its failure domain.
+    """
+    ready = (candidate for candidate in members if candidate.ready)
+    return max(ready, key=_weight, default=None)
+
+
 def _weight(candidate: member.Member) -> tuple[int, str]:
     hashed = xxhash.xxh3_64_intdigest(
         f'store-relay/{candidate.instance_id}'.encode()
--- a/oatcrank/cluster/relay_follower.py
+++ b/oatcrank/cluster/relay_follower.py
@@ -5,6 +5,7 @@
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
     change_source,
+    look_schedule,
     member,
     members,
     peers,
@@ -39,6 +40,8 @@
         self._is_relay: bool | None = None
         self._is_bypassed = False
         self._queried_s = -math.inf
+        self._look_schedule = look_schedule.LookSchedule(members)
+        self._look_has_failed = False
 
     async def changes(
         self, after: ids.Revision
@@ -52,6 +55,26 @@
                 return relayed
         return None
 
+    async def look(
+        self, after: ids.Revision
+    ) -> change_source.RelayedChanges | None:
+        """Return what another instance knows; None if none answers."""
+        asked = self._look_schedule.next()
+        if asked is None:
+            return None
+        try:
+            reply = await self._query(asked, after)
+            found = _decode_reply(reply)
+        except (peers.PeerUnreachable, errors.PlatformError) as error:
+            logs.event('look_failed', asked=asked.instance_id, error=error)
+            found = None
+        self._look_has_failed = found is None
+        return found
+
+    def checks_store(self) -> bool:
+        """Return whether this instance must not rely on what others know."""
+        return self._look_has_failed or self._look_schedule.is_checker()
+
     def bypass(self, *, bypassed: bool) -> None:
         """Set whether this instance needs each change without delay."""
         self._is_bypassed = bypassed
@@ -93,27 +116,25 @@
         self, relay: member.Member, after: ids.Revision
     ) -> change_source.RelayedChanges | None:
         self._previous_relay_id = relay.instance_id
-        query = relay_messages.ChangesQuery(after=after, wait_s=POLL_WAIT_S)
         try:
-            reply = await self._client.send(
-                relay.peer_address,
-                relay_messages.MESSAGE_NAME,
-                query,
-                relay_messages.ChangesReply,
-                POLL_WAIT_S + REPLY_SLACK_S,
-            )
-            items = relay_messages.unpack(reply.packed_items)
+            relayed = _decode_reply(await self._query(relay, after))
         except (peers.PeerUnreachable, errors.PlatformError) as error:
             self._avoid(relay, str(error))
             return None
-        if not reply.complete:
-            self._avoid(relay, 'it does not know all changes')
-            return None
-        if reply.age_s > MAX_AGE_S:
-            self._avoid(relay, f'it knows no changes of {reply.age_s:.1f} s')
+        if relayed.age_s > MAX_AGE_S:
+            self._avoid(relay, f'it knows no changes of {relayed.age_s:.1f} s')
             return None
-        return change_source.RelayedChanges(
-            items=items, revision=reply.revision, age_s=reply.age_s
+        return relayed
+
+    async def _query(
+        self, asked: member.Member, after: ids.Revision
+    ) -> relay_messages.ChangesReply:
+        return await self._client.send(
+            asked.peer_address,
+            relay_messages.MESSAGE_NAME,
+            relay_messages.ChangesQuery(after=after, wait_s=POLL_WAIT_S),
+            relay_messages.ChangesReply,
+            POLL_WAIT_S + REPLY_SLACK_S,
         )
 
     def _avoid(self, relay: member.Member, reason: str) -> None:
@@ -122,3 +143,16 @@
         )
         store_metrics.RELAY_FAILURES.inc()
         logs.event('relay_avoided', relay=relay.instance_id, reason=reason)
+
+
+def _decode_reply(
+    reply: relay_messages.ChangesReply,
+) -> change_source.RelayedChanges:
+    """Return the changes of a reply, or raise errors.Unavailable."""
+    if not reply.complete:
+        raise errors.Unavailable('it does not know all changes')
+    return change_source.RelayedChanges(
+        items=relay_messages.unpack(reply.packed_items),
+        revision=reply.revision,
+        age_s=reply.age_s,
+    )
--- a/oatcrank/cluster/store_metrics.py
+++ b/oatcrank/cluster/store_metrics.py
@@ -23,3 +23,8 @@
     'oatcrank_store_copy_age_seconds',
     'Seconds since the store has confirmed the local copy.',
 )
+SILENT_WATCHES = prometheus_client.Counter(
+    'oatcrank_silent_store_watches',
+    'Watches given up since another instance knew more, or none answered.',
+    ('newer_known',),
+)
--- a/oatcrank/cluster/store_mirror.py
+++ b/oatcrank/cluster/store_mirror.py
@@ -11,6 +11,7 @@
 from oatcrank import errors, ids, logs
 from oatcrank.cluster import (
     change_source,
+    checked_watch,
     relay_follower,
     store,
     store_eras,
@@ -18,7 +19,9 @@
 )
 from oatcrank.orders import boot_clock
 
-WATCH_WAIT_S = 10.0
+# A renewal of a lease confirms the copy for this long after its last proof:
+# that the store answers does not show that a watch will be answered.
+PROOF_S = 3.0
 # Batches changes that arrive together into one call. The holder of the order
 # lease acts on them and uses the shorter delay.
 BATCH_DELAY_S = 0.5
@@ -76,13 +79,16 @@
         # Removed keys are known from this revision on.
         self._first_revision: ids.Revision | None = None
         self._confirmed_s = -math.inf
+        self._proven_s = -math.inf
         self._changed = asyncio.Event()
         self.change_count = 0
         self._item_by_key: dict[str, store.Item] = {}
         self._is_unreachable = False
         self.is_loaded = False
         self.batch_delay_s = BATCH_DELAY_S
-        self._watching: asyncio.Task[store.Changes] | None = None
+        self._watch = checked_watch.CheckedWatch(
+            store_client, source, self._prove
+        )
         self._backoff_s = FIRST_BACKOFF_S
 
     @property
@@ -106,7 +112,8 @@
 
     def confirm(self) -> None:
         """Record that the store answers while the copy follows it."""
-        if self._watching is not None:
+        is_proven = boot_clock.now() < self._proven_s + PROOF_S
+        if self._watch.is_waiting and is_proven:
             self._confirm(0)
 
     def is_complete_after(self, revision: ids.Revision) -> bool:
@@ -170,8 +177,7 @@
 
     def restart_watch(self) -> None:
         """Cancel a watch that has probably lost its connection."""
-        if self._watching is not None:
-            self._watching.cancel()
+        self._watch.restart()
 
     def apply(self, item: store.Item) -> None:
         """Apply a key's value if it is newer than the known one."""
@@ -191,14 +197,32 @@
             if relayed is not None:
                 self._apply_relayed(relayed)
                 return
-        changes = await self._watch(self._revision)
+        changes = await self._watch.run(self._revision)
+        if changes is None:
+            return
+        if isinstance(changes, store.Changes):
+            self._apply_watched(changes)
+        else:
+            self._apply_found(changes)
+        if changes.items:
+            await asyncio.sleep(self.batch_delay_s)
+
+    def _apply_watched(self, changes: store.Changes) -> None:
         self._reset_backoff()
         for item in changes.items:
             self.apply(item)
         self._move_to(changes.revision)
-        self._confirm(0)
-        if changes.items:
-            await asyncio.sleep(self.batch_delay_s)
+        self._prove(0)
+
+    def _apply_found(self, found: change_source.RelayedChanges) -> None:
+        """Apply what another instance knew while the watch was silent.
+
+        It does not show that this instance reaches the store.
+        """
+        for item in found.items:
+            self.apply(item)
+        self._move_to(max(self.revision, found.revision))
+        self._prove(found.age_s)
 
     def _apply_relayed(self, relayed: change_source.RelayedChanges) -> None:
         """Apply changes that a relay has passed on.
@@ -229,19 +253,10 @@
         self._confirmed_s = max(self._confirmed_s, confirmed_s)
         store_metrics.COPY_AGE_SECONDS.set(self.age_s())
 
-    async def _watch(self, after: ids.Revision) -> store.Changes:
-        self._watching = asyncio.ensure_future(
-            self._store.watch(after, WATCH_WAIT_S),
-        )
-        try:
-            return await self._watching
-        except asyncio.CancelledError:
-            if not self._watching.cancelled() or self._is_cancelling():
-                raise
-            raise errors.Unavailable('store watch was cancelled') from None
-        finally:
-            self._watching.cancel()
-            self._watching = None
+    def _prove(self, age_s: float) -> None:
+        """Record that nothing that was written age_s ago is missing."""
+        self._proven_s = max(self._proven_s, boot_clock.now() - age_s)
+        self._confirm(age_s)
 
     def _apply_snapshot(self, snapshot: store.Snapshot) -> None:
         if self._begins_era(snapshot.revision):
@@ -251,7 +266,7 @@
         if self._first_revision is None:
             self._first_revision = snapshot.revision
         self._move_to(snapshot.revision)
-        self._confirm(0)
+        self._prove(0)
         self.is_loaded = True
         self._listener.on_snapshot()
         logs.event(
@@ -323,11 +338,6 @@
                 error=traceback.format_exc(),
             )
 
-    def _is_cancelling(self) -> bool:
-        """Return whether the mirror itself is being cancelled."""
-        task = asyncio.current_task()
-        return task is not None and task.cancelling() > 0
-
     def _reset_backoff(self) -> None:
         self._backoff_s = FIRST_BACKOFF_S
         if self._is_unreachable:
--- a/tests/relay_fleet.py
+++ b/tests/relay_fleet.py
@@ -23,6 +23,7 @@
     store_mirror,
     table_updater,
 )
+from oatcrank.platform import store_client
 from oatcrank.routing import route_table, server_table
 
 PREFIX = 'servers/'
@@ -64,10 +65,28 @@
         super().__init__(shared)
         self._instance = instance
         self.calls_by_kind: dict[str, int] = {}
+        self._silence = asyncio.Event()
 
     async def watch(self, after, wait_s):
         await self._begin('watch')
-        return await super().watch(after, wait_s)
+        watching = asyncio.ensure_future(super().watch(after, wait_s))
+        silence = asyncio.ensure_future(self._silence.wait())
+        try:
+            await asyncio.wait(
+                (watching, silence), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not silence.done():
+                return await watching
+        finally:
+            watching.cancel()
+            silence.cancel()
+        await asyncio.sleep(wait_s + store_client.WATCH_SLACK_S)
+        raise errors.Unavailable('no answer')
+
+    def silence_watch(self) -> None:
+        """Let the watch that is waiting now never be answered."""
+        self._silence.set()
+        self._silence = asyncio.Event()
 
     async def read_all(self):
         await self._begin('range')
--- a/tests/test_crash_cause_records.py
+++ b/tests/test_crash_cause_records.py
@@ -9,6 +9,7 @@
 
 from emulator import memory_store
 from oatcrank.cluster import (
+    checked_watch,
     crash_cause_records,
     member,
     members,
@@ -149,7 +150,7 @@
         await asyncio.sleep(SYNC_S)
         for instance in instances:
             instance.client.fault = FAULT.none
-        await asyncio.sleep(store_mirror.WATCH_WAIT_S + SYNC_S)
+        await asyncio.sleep(checked_watch.WATCH_WAIT_S + SYNC_S)
         for instance in instances:
             assert instance.refused_kinds == set(crash_causes.Kind)
 
@@ -217,7 +218,7 @@
         instances[0].crash_servers()
         await asyncio.sleep(SYNC_S)
         shared.return_from(older)
-        await asyncio.sleep(store_mirror.WATCH_WAIT_S + SYNC_S)
+        await asyncio.sleep(checked_watch.WATCH_WAIT_S + SYNC_S)
         for instance in instances:
             assert instance.refused_kinds == set(crash_causes.Kind)
         assert set(KEYS) <= shared.item_by_key.keys()
--- a/tests/test_store_relays.py
+++ b/tests/test_store_relays.py
@@ -194,6 +194,12 @@
             await asyncio.sleep(60)
         return self._changes.pop(0)
 
+    async def look(self, after):
+        """Return nothing, as if no other instance answered."""
+
+    def checks_store(self):
+        return True
+
     def bypass(self, *, bypassed) -> None:
         """Do nothing."""
 
