End an attempt whose answer has a status that no answer has

Cause: a status below 200 was read as the head of an interim answer, after which the answer follows; any other was final. So the server was not held to have failed, and whatever followed on its connection counted as the answer.

Now 200 to 599 are final, 100 to 199 but for 101 interim, and anything else ends the attempt as an invalid answer: for servers, other instances and the store, and at the own interface for plain services, engines and calls. The own interface took interim answers for the answer as well, and read any number.

A request that may have run is not sent again.

--- a/oatcrank/entry/upstream_connection.py
+++ b/oatcrank/entry/upstream_connection.py
@@ -7,9 +7,11 @@
 
 from oatcrank import errors, rpc
 from oatcrank.claims import permit
+from oatcrank.transport import message
 
 MAX_ANSWER_BYTES = 1_073_741_824
 PROBE_INTERVAL_S = 1.0
+MAX_INTERIM_ANSWERS = 20
 
 OnHead = Callable[[int, httputil.HTTPHeaders], None]
 OnChunk = Callable[[bytes], Awaitable[None] | None]
@@ -28,6 +30,8 @@
         self._received = False
         self._ends_with_connection = False
         self._closed_here = False
+        self._interim_count = 0
+        self._invalid_status: int | None = None
 
     async def run(
         self,
@@ -68,8 +72,7 @@
         finally:
             probe_task.cancel()
             stream.close()
-        if self._is_broken(stream) or not self._finished:
-            raise errors.Interrupted(f'{address}: the answer ended early')
+        self._check_end(address, stream)
         if self._ends_with_connection and not await probe():
             raise errors.Interrupted(f'{address}: it ended with its answer')
 
@@ -90,12 +93,24 @@
             'Content-Length' not in headers
             and 'Transfer-Encoding' not in headers
         )
-        if isinstance(start_line, httputil.ResponseStartLine):
-            self._on_head(start_line.code, headers)
+        if not isinstance(start_line, httputil.ResponseStartLine):
+            return
+        status = start_line.code
+        if message.is_interim(status):
+            self._interim_count += 1
+            if self._interim_count <= MAX_INTERIM_ANSWERS:
+                return
+        if message.is_final(status):
+            self._on_head(status, headers)
+            return
+        self._invalid_status = status
+        self.close()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Pass on a chunk; a slow caller slows down reading."""
         self._received = True
+        if self._invalid_status is not None:
+            return None
         return self._on_chunk(chunk)
 
     def finish(self) -> None:
@@ -105,6 +120,15 @@
     def on_connection_close(self) -> None:
         """Ignore an early end; run detects and reports it."""
 
+    def _check_end(self, address: str, stream: iostream.IOStream) -> None:
+        """Raise errors.Interrupted unless an answer has arrived whole."""
+        if self._invalid_status is not None:
+            raise errors.Interrupted(
+                f'{address}: no answer has status {self._invalid_status}'
+            )
+        if self._is_broken(stream) or not self._finished:
+            raise errors.Interrupted(f'{address}: the answer ended early')
+
     def _is_broken(self, stream: iostream.IOStream) -> bool:
         """Return whether the end of the connection is not the answer's end.
 
--- a/oatcrank/rpc.py
+++ b/oatcrank/rpc.py
@@ -7,6 +7,7 @@
 from tornado import httpclient, simple_httpclient
 
 from oatcrank import decoding, errors
+from oatcrank.transport import message
 
 MAX_CONNECTIONS = 20_000
 CONNECT_TIMEOUT_S = 1.0
@@ -57,7 +58,7 @@
         self,
         address: str,
         path: str,
-        message: msgspec.Struct,
+        sent: msgspec.Struct,
         answer_type: type[Answer],
         *,
         timeout_s: float,
@@ -67,7 +68,7 @@
             address,
             'POST',
             path,
-            msgspec.json.encode(message),
+            msgspec.json.encode(sent),
             timeout_s=timeout_s,
         )
         return _decoded(body, answer_type)
@@ -92,6 +93,10 @@
             follow_redirects=False,
         )
         answer = await self._send(request)
+        if not message.is_final(answer.code):
+            raise errors.UnknownOutcome(
+                f'{request.url}: no answer has status {answer.code}'
+            )
         if answer.code >= HTTPStatus.BAD_REQUEST:
             raise RpcStatusError(answer.code, answer.body or b'')
         return answer.body or b''
--- a/oatcrank/transport/backend_connection.py
+++ b/oatcrank/transport/backend_connection.py
@@ -3,13 +3,13 @@
 import asyncio
 import collections
 import enum
-import http
 import time
 from collections.abc import Callable
 
 import httptools
 import msgspec
 
+from oatcrank import logs
 from oatcrank.transport import errors, message, tcp_timeouts
 
 MAX_BUFFERED_BYTES = 262144
@@ -147,7 +147,13 @@
     def on_headers_complete(self) -> None:
         """Report the head, except of an interim (1xx) response."""
         status = self._parser.get_status_code()
-        if status < http.HTTPStatus.OK or not self._in_use:
+        if not self._in_use:
+            return
+        if message.is_interim(status):
+            return
+        if not message.is_final(status):
+            logs.event('answer_status_invalid', status=status)
+            self._abort_response()
             return
         self._head_done = True
         head = message.ResponseHead(
--- a/oatcrank/transport/message.py
+++ b/oatcrank/transport/message.py
@@ -7,6 +7,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+MAX_STATUS = 599
 BODYLESS_STATUSES = frozenset(
     (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED),
 )
@@ -60,6 +61,21 @@
     return status not in BODYLESS_STATUSES
 
 
+def is_final(status: int) -> bool:
+    """Return whether an answer may have this status."""
+    return http.HTTPStatus.OK <= status <= MAX_STATUS
+
+
+def is_interim(status: int) -> bool:
+    """Return whether a status says that the answer follows.
+
+    None of ours offers an upgrade, which 101 would accept.
+    """
+    if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+        return False
+    return http.HTTPStatus.CONTINUE <= status < http.HTTPStatus.OK
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header by its name in lower case."""
     for key, text in headers:
