Read no more of a call's answer than it can need

Cause: each call read up to 33 MB, the size of all keys of the store, also orders and reports, which go to all model servers at once.

Now a call reads 256 KB, unless it asks for the keys of the store or for changes of them.

--- a/oatcrank/cluster/peers.py
+++ b/oatcrank/cluster/peers.py
@@ -10,6 +10,7 @@
     crash_messages,
     lease_holder,
     peer_messages,
+    relay_messages,
     stream_origin_messages,
 )
 from oatcrank.transport import calls
@@ -115,6 +116,7 @@
                     method='POST',
                     target=PATH_PREFIX + message_name,
                     body=msgspec.json.encode(message),
+                    max_response_bytes=_max_reply_bytes(reply_type),
                 ),
                 timeout_s,
             )
@@ -132,3 +134,9 @@
             raise PeerUnreachable(
                 f'{message_name}: unreadable reply from {address}: {error}',
             ) from error
+
+
+def _max_reply_bytes(reply_type: type[msgspec.Struct]) -> int:
+    if reply_type is relay_messages.ChangesReply:
+        return calls.MAX_BODY_BYTES
+    return calls.USUAL_BODY_BYTES
--- a/oatcrank/platform/store_client.py
+++ b/oatcrank/platform/store_client.py
@@ -201,7 +201,11 @@
         try:
             response = await calls.call(
                 self._address,
-                calls.Call(method='GET', target=target),
+                calls.Call(
+                    method='GET',
+                    target=target,
+                    max_response_bytes=calls.MAX_BODY_BYTES,
+                ),
                 timeout_s,
             )
         except errors.BackendError as error:
@@ -220,7 +224,12 @@
         try:
             response = await calls.call(
                 self._address,
-                calls.Call(method=method, target=path, body=body),
+                calls.Call(
+                    method=method,
+                    target=path,
+                    body=body,
+                    max_response_bytes=calls.MAX_BODY_BYTES,
+                ),
                 timeout_s,
             )
         except errors.NotStarted as error:
--- a/oatcrank/transport/calls.py
+++ b/oatcrank/transport/calls.py
@@ -9,8 +9,10 @@
 from oatcrank.transport import errors as transport_errors
 
 CONNECT_TIMEOUT_S = 1.0
-# Limit of a response; the longest are all keys of the store.
+# Limit of a response that holds all keys of the store.
 MAX_BODY_BYTES = 33_554_432
+# Limit of any other: many calls may be under way at once.
+USUAL_BODY_BYTES = 262_144
 
 
 class CallResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +30,7 @@
     target: str
     body: bytes = b''
     headers: tuple[tuple[str, str], ...] = ()
+    max_response_bytes: int = USUAL_BODY_BYTES
 
 
 async def call(address: str, request: Call, timeout_s: float) -> CallResponse:
@@ -65,9 +68,10 @@
     event = await connection.next_event()
     while isinstance(event, backend_connection.BodyChunk):
         body += event.body
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > request.max_response_bytes:
             raise transport_errors.ConnectionBroken(
-                f'{address}: the answer is over {MAX_BODY_BYTES} bytes long'
+                f'{address}: the answer is over '
+                f'{request.max_response_bytes} bytes long'
             )
         event = await connection.next_event()
     if event is not backend_connection.Ending.complete:
