Bound the memory of all answers that the own interface buffers

Cause: the answer of a plain service was kept up to 1 GB, that of an engine up to 33 MB, that of a call up to 100 MB, and nothing limited all of them together. 12 calls to a faulty server had 1,159 MB after 1.9 s.

Now all answers of requests share a quarter of limits.memory_mb; when it is used up, the largest is given up, so that sound ones go on beside those without end. A single answer, also of a call, may have 33 MB.

--- a/oatcrank/entry/_entry_serving.py
+++ b/oatcrank/entry/_entry_serving.py
@@ -10,6 +10,7 @@
 from oatcrank.engines import adapter_loader, backend_server, engine, engine_http
 from oatcrank.entry import (
     _entry_platform,
+    answer_memory,
     crash_suspects,
     dispatch_queue,
     exclusive_run_table,
@@ -55,6 +56,7 @@
         'clock': platform.clock,
         'metrics': platform.metrics,
     }
+    answers = answer_memory.AnswerMemory(settings.limits.memory_mb)
     claims_service = _claims(platform)
     return serving_dependencies.ServingDependencies(
         settings=settings,
@@ -69,11 +71,13 @@
             queue=queue,
             engine_of=lambda server: engine_at(platform, server.listed.address),
             adapters=_adapters(platform, plans),
+            answers=answers,
             **common,
         ),
         service_dispatcher=service_dispatcher.ServiceDispatcher(
             servers=platform.servers,
             router=server_router,
+            answers=answers,
             **common,
         ),
         exclusive_runs=table,
--- a/oatcrank/entry/model_dispatcher.py
+++ b/oatcrank/entry/model_dispatcher.py
@@ -11,6 +11,7 @@
 from oatcrank import errors, ids, rpc
 from oatcrank.engines import adapter_loader, backend_server, engine
 from oatcrank.entry import (
+    answer_memory,
     dispatch_queue,
     dispatch_request,
     dispatcher,
@@ -25,7 +26,6 @@
 # X-Load holds the running requests, the queued requests and the slots.
 LOAD_FIELD_COUNT = 3
 # Limit of an answer that is not a stream; it is forwarded as a whole.
-MAX_BODY_BYTES = 33_554_432
 ERROR_BY_STATUS: dict[int, type[errors.BackendError]] = {
     HTTPStatus.CONFLICT: errors.NotLoaded,
     HTTPStatus.TOO_MANY_REQUESTS: errors.Busy,
@@ -44,10 +44,12 @@
         queue: dispatch_queue.DispatchQueue,
         engine_of: EngineOf,
         adapters: adapter_loader.AdapterLoader,
+        answers: answer_memory.AnswerMemory | None = None,
         **common: Any,
     ) -> None:
         """Use engine_of(server) as clients; adapters loads adapters."""
         super().__init__(**common)
+        self._answers = answers or answer_memory.AnswerMemory()
         self._queue = queue
         self._engine_of = engine_of
         self._adapters = adapters
@@ -92,12 +94,15 @@
             await self._ensure_adapter(server, request)
         attempt_id = request.next_attempt_id()
         started = self._clock.now()
-        relay = _AnswerRelay(server, request, writer)
+        body = self._answers.open()
+        relay = _AnswerRelay(server, request, writer, body)
         try:
             await relay.run(attempt_id, lambda: self._is_alive(server))
         except asyncio.CancelledError:
             self._cancel(server, attempt_id)
             raise
+        finally:
+            body.close()
         if relay.failure is None:
             self._queue.record_service_s(
                 request.model, self._clock.now() - started
@@ -154,13 +159,14 @@
         server: backend_server.BackendServer,
         request: dispatch_request.ModelRequest,
         writer: response_writer.ResponseWriter,
+        body: answer_memory.BufferedAnswer,
     ) -> None:
         self.failure: errors.BackendError | None = None
         self._server = server
         self._request = request
         self._writer = writer
         self._splitter = event_splitter.EventSplitter()
-        self._body = bytearray()
+        self._body = body
         self._status = 0
         self._content_type = ''
         self._has_events = False
@@ -204,9 +210,7 @@
 
     def _on_chunk(self, chunk: bytes) -> Any:
         if not (self._is_stream() and self._has_events):
-            self._body += chunk
-            if len(self._body) > MAX_BODY_BYTES:
-                raise errors.Interrupted('the answer has no end')
+            self._body.add(chunk)
             return None
         before = self._splitter.tokens
         events = self._splitter.feed(chunk)
--- a/oatcrank/entry/service_dispatcher.py
+++ b/oatcrank/entry/service_dispatcher.py
@@ -8,6 +8,7 @@
 from oatcrank import errors, refusal, rpc
 from oatcrank.engines import backend_server, backend_servers
 from oatcrank.entry import (
+    answer_memory,
     dispatch_queue,
     dispatch_request,
     dispatcher,
@@ -27,10 +28,12 @@
         *,
         servers: backend_servers.BackendServers,
         router: router.Router,
+        answers: answer_memory.AnswerMemory | None = None,
         **common: Any,
     ) -> None:
         """Choose from the listed servers of a service."""
         super().__init__(**common)
+        self._answers = answers or answer_memory.AnswerMemory()
         self._servers = servers
         self._router = router
 
@@ -84,9 +87,9 @@
         writer: response_writer.ResponseWriter,
     ) -> None:
         assert isinstance(request, dispatch_request.ServiceRequest)
-        buffered = _BufferedAnswer()
+        relay = _AnswerRelay(self._answers.open())
         connection = upstream_connection.UpstreamConnection(
-            buffered.on_head, buffered.on_chunk
+            relay.on_head, relay.on_chunk
         )
         headers = httputil.HTTPHeaders(
             {
@@ -96,24 +99,27 @@
         )
         if request.idempotency_key:
             headers['Idempotency-Key'] = request.idempotency_key
-        await connection.run(
-            server.listed.address,
-            httputil.RequestStartLine(request.method, request.path, ''),
-            headers,
-            request.body,
-            permit=request.permit,
-            probe=lambda: self._is_alive(server),
-        )
-        await buffered.write_to(writer)
+        try:
+            await connection.run(
+                server.listed.address,
+                httputil.RequestStartLine(request.method, request.path, ''),
+                headers,
+                request.body,
+                permit=request.permit,
+                probe=lambda: self._is_alive(server),
+            )
+            await relay.write_to(writer)
+        finally:
+            relay.close()
 
 
-class _BufferedAnswer:
+class _AnswerRelay:
     """Buffer the answer until it is complete, so that a retry is possible."""
 
-    def __init__(self) -> None:
+    def __init__(self, body: answer_memory.BufferedAnswer) -> None:
         self._status = 0
         self._content_type = ''
-        self._body = bytearray()
+        self._body = body
 
     def on_head(self, status: int, headers: httputil.HTTPHeaders) -> None:
         """Store the head of the answer."""
@@ -122,7 +128,11 @@
 
     def on_chunk(self, chunk: bytes) -> None:
         """Store a chunk of the body."""
-        self._body += chunk
+        self._body.add(chunk)
+
+    def close(self) -> None:
+        """Release the memory of the body."""
+        self._body.close()
 
     async def write_to(self, writer: response_writer.ResponseWriter) -> None:
         """Write the complete answer; raises errors.NotStarted on a 503."""
--- a/oatcrank/rpc.py
+++ b/oatcrank/rpc.py
@@ -12,6 +12,7 @@
 MAX_CONNECTIONS = 20_000
 CONNECT_TIMEOUT_S = 1.0
 MAX_SHOWN_BYTES = 200
+MAX_ANSWER_BYTES = 33_554_432
 JSON_TYPE = 'application/json'
 
 Answer = TypeVar('Answer')
@@ -35,6 +36,8 @@
         self._client = simple_httpclient.SimpleAsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CONNECTIONS,
+            max_buffer_size=MAX_ANSWER_BYTES,
+            max_body_size=MAX_ANSWER_BYTES,
         )
 
     async def get(
