Split the forwarding of an answer from the attempt that gets it

What callers saw: nothing; no behaviour changes.

Cause: forwarding/attempt.py had 432 lines with two jobs, to send a request and judge its answer, and to forward that.

Now forwarding/answer_forwarder.py forwards: events as they arrive, other answers once they are whole or too long to be kept. attempt.py has 291 lines.

--- a/oatcrank/forwarding/attempt.py
+++ b/oatcrank/forwarding/attempt.py
@@ -3,18 +3,14 @@
 import http
 
 from oatcrank.forwarding import (
-    answer_end,
+    answer_forwarder,
     answer_state,
     attempt_result,
     attempt_state,
     caller_request,
-    event_splitter,
-    process_watch,
     request_dependencies,
-    request_metrics,
     resumable_stream,
     skipped_body,
-    stream_head,
     wire_protocol,
 )
 from oatcrank.routing import route, server
@@ -26,8 +22,6 @@
     reply,
 )
 
-# Longer answers are forwarded as they arrive.
-MAX_BUFFERED_ANSWER_BYTES = 262144
 SERVER_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR
 # To callers these mean that the request has not run and will not run.
 NOT_RUN_STATUSES = frozenset(
@@ -40,14 +34,6 @@
 )
 
 
-class _InvalidAnswer(Exception):  # noqa: N818
-    """Raised for an answer that is missing, incomplete or not the server's."""
-
-
-class _NoRoom(Exception):  # noqa: N818
-    """Raised if this instance has no room for the answer."""
-
-
 class Attempt:
     """Send one request to one server and forward its answer."""
 
@@ -79,11 +65,15 @@
         self._idle_timeout_s: float | None = None
         self._began_s = float(0)
         self._wait_recorded = False
-        self._end: answer_end.AnswerEnd | None = None
-        self._framing: message.Framing | None = None
-        self._events_before = stream.splitter.event_count
-        # Added to the answer for an instance that has relayed the request.
-        self._relay_headers: message.Headers = []
+        self._forwarder = answer_forwarder.AnswerForwarder(
+            dependencies,
+            request,
+            request_route,
+            chosen,
+            out,
+            stream,
+            self._record_first_events,
+        )
         self.progress = attempt_state.Progress.unsent
 
     async def run(self, deadline_s: float) -> attempt_result.AttemptResult:
@@ -113,10 +103,10 @@
             return self._failure(str(error))
         try:
             return await self._exchange(connection, deadline_s)
-        except _InvalidAnswer as error:
+        except answer_forwarder.InvalidAnswer as error:
             self._record_outcome(failed=True)
             return self._failure(str(error))
-        except _NoRoom:
+        except answer_forwarder.NoRoom:
             return self._failure('no room for the answer', given_up=True)
         finally:
             self._release(self._server.pool, connection)
@@ -153,7 +143,7 @@
         connection.send(encoded, self._is_own_answer)
         head = await self._wait_for_head(connection)
         if not isinstance(head, message.ResponseHead):
-            raise _InvalidAnswer('no answer')
+            raise answer_forwarder.InvalidAnswer('no answer')
         return await self._read_answer(connection, head)
 
     async def _wait_for_head(
@@ -182,7 +172,7 @@
             sent_s=self._began_s,
         )
         if answer.leaving and self._request.relayed:
-            self._relay_headers = (
+            self._forwarder.relay_headers = (
                 self._dependencies.wire_protocol.passed_leaving(
                     self._server.registration.registered_process
                 )
@@ -195,35 +185,33 @@
         )
         if answer.request_id is None and connection.request_count > 1:
             # It may be a late answer to an earlier request.
-            raise _InvalidAnswer('an answer without an id, maybe a late one')
+            raise answer_forwarder.InvalidAnswer(
+                'an answer without an id, maybe a late one'
+            )
         if answer.not_executed or answer.misdirected:
             return await self._finish_declined(connection, head, answer)
         self._check_answer(head, answer)
-        self._framing = head.framing
-        if self._route.streaming and stream_head.is_stream(head):
-            return await self._forward_stream(connection, head)
-        return await self._buffer_answer(connection, head)
+        return self._finish(await self._forwarder.forward(connection, head))
 
     def _check_answer(
         self, head: message.ResponseHead, answer: wire_protocol.AnswerHead
     ) -> None:
-        """Raise _InvalidAnswer unless the answer may be forwarded."""
+        """Raise InvalidAnswer unless the answer may be forwarded."""
         if (
             answer.request_id is None
             or not answer.signed
             or answer.content_encoded
         ):
-            raise _InvalidAnswer('not a valid answer of the server')
+            raise answer_forwarder.InvalidAnswer(
+                'not a valid answer of the server'
+            )
         if head.status in NOT_RUN_STATUSES:
-            raise _InvalidAnswer(
+            raise answer_forwarder.InvalidAnswer(
                 f'{head.status} without a statement that it has not run'
             )
         fault = self._stream.begin_answer(head)
         if fault is not None:
-            raise _InvalidAnswer(fault)
-
-    def _passed_headers(self, head: message.ResponseHead) -> message.Headers:
-        return [*message.end_to_end(head.headers), *self._relay_headers]
+            raise answer_forwarder.InvalidAnswer(fault)
 
     async def _finish_declined(
         self,
@@ -244,122 +232,7 @@
             reason = f'{reason}, with a body that does not end'
         return self._failure(reason, misdirected=answer.misdirected)
 
-    async def _forward_stream(
-        self,
-        connection: backend_connection.BackendConnection,
-        head: message.ResponseHead,
-    ) -> attempt_result.AttemptResult:
-        self._events_before = self._splitter.event_count
-        event = await connection.next_event()
-        while isinstance(event, backend_connection.BodyChunk):
-            complete_events = self._feed(event.body)
-            if complete_events:
-                self._record_first_event()
-                self._stream.record_begin(head, self._server.registration)
-                self._start_answer(head, None)
-                self._out.write(complete_events)
-                await self._out.drain()
-            # Only now: the events count as passed on.
-            self._hold(self._splitter.held_bytes)
-            event = await connection.next_event()
-        end = answer_end.AnswerEnd(
-            framing=head.framing,
-            ending=backend_connection.ending_of(event),
-            event_count=self._event_count(),
-            partial_bytes=self._splitter.partial_bytes,
-        )
-        self._record_stream_end(end)
-        if end.fault is not None:
-            raise _InvalidAnswer(end.fault)
-        await self._check_server_runs()
-        self._start_answer(head, None)
-        self._out.write(self._splitter.take_remainder())
-        return self._finish()
-
-    def _feed(self, chunk: bytes) -> bytes:
-        try:
-            return self._splitter.feed(chunk)
-        except event_splitter.InvalidEvent as error:
-            raise _InvalidAnswer(str(error)) from error
-
-    def _hold(self, answer_bytes: int) -> None:
-        if not self._out.hold(answer_bytes):
-            raise _NoRoom
-
-    async def _buffer_answer(
-        self,
-        connection: backend_connection.BackendConnection,
-        head: message.ResponseHead,
-    ) -> attempt_result.AttemptResult:
-        buffered = bytearray()
-        event = await connection.next_event()
-        while isinstance(event, backend_connection.BodyChunk):
-            buffered += event.body
-            if len(buffered) > MAX_BUFFERED_ANSWER_BYTES:
-                return await self._forward_rest(
-                    connection, head, bytes(buffered)
-                )
-            self._hold(len(buffered))
-            event = await connection.next_event()
-        if event is not backend_connection.Ending.complete:
-            raise _InvalidAnswer('incomplete answer')
-        await self._check_server_runs()
-        self.progress = attempt_state.Progress.answered
-        self._record_outcome(failed=head.status >= SERVER_ERROR)
-        return attempt_result.AttemptResult(
-            progress=self.progress,
-            sent_s=self._began_s,
-            framing=self._framing,
-            answer=attempt_result.BufferedAnswer(
-                status=head.status,
-                reason=head.reason,
-                headers=self._passed_headers(head),
-                body=bytes(buffered),
-            ),
-        )
-
-    async def _forward_rest(
-        self,
-        connection: backend_connection.BackendConnection,
-        head: message.ResponseHead,
-        buffered: bytes,
-    ) -> attempt_result.AttemptResult:
-        """Forward an answer that is too long to be buffered."""
-        length = head.header(b'content-length')
-        self._start_answer(head, None if length is None else int(length))
-        self._out.write(buffered)
-        event = await connection.next_event()
-        while isinstance(event, backend_connection.BodyChunk):
-            self._out.write(event.body)
-            await self._out.drain()
-            event = await connection.next_event()
-        if event is not backend_connection.Ending.complete:
-            raise _InvalidAnswer('incomplete answer')
-        await self._check_server_runs()
-        return self._finish()
-
-    async def _check_server_runs(self) -> None:
-        """Raise _InvalidAnswer if the server has ended with its answer.
-
-        An answer that ends with its connection looks whole then.  A server
-        that leaves ends after its last answer.
-        """
-        unframed = self._framing is message.Framing.connection_end
-        if not unframed or self._server.registration.leaving:
-            return
-        state = await process_watch.probe(self._server)
-        if state is process_watch.ProcessState.ended:
-            raise _InvalidAnswer('the server has ended with its answer')
-
-    def _record_stream_end(self, end: answer_end.AnswerEnd) -> None:
-        self._end = end
-        request_metrics.STREAMS.labels(
-            self._server.registration.service,
-            end.framing.name,
-            end.ending.name,
-        ).inc()
-
-    def _record_first_event(self) -> None:
+    def _record_first_events(self) -> None:
         if not self._wait_recorded:
             self._wait_recorded = True
             self._record_wait()
@@ -372,36 +245,22 @@
         if self._route.streaming:
             self._server.record_wait(now_s - self._began_s, now_s)
 
-    def _start_answer(
-        self, head: message.ResponseHead, length: int | None
-    ) -> None:
-        if self._out.started:
-            return
-        request_metrics.FIRST_BYTE_SECONDS.labels(
-            self._server.registration.service,
-        ).observe(self._dependencies.now() - self._request.began_s)
-        self._out.start(
-            head.status,
-            self._passed_headers(head),
-            reason=head.reason,
-            length=length,
-        )
-
-    def _finish(self) -> attempt_result.AttemptResult:
-        self._out.end()
+    def _finish(
+        self, answer: attempt_result.BufferedAnswer | None
+    ) -> attempt_result.AttemptResult:
         self.progress = attempt_state.Progress.answered
-        self._record_outcome(failed=False)
+        self._record_outcome(
+            failed=answer is not None and answer.status >= SERVER_ERROR
+        )
         return attempt_result.AttemptResult(
             progress=self.progress,
-            end=self._end,
+            answer=answer,
+            end=self._forwarder.end,
             sent_s=self._began_s,
-            framing=self._framing,
-            event_count=self._event_count(),
+            framing=self._forwarder.framing,
+            event_count=self._forwarder.event_count,
         )
 
-    def _event_count(self) -> int:
-        return self._splitter.event_count - self._events_before
-
     def _failure(
         self, reason: str, *, misdirected: bool = False, given_up: bool = False
     ) -> attempt_result.AttemptResult:
@@ -409,9 +268,9 @@
             progress=self.progress,
             reason=reason,
             misdirected=misdirected,
-            end=self._end,
-            framing=self._framing,
-            event_count=self._event_count(),
+            end=self._forwarder.end,
+            framing=self._forwarder.framing,
+            event_count=self._forwarder.event_count,
             given_up=given_up,
         )
 
