--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -21,11 +21,6 @@
 SEEDS = range(6)
 
 
-def is_follower(instance):
-    """Return whether an instance follows the store itself."""
-    return instance.is_relay
-
-
 def silence(instances):
     for instance in instances:
         instance.store.silence_watch()
@@ -130,7 +125,7 @@
 
     async def scenario(fleet):
         (instance,) = fleet.instances
-        instance.mirror._watch._source = relay_fleet_source(instance)
+        instance.mirror._watch._source = NobodyAnswers()
         await asyncio.sleep(checked_watch.WATCH_WAIT_S)
         instance.store.silence_watch()
         await asyncio.sleep(6)
@@ -155,10 +150,6 @@
         """Do nothing."""
 
 
-def relay_fleet_source(instance):
-    return NobodyAnswers()
-
-
 @pytest.mark.parametrize(
     ('count', 'domains', 'most'),
     [
