--- a/review/11/case.py
+++ b/review/11/case.py
@@ -32,6 +32,8 @@
 
 
 class Case:
+    """One run of the case."""
+
     def __init__(self):
         self.record = fleets.Record(HERE)
         self.store = stores.Store()
@@ -42,6 +44,7 @@
         self.tasks = set()
 
     async def request(self, instance, sent_s, *, deadly):
+        """Send one request, and record its outcome."""
         self.number += 1
         request_id = f'{self.number:016x}'
         second = DEADLY_PART if deadly else f'bb{random.randrange(40):02x}'
@@ -71,6 +74,7 @@
             self.sound.append((sent_s, bool(attempt.events)))
 
     async def traffic(self, instances):
+        """Send requests at random times to the end."""
         began_s = time.monotonic()
         at_s = 0.0
         while at_s < END_S:
@@ -85,12 +89,14 @@
         await asyncio.gather(*self.tasks)
 
     async def crash_all(self):
+        """Crash all workers at one moment."""
         await asyncio.sleep(ALL_CRASH_S)
         if TROUBLE:
             for worker in self.workers:
                 worker.crash(ALL_DOWN_S, 'all workers crash at once')
 
     async def run(self):
+        """Run the case; return its exit status."""
         network = fleets.loopback_network()
         await self.store.start(f'{network}.1')
         self.workers = [
@@ -103,8 +109,12 @@
             worker.deadly_part = DEADLY_PART
             await worker.start(f'{network}.2')
         route = workers.route(
-            'draft', '/draft/', 'draft', 'streaming',
-            timeout_ms=4000, target_latency_ms=400,
+            'draft',
+            '/draft/',
+            'draft',
+            'streaming',
+            timeout_ms=4000,
+            target_latency_ms=400,
         )
         self.store.put(
             'op/config', workers.configuration(1, [route], ['draft'])
@@ -121,6 +131,7 @@
         return self.result()
 
     def result(self):
+        """Record and print the result; return the exit status."""
         usual = [ok for at_s, ok in self.sound if at_s < DEADLY_FROM_S]
         # The fifth crash is over by then, and the requests still come.
         from_s = ALL_CRASH_S + 2 * CONTACT_S
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -32,6 +32,8 @@
 
 
 class Case:
+    """One run of the case."""
+
     def __init__(self):
         self.record = fleets.Record(HERE)
         self.store = stores.Store()
@@ -48,6 +50,7 @@
         return since_s > CONTACT_S
 
     def next_id(self):
+        """Return an unused request id."""
         self.number += 1
         return f'{self.number:016x}'
 
@@ -62,11 +65,13 @@
         return None
 
     async def client(self):
+        """Read one stream after the other."""
         while not self.ended:
             await self.one_stream()
             await asyncio.sleep(random.random() * 0.2)
 
     async def one_stream(self):
+        """Read a stream, and take it up again if it breaks off."""
         address = await self.address(())
         if address is None:
             return
@@ -86,6 +91,7 @@
             await self.take_up(first_id, attempt.events, address, began_s)
 
     async def attempt(self, address, request_id, began_s, extra):
+        """Make one client attempt."""
         left_s = DEADLINE_S - (time.monotonic() - began_s)
         attempt = stream_client.Attempt()
         headers = {
@@ -138,6 +144,7 @@
             self.went_on += judged and went_on
 
     def check_order(self, first_id, events, further):
+        """Count a stream with events of two versions."""
         versions = {version for _, version in (*events, *further)}
         if len(versions) > 1:
             self.mixed += 1
@@ -152,6 +159,7 @@
         await asyncio.gather(*restarts)
 
     async def restart(self, instance):
+        """Stop an instance as the platform does, and start it again."""
         self.record.write(f'SIGTERM {instance.name} {instance.front}')
         self.disturbed_s[instance.front] = time.monotonic()
         instance.send_signal(signal.SIGTERM)
@@ -165,6 +173,7 @@
         self.record.write(f'started {instance.name} {instance.front}')
 
     async def run(self):
+        """Run the case; return its exit status."""
         network = fleets.loopback_network()
         await self.store.start(f'{network}.1')
         for number, version in enumerate(('v1', 'v1', 'v2', 'v2')):
@@ -203,6 +212,7 @@
         return self.result()
 
     def result(self):
+        """Record and print the result; return the exit status."""
         text = (
             f'new={self.new} begun={self.begun} taken_up={self.taken_up} '
             f'went_on={self.went_on} two_versions={self.mixed}'
--- a/review/lab-3/fleet.py
+++ b/review/lab-3/fleet.py
@@ -15,7 +15,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_WITHIN_S = 25.0
-SETTINGS = '''\
+SETTINGS = """\
 node_name = "{name}"
 role = "entry"
 machine_class = "edge"
@@ -30,7 +30,10 @@
 discovery = "platform"
 entry = "registry"
 heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"]
+contracts = [
+  "base","drain","config","cost","retry","recover","fleet","stream",
+  "engine","platform"
+]
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -75,10 +78,11 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-'''
+"""
 
 
 def free_port(host):
+    """Return a port that is not in use."""
     with socket.socket() as sock:
         sock.bind((host, 0))
         return sock.getsockname()[1]
@@ -119,6 +123,7 @@
         self._process = None
 
     async def start(self):
+        """Listen on a loopback address, and register."""
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = shlex.split(deploy['roles']['entry']['run'])
         environment = {
@@ -139,9 +144,11 @@
             )
 
     def send_signal(self, number):
+        """Send a signal to the process."""
         self._process.send_signal(number)
 
     async def end(self, number=signal.SIGKILL):
+        """End the process, and wait for its end."""
         if self._process is None or self._process.returncode is not None:
             return
         self._process.send_signal(number)
@@ -149,12 +156,15 @@
 
     @property
     def has_ended(self):
+        """Return whether no process runs."""
         return self._process is None or self._process.returncode is not None
 
     def log_text(self):
+        """Return what the process has logged."""
         return self._log_path.read_text(errors='replace')
 
     async def is_ready(self):
+        """Return whether the readiness check answers 200."""
         connection = wire.ClientConnection(self.ready)
         try:
             async with asyncio.timeout(1):
@@ -183,6 +193,7 @@
         ]
 
     async def start(self):
+        """Listen on a loopback address, and register."""
         for instance in self.instances:
             await instance.start()
         ends_s = time.monotonic() + READY_WITHIN_S
@@ -194,6 +205,7 @@
             raise RuntimeError(f'{waiting[0].name} is not ready')
 
     async def stop(self):
+        """End all instances."""
         for instance in self.instances:
             await instance.end()
         self._temporary.cleanup()
@@ -207,10 +219,12 @@
         self._began_s = time.monotonic()
 
     def write(self, text):
+        """Write one line with the time."""
         at_s = time.monotonic() - self._began_s
         self._file.write(f'{at_s:9.3f} {text}\n')
 
     def close(self):
+        """Close it."""
         self._file.close()
 
 
--- a/review/lab-3/flood.py
+++ b/review/lab-3/flood.py
@@ -1,7 +1,7 @@
 """Process of a faulty worker, or of the clients that read its answers.
 
-    flood.py worker HOST COUNT   listens; writes its ports to standard output
-    flood.py clients SECONDS PATH ADDRESS...
+flood.py worker HOST COUNT   listens; writes its ports to standard output
+flood.py clients SECONDS PATH ADDRESS...
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 
 
 async def send_without_end(reader, writer):
+    """Answer each request with bytes without end."""
     try:
         while True:
             head = await wire.read_head(reader)
@@ -41,6 +42,7 @@
 
 
 async def work(host, count):
+    """Listen as so many faulty workers."""
     ports = []
     for _ in range(count):
         server = await asyncio.start_server(send_without_end, host, 0)
@@ -75,6 +77,7 @@
 
 
 async def clients(seconds, path, addresses):
+    """Run one client for each address."""
     ends_s = asyncio.get_running_loop().time() + seconds
     await asyncio.gather(
         *(
--- a/review/lab-3/prompt_worker.py
+++ b/review/lab-3/prompt_worker.py
@@ -29,22 +29,19 @@
         self.is_down = False
 
     async def start(self, host):
+        """Listen on a loopback address, and register."""
         self.host = host
         await super().start(host)
 
     async def _answer(self, request):
         if request.headers.get('x-expected-instance') != self.worker_id:
-            return wire.encode_answer(
-                421, {'X-Instance-Id': self.worker_id}
-            )
+            return wire.encode_answer(421, {'X-Instance-Id': self.worker_id})
         await asyncio.sleep(FIRST_EVENT_S)
         if self.is_down:
             return None
         parts = request.headers.get('x-prompt-prefix', '').split(',')[:-1]
         if self.deadly_part in {part.partition(':')[0] for part in parts}:
-            request.writer.write(
-                self._head(request.headers['x-request-id'])
-            )
+            request.writer.write(self._head(request.headers['x-request-id']))
             await request.writer.drain()
             await asyncio.sleep(HEAD_S)
             self.crash(self.down_s, 'a prompt with the deadly part')
--- a/review/lab-3/store.py
+++ b/review/lab-3/store.py
@@ -56,6 +56,7 @@
         return None if item is None else json.loads(item['bytes'])
 
     def keys(self, prefix):
+        """Return the keys with a prefix."""
         return [key for key in self._items if key.startswith(prefix)]
 
     def _set(self, key, value, lease):
@@ -129,9 +130,7 @@
     def _range(self, query):
         prefix, after = query.get('prefix', ''), query.get('after', '')
         keys = sorted(
-            key
-            for key in self._items
-            if key.startswith(prefix) and key > after
+            key for key in self._items if key.startswith(prefix) and key > after
         )
         return wire.json_answer(
             200,
@@ -174,7 +173,9 @@
         names = [row['key'] for row in rows] + body.get('remove', [])
         if any(name.startswith(PROTECTED_PREFIXES) for name in names):
             return wire.json_answer(403, {})
-        if any(r['lease'] and r['lease'] not in self._lease_ends_s for r in rows):
+        if any(
+            r['lease'] and r['lease'] not in self._lease_ends_s for r in rows
+        ):
             return wire.json_answer(404, {})
         self.revision += 1
         for row in rows:
--- a/review/lab-3/wire.py
+++ b/review/lab-3/wire.py
@@ -73,13 +73,16 @@
         self.port = 0
 
     async def start(self, host, port=0):
+        """Listen on a loopback address, and register."""
         self._server = await asyncio.start_server(self._serve, host, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop_listening(self):
+        """Accept no more connections."""
         self._server.close()
 
     def silence_open_connections(self):
+        """Answer nothing more on the open connections."""
         self._silenced |= self.writers
         return len(self.writers)
 
@@ -116,6 +119,7 @@
 
 
 async def read_body(reader, headers):
+    """Return a body with a length or in chunks."""
     if headers.get('transfer-encoding', '').lower() != 'chunked':
         return await reader.readexactly(int(headers.get('content-length', 0)))
     body = b''
@@ -166,6 +170,7 @@
         return Answer(status, headers, body, complete=True)
 
     def close(self):
+        """Close it."""
         if self._writer is not None:
             self._writer.transport.abort()
         self._reader = self._writer = None
--- a/review/lab-3/workers.py
+++ b/review/lab-3/workers.py
@@ -20,6 +20,7 @@
         self._server = wire.Server(self._answer)
 
     async def start(self, host):
+        """Listen on a loopback address, and register."""
         await self._server.start(host)
         self.address = f'{host}:{self._server.port}'
         self.register()
