--- a/review/12/case.py
+++ b/review/12/case.py
@@ -19,7 +19,7 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 INSTANCES = 7
-STREAMS = 60
+STREAMS = 90
 CONTACT_S = 3.0
 GRACE_S = 8.0
 # As in the site file: all machines, one each second.
