--- a/review/12/case.py
+++ b/review/12/case.py
@@ -26,7 +26,7 @@
 ROLL_GAP_S = 1.0
 TRAFFIC_BEFORE_S = 12.0
 TRAFFIC_AFTER_S = 12.0
-DEADLINE_S = 25.0
+DEADLINE_S = 12.0
 TRIES = 3
 MIN_TAKE_UPS = 12
 
@@ -186,8 +186,8 @@
             '/draft/',
             'draft',
             'streaming',
-            timeout_ms=25000,
-            target_latency_ms=1200,
+            timeout_ms=12000,
+            target_latency_ms=400,
             resumable=True,
         )
         self.store.put(
